--- /dev/null
+++ b/include/ibisnotch/admission.h
@@ -0,0 +1,61 @@
+// Whether a request is taken or refused at once, before it costs anything.
+#pragma once
+
+#include <map>
+#include <mutex>
+#include <string>
+
+#include "ibisnotch/clock.h"
+#include "ibisnotch/config.h"
+#include "ibisnotch/random.h"
+#include "ibisnotch/region-choice.h"
+#include "ibisnotch/result-code.h"
+
+namespace ibisnotch {
+
+struct AdmissionQuestion
+{
+    const Customer *customer = nullptr;
+    const Service *service = nullptr;
+    double slots = 0; // where it would run
+    double outstanding = 0;
+    double queueFactor = 2;
+    bool lateIsUndelivered = false;
+    Duration way{}; // to the region and back
+    Duration remaining{}; // until the caller's deadline
+};
+
+struct AdmissionAnswer
+{
+    ResultCode code = ResultCode::served; // served: taken
+    Duration retryAfter{};
+    bool operator==(const AdmissionAnswer &) const = default;
+};
+
+// A caller refused for lack of capacity is told to come back when the work ahead is done, spread
+// over as long again so that those refused together do not come back together.
+Duration spreadRetryAfter(double waitSeconds, Random &random);
+
+// Counts what each customer has in flight here, and decides. Thread safe.
+class Admission
+{
+public:
+    AdmissionAnswer ask(const AdmissionQuestion &question, Random &random);
+
+    void onTaken(const std::string &customer, const std::string &service, double share);
+    void onOver(const std::string &customer, const std::string &service);
+
+private:
+    struct Usage
+    {
+        int inFlight = 0;
+        double share = 1;
+    };
+
+    bool overShare(const AdmissionQuestion &question);
+
+    std::mutex m_mutex;
+    std::map<std::string, std::map<std::string, Usage>> m_usage; // service, customer
+};
+
+} // namespace ibisnotch
--- /dev/null
+++ b/include/ibisnotch/answer-check.h
@@ -0,0 +1,51 @@
+// Whether an answer is the whole answer to the request that waits for it.
+#pragma once
+
+#include <string>
+#include <string_view>
+
+#include "ibisnotch/http.h"
+
+namespace ibisnotch {
+
+constexpr std::string_view requestIdHeader = "X-Request-Id";
+
+enum class AnswerForm {
+    eventStream, // server-sent events of chat completion chunks, closed by "[DONE]"
+    json,
+    plain,
+};
+
+enum class AnswerVerdict { good, notOurs, broken };
+
+// Checks one answer as it arrives. The other end must echo the request's id; each chunk of a stream
+// must carry the same completion id.
+class AnswerCheck
+{
+public:
+    AnswerCheck(std::string requestId, AnswerForm form);
+
+    AnswerVerdict onHead(int status, const Headers &headers);
+
+    // Takes data and returns in `out` what may be passed on: whole events of a stream, everything
+    // of other answers.
+    AnswerVerdict onData(std::string_view data, std::string &out);
+
+    // After the last byte: whether nothing is missing.
+    bool whole() const;
+
+    int status() const { return m_status; }
+
+private:
+    AnswerVerdict checkEvent(std::string_view event);
+
+    std::string m_requestId;
+    AnswerForm m_form;
+    int m_status = 0;
+    std::string m_partial; // of an event not yet complete
+    std::string m_body; // json only, up to the limit
+    std::string m_completionId;
+    bool m_done = false;
+};
+
+} // namespace ibisnotch
--- /dev/null
+++ b/include/ibisnotch/clock.h
@@ -0,0 +1,60 @@
+// Time as the decisions see it.
+#pragma once
+
+#include <atomic>
+#include <chrono>
+
+namespace ibisnotch {
+
+using Duration = std::chrono::microseconds;
+
+// Monotonic time since an arbitrary start. Only differences mean anything.
+using TimePoint = std::chrono::time_point<std::chrono::steady_clock, Duration>;
+
+// Wall time. Used only where two instances must compare dates: booking keys and callers' deadlines.
+using WallTime = std::chrono::time_point<std::chrono::system_clock, Duration>;
+
+class Clock
+{
+public:
+    virtual ~Clock() = default;
+    virtual TimePoint now() const = 0;
+    virtual WallTime wallNow() const = 0;
+};
+
+class SystemClock final : public Clock
+{
+public:
+    TimePoint now() const override
+    {
+        return std::chrono::time_point_cast<Duration>(std::chrono::steady_clock::now());
+    }
+    WallTime wallNow() const override
+    {
+        return std::chrono::time_point_cast<Duration>(std::chrono::system_clock::now());
+    }
+};
+
+// Stands still until advanced. Both kinds of time move together.
+class PausedClock final : public Clock
+{
+public:
+    explicit PausedClock(WallTime wallStart = WallTime(std::chrono::hours(24 * 365 * 50)))
+        : m_wallStart(wallStart)
+    {
+    }
+    TimePoint now() const override { return TimePoint(Duration(m_elapsed.load())); }
+    WallTime wallNow() const override { return m_wallStart + Duration(m_elapsed.load()); }
+    void advance(Duration by) { m_elapsed += by.count(); }
+
+private:
+    WallTime m_wallStart;
+    std::atomic<Duration::rep> m_elapsed = 0;
+};
+
+inline long long wallMilliseconds(WallTime time)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(time.time_since_epoch()).count();
+}
+
+} // namespace ibisnotch
--- /dev/null
+++ b/include/ibisnotch/config.h
@@ -0,0 +1,146 @@
+// The shared configuration: one base file and an overlay for each site (a region), checked for all
+// sites before it is accepted.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+#include <absl/status/statusor.h>
+
+#include "ibisnotch/clock.h"
+#include "ibisnotch/settings.h"
+
+namespace ibisnotch {
+
+enum class ServiceKind { model, application };
+
+struct Weights
+{
+    double tailLatency = 1;
+    double cost = 1;
+    double sentAway = 1;
+    bool lateIsUndelivered = false;
+    bool operator==(const Weights &) const = default;
+};
+
+struct Region
+{
+    std::string name;
+    std::vector<std::string> dataCentres;
+    bool operator==(const Region &) const = default;
+};
+
+struct Customer
+{
+    std::string name;
+    std::string tokenSha256; // of the bearer token, in hex
+    std::vector<std::string> regions; // empty: all
+    std::vector<std::string> services; // empty: all
+    double share = 1; // its part when capacity is short, against the others' shares
+    bool operator==(const Customer &) const = default;
+};
+
+struct Service
+{
+    std::string name;
+    ServiceKind kind = ServiceKind::model;
+    std::string model; // model services only
+    std::string method; // application services only
+    std::string path; // application services only
+    bool idempotent = true; // false: a booking
+    Duration deadline{}; // when the caller gives none
+    Duration expected{}; // usual time of one run
+    double worth = 1;
+    int priority = 1; // 0 is most urgent
+    std::vector<std::string> regions; // empty: all
+    double objective = 0.99; // share of requests to be served in time
+    bool operator==(const Service &) const = default;
+};
+
+struct BackendServer
+{
+    std::string name;
+    ServiceKind kind = ServiceKind::model;
+    std::string dataCentre;
+    std::string address; // IP:port
+    int slots = 8; // requests it runs at once
+    std::vector<std::string> models; // model engines
+    std::vector<std::string> services; // application engines
+    double cost = 1; // of one slot for one second
+    bool checksFencing = false;
+    bool operator==(const BackendServer &) const = default;
+};
+
+struct Limits
+{
+    int maxBodyBytes = 1 << 20;
+    double retryShare = 0.1; // retries per request
+    double queueFactor = 2; // outstanding requests per slot before a refusal
+    Duration awayMargin = std::chrono::milliseconds(200);
+    int bookingShards = 16; // claim pages per hour; fixed for the life of a deployment
+    Duration bookingKeyLife = std::chrono::hours(24);
+    double weightLoadsPerMinute = 4; // of the whole deployment
+    bool operator==(const Limits &) const = default;
+};
+
+// What one site has in force.
+struct FleetConfig
+{
+    std::uint64_t version = 0;
+    std::string deployment;
+    std::string site;
+    Weights weights;
+    Limits limits;
+    std::vector<Region> regions;
+    Duration regionOneWay = std::chrono::milliseconds(80);
+    std::map<std::string, Customer> customers;
+    std::map<std::string, Service> services;
+    std::map<std::string, BackendServer> servers; // of this site only
+    bool operator==(const FleetConfig &) const = default;
+};
+
+struct ConfigFile
+{
+    std::string name;
+    std::string text;
+    bool operator==(const ConfigFile &) const = default;
+};
+
+// The document kept in the store: sources, not results, so that an older instance can read it.
+struct ConfigDocument
+{
+    std::uint64_t version = 0;
+    std::string author;
+    std::string note;
+    ConfigFile base;
+    std::map<std::string, ConfigFile> overlays; // by site
+    bool operator==(const ConfigDocument &) const = default;
+};
+
+std::string serializeDocument(const ConfigDocument &document);
+absl::StatusOr<ConfigDocument> parseDocument(std::string_view text);
+
+// Merged settings of one site, with origins.
+absl::StatusOr<SettingNode> effectiveSettings(const ConfigDocument &document,
+                                              const std::string &site);
+
+// Parses and checks one site. Fails with one line a fault.
+absl::StatusOr<FleetConfig> parseFleetConfig(const ConfigDocument &document,
+                                             const std::string &site);
+
+// Checks every site, the rules that span sites, and what may not change against the version now in
+// force (null at first). Returns the configuration of each site.
+absl::StatusOr<std::map<std::string, FleetConfig>> validateDocument(const ConfigDocument &document,
+                                                                    const ConfigDocument *inForce);
+
+// The regions where a customer's request for a service may run, in configuration order.
+std::vector<std::string> allowedRegions(const FleetConfig &config, const Customer &customer,
+                                        const Service &service);
+
+bool servesService(const BackendServer &server, const Service &service);
+
+std::string sha256Hex(std::string_view text);
+
+} // namespace ibisnotch
--- /dev/null
+++ b/include/ibisnotch/entry-list.h
@@ -0,0 +1,27 @@
+// The answer to a caller's question which entry instances to use. With no balancer before them,
+// this answer is what balances.
+#pragma once
+
+#include <string>
+#include <vector>
+
+#include "ibisnotch/clock.h"
+#include "ibisnotch/membership.h"
+#include "ibisnotch/random.h"
+
+namespace ibisnotch {
+
+struct EntryList
+{
+    std::vector<Member> instances; // to be tried in this order
+    Duration lifetime{};
+    bool operator==(const EntryList &) const = default;
+};
+
+// The caller's region first, then the other allowed regions. Within a region the order is drawn at
+// random for each call, weighted by free capacity, so that callers who ask together are told
+// different orders. Leaving and suspected instances are left out.
+EntryList makeEntryList(const std::vector<Member> &members, const std::string &callerRegion,
+                        const std::vector<std::string> &allowedRegions, Random &random);
+
+} // namespace ibisnotch
--- /dev/null
+++ b/include/ibisnotch/http-client.h
@@ -0,0 +1,109 @@
+// Outgoing HTTP by libcurl's multi interface, driven by an Asio loop of its own.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+
+#include "ibisnotch/clock.h"
+#include "ibisnotch/http.h"
+
+namespace ibisnotch {
+
+// All times are limits on one transfer; zero means no limit.
+struct TransferLimits
+{
+    Duration connect = std::chrono::seconds(1);
+    Duration firstByte = std::chrono::seconds(10);
+    // The longest silence between two pieces of an answer.
+    Duration idle = std::chrono::seconds(5);
+    Duration total = std::chrono::seconds(120);
+
+    bool operator==(const TransferLimits &) const = default;
+};
+
+struct OutgoingRequest
+{
+    std::string method = "GET";
+    std::string url;
+    Headers headers;
+    std::string body;
+    TransferLimits limits;
+    // libcurl sends a request again by itself when a kept connection turns out to be closed, even
+    // a POST that the other end may have acted on. A booking would run twice and nobody would see
+    // why. On a connection of its own that case cannot arise.
+    bool freshConnection = false;
+
+    bool operator==(const OutgoingRequest &) const = default;
+};
+
+enum class TransferEnd {
+    complete,
+    refusedByPeer, // no connection was established
+    timedOut,
+    brokenOff, // the connection ended before the answer did
+    cancelled, // by us
+};
+
+struct TransferResult
+{
+    TransferEnd end = TransferEnd::complete;
+    // True once any byte of the request may have reached the other end.
+    bool sent = false;
+    // True once the answer's status line and headers were delivered to the sink.
+    bool answered = false;
+
+    bool operator==(const TransferResult &) const = default;
+};
+
+// Takes one answer, on the client's loop. Returning false cancels the transfer.
+class AnswerSink
+{
+public:
+    virtual ~AnswerSink() = default;
+    virtual bool onHead(int status, const Headers &headers) = 0;
+    virtual bool onData(std::string_view data) = 0;
+    // True while the sink can't take more; the transfer is then held back.
+    virtual bool congested() const { return false; }
+    virtual void onEnd(const TransferResult &result) = 0;
+};
+
+// One thread and one connection pool. Each answer's callbacks come from that thread.
+class HttpClient
+{
+public:
+    HttpClient();
+    ~HttpClient();
+    HttpClient(const HttpClient &) = delete;
+    HttpClient &operator=(const HttpClient &) = delete;
+
+    // May be called from any thread.
+    void send(OutgoingRequest request, std::shared_ptr<AnswerSink> sink);
+
+    // Runs a function on the client's loop, at once or after a delay.
+    void post(std::function<void()> task);
+    void postAfter(Duration delay, std::function<void()> task);
+
+private:
+    class Private;
+    std::unique_ptr<Private> m_d;
+};
+
+struct WholeAnswer
+{
+    TransferResult result;
+    HttpResponse response;
+
+    bool operator==(const WholeAnswer &) const = default;
+};
+
+// Collects a short answer and hands it over in one piece.
+void sendWhole(HttpClient &client, OutgoingRequest request,
+               std::function<void(const WholeAnswer &)> done);
+
+// The same, and waits for it. Not for the client's own loop.
+WholeAnswer sendAndWait(HttpClient &client, OutgoingRequest request);
+
+} // namespace ibisnotch
--- /dev/null
+++ b/include/ibisnotch/metrics.h
@@ -0,0 +1,48 @@
+// Counts and latencies of requests, in the Prometheus text form.
+#pragma once
+
+#include <atomic>
+#include <memory>
+#include <string>
+
+#include "ibisnotch/clock.h"
+#include "ibisnotch/result-code.h"
+
+namespace ibisnotch {
+
+struct RequestRecord
+{
+    std::string service;
+    std::string customer;
+    ResultCode code = ResultCode::served;
+    Duration total{};
+    Duration firstByte{};
+    int attempts = 0;
+    bool sentAway = false;
+    double cost = 0;
+    double worthDelivered = 0;
+    bool operator==(const RequestRecord &) const = default;
+};
+
+// Thread safe.
+class Metrics
+{
+public:
+    Metrics();
+    ~Metrics();
+    Metrics(const Metrics &) = delete;
+    Metrics &operator=(const Metrics &) = delete;
+
+    void onRequest(const RequestRecord &record);
+    void onRetry();
+    void setGauge(const std::string &name, double value);
+
+    // Latencies in seconds; quantiles are estimated, not exact.
+    std::string prometheusText() const;
+
+private:
+    class Private;
+    std::unique_ptr<Private> m_d;
+};
+
+} // namespace ibisnotch
--- /dev/null
+++ b/include/ibisnotch/peer-link.h
@@ -0,0 +1,103 @@
+// Messages between entry instances: datagrams for news, short TCP exchanges for what is larger.
+// Both are encoded by cereal's portable binary archive.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "ibisnotch/config-gate.h"
+#include "ibisnotch/membership.h"
+#include "ibisnotch/process-settings.h"
+#include "ibisnotch/quarantine.h"
+#include "ibisnotch/region-choice.h"
+#include "ibisnotch/server-table.h"
+
+namespace ibisnotch {
+
+// Raised when fields are appended. A reader ignores what follows the fields it knows, so instances
+// of neighbouring versions understand each other while a fleet is being replaced.
+constexpr std::uint16_t peerProtocol = 1;
+
+struct GossipMessage
+{
+    std::uint16_t protocol = peerProtocol;
+    Probe probe;
+    std::uint64_t configVersion = 0;
+    std::vector<LoadReport> loads; // of the sender's region only
+    std::vector<RegionLoad> regionLoads;
+    std::vector<CrashMark> marks;
+
+    bool operator==(const GossipMessage &) const = default;
+};
+
+std::string encodeGossip(const GossipMessage &message);
+std::optional<GossipMessage> decodeGossip(const std::string &bytes);
+
+struct PeerRequest
+{
+    std::uint16_t protocol = peerProtocol;
+    std::uint64_t haveVersion = 0;
+    bool wantMembers = false;
+    bool operator==(const PeerRequest &) const = default;
+};
+
+struct PeerReply
+{
+    std::uint16_t protocol = peerProtocol;
+    ConfigDelta delta; // toVersion 0: nothing newer
+    std::vector<Member> members;
+    bool operator==(const PeerReply &) const = default;
+};
+
+struct TrafficCount
+{
+    std::uint64_t bytesSent = 0;
+    std::uint64_t bytesReceived = 0;
+    bool operator==(const TrafficCount &) const = default;
+};
+
+// Called on the link's loop.
+class PeerHandler
+{
+public:
+    virtual ~PeerHandler() = default;
+    virtual void onGossip(const GossipMessage &message, const std::string &from) = 0;
+    virtual PeerReply onRequest(const PeerRequest &request) = 0;
+};
+
+// One thread, which also serves as the control loop of the instance.
+class PeerLink
+{
+public:
+    // Binds the address for datagrams and for TCP. Throws std::exception if that fails.
+    PeerLink(const Address &address, PeerHandler &handler);
+    ~PeerLink();
+    PeerLink(const PeerLink &) = delete;
+    PeerLink &operator=(const PeerLink &) = delete;
+
+    // From the loop's thread only.
+    void sendGossip(const std::string &address, const GossipMessage &message);
+    void exchange(const std::string &address, const PeerRequest &request,
+                  std::function<void(std::optional<PeerReply>)> done);
+
+    // From any thread.
+    void post(std::function<void()> task);
+    void postAfter(Duration delay, std::function<void()> task);
+
+    TrafficCount traffic() const;
+    // Processor time of the loop's thread so far.
+    Duration processorTime() const;
+
+    // Ends the loop; no handler runs after this returns.
+    void stop();
+
+private:
+    class Private;
+    std::unique_ptr<Private> m_d;
+};
+
+} // namespace ibisnotch
--- /dev/null
+++ b/include/ibisnotch/pick.h
@@ -0,0 +1,92 @@
+// Which backend server of the region runs a request.
+#pragma once
+
+#include <atomic>
+#include <memory>
+#include <optional>
+#include <set>
+#include <span>
+#include <string>
+#include <vector>
+
+#include "ibisnotch/random.h"
+#include "ibisnotch/server-table.h"
+
+namespace ibisnotch {
+
+struct Candidate
+{
+    const ServerView *view = nullptr;
+    double load = 0; // corrected
+    double slots = 1; // ramped
+};
+
+// The servers that may run a request for a service, without those tried already.
+std::vector<Candidate> candidatesFor(const RoutingTable &table, const Service &service,
+                                     const std::set<std::string> &tried, TimePoint now);
+
+struct PickQuestion
+{
+    std::span<const Candidate> candidates;
+    // Requests with the same prefix share a cache entry; 0 for none.
+    std::uint64_t prefix = 0;
+    Weights weights;
+    double expectedSeconds = 0.1;
+};
+
+class Picker
+{
+public:
+    virtual ~Picker() = default;
+    // The index of a candidate. The candidates must not be empty. Thread safe.
+    virtual std::size_t pick(const PickQuestion &question, Random &random) = 0;
+};
+
+class RandomPicker final : public Picker
+{
+public:
+    std::size_t pick(const PickQuestion &question, Random &random) override;
+};
+
+class RoundRobinPicker final : public Picker
+{
+public:
+    std::size_t pick(const PickQuestion &question, Random &random) override;
+
+private:
+    std::atomic<std::size_t> m_next = 0;
+};
+
+// The least load by the last report, uncorrected: the baseline that herds.
+class LeastReportedPicker final : public Picker
+{
+public:
+    std::size_t pick(const PickQuestion &question, Random &random) override;
+};
+
+// Two at random, the less loaded of them by the corrected load.
+class TwoChoicesPicker final : public Picker
+{
+public:
+    std::size_t pick(const PickQuestion &question, Random &random) override;
+};
+
+// The servers in the rendezvous order of the prefix, taken while their load stays within a bound;
+// then two choices. Cost decides between servers of the same load.
+class AffinityPicker final : public Picker
+{
+public:
+    explicit AffinityPicker(double bound = 1.0) : m_bound(bound) { }
+    std::size_t pick(const PickQuestion &question, Random &random) override;
+
+private:
+    double m_bound;
+    TwoChoicesPicker m_fallback;
+};
+
+// A hash of what requests with a common prefix share: the customer and the start of the body. The
+// customer is part of it so that no partner can find out another's prompts by the time to the first
+// token.
+std::uint64_t prefixOf(std::string_view customer, std::string_view service, std::string_view body);
+
+} // namespace ibisnotch
--- /dev/null
+++ b/include/ibisnotch/process-settings.h
@@ -0,0 +1,47 @@
+// Settings of one process: its name, place and addresses. Apart from the shared configuration.
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include <absl/status/statusor.h>
+
+#include "ibisnotch/clock.h"
+
+namespace ibisnotch {
+
+struct Address
+{
+    std::string host;
+    std::uint16_t port = 0;
+    std::string text() const { return host + ":" + std::to_string(port); }
+    auto operator<=>(const Address &) const = default;
+};
+
+absl::StatusOr<Address> parseAddress(const std::string &text);
+
+struct ProcessSettings
+{
+    std::string name;
+    std::string region;
+    std::string dataCentre;
+    Address callers;
+    Address peers;
+    Address gossip;
+    std::string store; // IP:port of the platform's key-value service
+    std::vector<std::string> seeds; // gossip addresses of some other instances
+    int workers = 2;
+    int maxConnections = 20000;
+    Duration idleTimeout = std::chrono::seconds(60);
+    Duration drainTime = std::chrono::seconds(120);
+    std::string logLevel = "info";
+    bool operator==(const ProcessSettings &) const = default;
+};
+
+absl::StatusOr<ProcessSettings> parseProcessSettings(std::string_view text,
+                                                     const std::string &file);
+
+absl::StatusOr<std::string> readFile(const std::string &path);
+
+} // namespace ibisnotch
--- /dev/null
+++ b/include/ibisnotch/region-choice.h
@@ -0,0 +1,96 @@
+// Whether a request runs in this region or is sent to another.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "ibisnotch/clock.h"
+#include "ibisnotch/config.h"
+#include "ibisnotch/pick.h"
+#include "ibisnotch/random.h"
+
+namespace ibisnotch {
+
+// What a region tells the others of one service.
+struct RegionLoad
+{
+    std::string region;
+    std::string service;
+    double slots = 0;
+    double outstanding = 0;
+    std::uint32_t ageMs = 0; // when sent
+
+    template <typename Archive> void serialize(Archive &archive)
+    {
+        archive(region, service, slots, outstanding, ageMs);
+    }
+    bool operator==(const RegionLoad &) const = default;
+};
+
+// The time that a request would wait for a slot.
+double waitSeconds(double slots, double outstanding, double expectedSeconds);
+
+RegionLoad summarize(const std::string &region, const Service &service,
+                     std::span<const Candidate> candidates);
+
+// Keeps the latest summary of each other region, corrected by what was sent there since.
+class RegionTable
+{
+public:
+    void onLoad(const RegionLoad &load, TimePoint now);
+    void onSentAway(const std::string &region, const std::string &service);
+    std::optional<RegionLoad> find(const std::string &region, const std::string &service,
+                                   TimePoint now) const;
+
+private:
+    struct Entry
+    {
+        RegionLoad load;
+        TimePoint at;
+        double sentSince = 0;
+    };
+    mutable std::mutex m_mutex;
+    std::map<std::pair<std::string, std::string>, Entry> m_entries;
+};
+
+struct RegionQuestion
+{
+    std::string home;
+    std::vector<std::string> allowed; // by residency; may lack the home region
+    std::vector<std::string> reachable; // regions with an entry instance that is alive
+    const Service *service = nullptr;
+    RegionLoad homeLoad;
+    Weights weights;
+    Duration oneWay{};
+    Duration awayMargin{};
+    bool mayForward = true; // false once the request has changed regions
+};
+
+struct RegionAnswer
+{
+    // Empty: no region can take it now.
+    std::optional<std::string> region;
+    double waitSeconds = 0;
+    bool residencyForbids = false; // nowhere this instance may send it
+    bool operator==(const RegionAnswer &) const = default;
+};
+
+// Compares the wait at home with the way and the wait elsewhere. Away must win by a margin that the
+// weights scale; once traffic flows away, half the margin keeps it there, so that the choice does
+// not swing with each report. Thread safe.
+class RegionChooser
+{
+public:
+    RegionAnswer choose(const RegionQuestion &question, const RegionTable &table, TimePoint now,
+                        Random &random);
+
+private:
+    std::mutex m_mutex;
+    std::map<std::string, bool> m_sendingAway; // by service
+};
+
+} // namespace ibisnotch
--- /dev/null
+++ b/include/ibisnotch/result-code.h
@@ -0,0 +1,73 @@
+// The numbered results that callers see, and the one table that describes them.
+#pragma once
+
+#include <span>
+#include <string_view>
+
+#include <absl/status/status.h>
+
+namespace ibisnotch {
+
+enum class ResultCode : int {
+    served = 1000,
+    bookingRepeated = 1001,
+    malformedRequest = 2001,
+    unknownCustomer = 2002,
+    unknownService = 2003,
+    unknownModel = 2004,
+    bodyTooLarge = 2005,
+    bookingKeyMissing = 2006,
+    bookingKeyForm = 2007,
+    deadlinePassed = 2008,
+    bookingKeyReused = 2009,
+    noSuchPath = 2010,
+    overloaded = 3001,
+    noBackendServer = 3002,
+    residencyForbids = 3003,
+    loopRefused = 3004,
+    quarantined = 3005,
+    heldForTrial = 3006,
+    storeUnreachable = 3007,
+    stopping = 3008,
+    deadlineTooShort = 3009,
+    retriesSpent = 3010,
+    claimPageFull = 3011,
+    customerOverShare = 3012,
+    notReady = 3013,
+    bookingNotRun = 3014,
+    outcomeUnknown = 4001,
+    issuerGone = 4002,
+    bookingInProgress = 4003,
+    answerCutShort = 5001,
+    answerNotOurs = 5002,
+    backendFailed = 5003,
+    deadlineExceeded = 5004,
+};
+
+// Whether the request reached a backend server that may have acted on it.
+enum class RunState { run, notRun, unknown };
+
+struct ResultInfo
+{
+    ResultCode code;
+    std::string_view name;
+    int httpStatus;
+    RunState run;
+    std::string_view advice;
+
+    bool operator==(const ResultInfo &) const = default;
+};
+
+// All codes, in ascending order.
+std::span<const ResultInfo> resultTable();
+
+const ResultInfo &resultInfo(ResultCode code);
+
+std::string_view runStateName(RunState run);
+
+// An error whose payload carries the result code, and back. A status without one maps to
+// ResultCode::malformedRequest, since only parse functions return such statuses.
+absl::Status makeStatus(ResultCode code, std::string_view message);
+ResultCode resultCodeOf(const absl::Status &status);
+
+} // namespace ibisnotch
--- /dev/null
+++ b/include/ibisnotch/retry.h
@@ -0,0 +1,68 @@
+// Whether a failed attempt may be followed by another.
+#pragma once
+
+#include <map>
+#include <mutex>
+#include <string>
+
+#include "ibisnotch/clock.h"
+#include "ibisnotch/result-code.h"
+
+namespace ibisnotch {
+
+// How one attempt at a backend server or a peer ended.
+enum class AttemptEnd {
+    answered,
+    notConnected, // certain: nothing was sent
+    refusedNotRun, // certain: the other end says that it did not run the request
+    refusedForGood, // a refusal that any other server would repeat
+    brokenOff, // the connection ended after the request was sent
+    silent, // no progress in time
+    cutShort, // the answer began and did not end as it should
+    notOurs, // the answer belongs to another request
+    serverError, // an answer of status 500 or above
+};
+
+// True where it is certain that the other end did not act on the request.
+bool certainlyNotRun(AttemptEnd end);
+
+// Tokens that limit retries to a share of the requests, per customer and service. In an outage
+// every request fails; without the budget each would be tried several times and the load on what
+// is left of the fleet would be multiplied. Thread safe.
+class RetryBudget
+{
+public:
+    explicit RetryBudget(double burst = 5) : m_burst(burst) { }
+
+    void onRequest(const std::string &customer, const std::string &service, double retryShare);
+    bool take(const std::string &customer, const std::string &service);
+
+private:
+    double &tokens(const std::string &customer, const std::string &service);
+
+    double m_burst;
+    std::mutex m_mutex;
+    std::map<std::pair<std::string, std::string>, double> m_tokens;
+};
+
+struct RetryQuestion
+{
+    AttemptEnd end = AttemptEnd::answered;
+    bool idempotent = true;
+    bool callerHasSeenBytes = false;
+    int attemptsMade = 1;
+    Duration remaining{}; // until the caller's deadline
+    Duration expected{}; // usual time of one run
+};
+
+enum class RetryAnswer { retry, giveUp };
+
+constexpr int mostAttempts = 3;
+
+// The rules that need no budget. Ask the budget only after RetryAnswer::retry.
+RetryAnswer mayRetry(const RetryQuestion &question);
+
+// What the caller is told when an attempt was the last.
+ResultCode finalCode(AttemptEnd end, bool idempotent, bool deadlineOver);
+
+} // namespace ibisnotch
--- /dev/null
+++ b/include/ibisnotch/server-table.h
@@ -0,0 +1,147 @@
+// What an instance knows of the backend servers of its region, and which of them may get work.
+#pragma once
+
+#include <atomic>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <vector>
+
+#include "ibisnotch/clock.h"
+#include "ibisnotch/config.h"
+
+namespace ibisnotch {
+
+// One report of a backend server's load, first hand or through another instance.
+struct LoadReport
+{
+    std::string server;
+    std::uint64_t incarnation = 0; // start time of the server's process
+    std::uint32_t running = 0;
+    std::uint32_t waiting = 0;
+    std::uint32_t ageMs = 0; // when sent
+    bool leaving = false;
+    bool reachable = true; // false: the probe failed
+
+    template <typename Archive> void serialize(Archive &archive)
+    {
+        archive(server, incarnation, running, waiting, ageMs, leaving, reachable);
+    }
+    bool operator==(const LoadReport &) const = default;
+};
+
+// Counts that change with each request; shared by successive routing tables.
+struct ServerCounters
+{
+    std::atomic<int> inFlight = 0; // sent by this instance and not yet over
+    std::atomic<int> sentSinceReport = 0;
+    std::atomic<int> endedSinceReport = 0;
+    std::atomic<bool> probing = false; // the one request that tries an ejected server again
+};
+
+// An entry of the platform's list of instances. The list lags, so it may still name a server that
+// has been restarted since.
+struct LeavingNotice
+{
+    std::string server;
+    std::uint64_t sinceMs = 0; // wall time, comparable with a server's incarnation
+    bool operator==(const LeavingNotice &) const = default;
+};
+
+enum class ServerStatus { usable, trial, ejected, leaving, unreachable };
+
+std::string_view serverStatusName(ServerStatus status);
+
+// One backend server as a request sees it.
+struct ServerView
+{
+    BackendServer server;
+    ServerStatus status = ServerStatus::usable;
+    double reported = 0; // running and waiting, by the last report
+    TimePoint reportedAt{};
+    // When its cache was last known to be cold; it is filled with work step by step from then.
+    TimePoint coldSince{};
+    std::uint64_t incarnation = 0;
+    std::shared_ptr<ServerCounters> counters;
+};
+
+// Immutable; replaced as a whole.
+struct RoutingTable
+{
+    std::shared_ptr<const FleetConfig> config;
+    std::vector<ServerView> servers;
+    // How many instances of the region send to these servers, this one included.
+    int senders = 1;
+};
+
+constexpr Duration rampTime = std::chrono::seconds(20);
+constexpr double rampStart = 0.25;
+
+// Slots that a server is trusted with at this time.
+double rampedSlots(const ServerView &view, TimePoint now);
+
+// The reported load, corrected by what this instance sent and saw end since the report. The others'
+// traffic is taken to be like its own.
+double correctedLoad(const ServerView &view, int senders);
+
+// Builds routing tables from configuration, reports and the ends of attempts. Thread safe.
+class ServerTable
+{
+public:
+    struct Limits
+    {
+        int failuresToEject = 3;
+        Duration firstEjection = std::chrono::seconds(5);
+        Duration longestEjection = std::chrono::seconds(60);
+        Duration reportLife = std::chrono::seconds(10);
+    };
+
+    explicit ServerTable(Limits limits) : m_limits(limits) { }
+
+    void setConfig(std::shared_ptr<const FleetConfig> config, TimePoint now);
+    void setSenders(int senders);
+
+    // Returns true if the report changed whether the server may get work.
+    bool onReport(const LoadReport &report, TimePoint now);
+    // The platform's list says that these servers are leaving.
+    void onLeavingList(const std::vector<LeavingNotice> &notices);
+    // A server says with an answer that it is leaving.
+    void onOwnWord(const std::string &server);
+
+    void onAttempt(const std::string &server, bool failed, TimePoint now);
+
+    // The state of an operator's drain.
+    void setDrained(const std::string &server, bool drained);
+
+    RoutingTable table(TimePoint now) const;
+    std::vector<LoadReport> reports(TimePoint now, std::size_t most, std::size_t &cursor) const;
+
+private:
+    struct Record
+    {
+        BackendServer server;
+        LoadReport report;
+        TimePoint reportedAt{};
+        bool everReported = false;
+        bool leaving = false; // latched for this incarnation
+        bool drained = false;
+        int failures = 0;
+        int ejections = 0;
+        TimePoint ejectedUntil{};
+        TimePoint coldSince{};
+        std::shared_ptr<ServerCounters> counters;
+    };
+
+    ServerStatus statusOf(const Record &record, TimePoint now) const;
+    void startIncarnation(Record &record, const LoadReport &report, TimePoint now);
+
+    Limits m_limits;
+    mutable std::mutex m_mutex;
+    std::shared_ptr<const FleetConfig> m_config;
+    std::map<std::string, Record> m_records;
+    int m_senders = 1;
+};
+
+} // namespace ibisnotch
--- /dev/null
+++ b/include/ibisnotch/settings.h
@@ -0,0 +1,86 @@
+// Settings trees: YAML text with the origin of each value, merged from a base and an overlay.
+#pragma once
+
+#include <map>
+#include <set>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include <absl/status/statusor.h>
+
+#include "ibisnotch/clock.h"
+
+namespace ibisnotch {
+
+struct Origin
+{
+    std::string file;
+    int line = 0; // from 1
+    auto operator<=>(const Origin &) const = default;
+};
+
+struct SettingNode
+{
+    enum class Kind { scalar, list, map };
+
+    Kind kind = Kind::scalar;
+    std::string scalar;
+    std::vector<SettingNode> list;
+    std::map<std::string, SettingNode> map;
+    Origin origin;
+
+    bool operator==(const SettingNode &) const = default;
+};
+
+// Parses YAML text. The file name serves messages only. Fails on broken YAML and on a key given
+// twice, with file and line.
+absl::StatusOr<SettingNode> parseSettings(std::string_view text, const std::string &file);
+
+// Maps merge key by key; any other value of the overlay replaces that of the base.
+SettingNode mergeSettings(const SettingNode &base, const SettingNode &overlay);
+
+// One line a value: "path = value  # file:line".
+std::string printSettings(const SettingNode &root);
+
+// Reads one map, and notes what is missing, wrong or unknown. All faults of a file are reported
+// together, each as "file:line: path: what is wrong; what would be right".
+class SettingReader
+{
+public:
+    SettingReader(const SettingNode &node, std::string path, std::vector<std::string> &errors);
+
+    bool has(const std::string &key) const;
+    std::string text(const std::string &key, const std::string &fallback);
+    std::string requiredText(const std::string &key);
+    double number(const std::string &key, double fallback, double low, double high);
+    int integer(const std::string &key, int fallback, int low, int high);
+    bool flag(const std::string &key, bool fallback);
+    Duration duration(const std::string &key, Duration fallback);
+    std::vector<std::string> texts(const std::string &key);
+    std::string choice(const std::string &key, const std::string &fallback,
+                       const std::vector<std::string> &allowed);
+
+    // The child maps of a key, by name.
+    std::vector<std::pair<std::string, SettingReader>> children(const std::string &key);
+    SettingReader child(const std::string &key);
+
+    // Reports keys that nobody asked for. Call last.
+    void finish();
+    void fail(const std::string &key, const std::string &message);
+
+private:
+    const SettingNode *find(const std::string &key);
+    const SettingNode *findScalar(const std::string &key, const std::string &expected);
+    void failAt(const Origin &origin, const std::string &path, const std::string &message);
+
+    const SettingNode *m_node;
+    std::string m_path;
+    std::vector<std::string> *m_errors;
+    std::set<std::string> m_asked;
+};
+
+// "250ms", "20s", "5m", "2h".
+absl::StatusOr<Duration> parseDuration(std::string_view text);
+
+} // namespace ibisnotch
--- /dev/null
+++ b/include/ibisnotch/store.h
@@ -0,0 +1,79 @@
+// The platform's key-value service as the system uses it.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "ibisnotch/clock.h"
+
+namespace ibisnotch {
+
+class HttpClient;
+
+enum class StoreEnd {
+    ok,
+    notFound,
+    conflict, // certain: the value was not written
+    notApplied, // certain: refused, or never sent
+    unknown, // the call may have taken effect
+};
+
+struct StoreRead
+{
+    StoreEnd end = StoreEnd::unknown;
+    std::string value;
+    std::uint64_t index = 0; // of the value; 0 if it does not exist
+    bool operator==(const StoreRead &) const = default;
+};
+
+struct StoreWrite
+{
+    StoreEnd end = StoreEnd::unknown;
+    std::uint64_t index = 0; // after the write
+    bool operator==(const StoreWrite &) const = default;
+};
+
+struct StoreLease
+{
+    StoreEnd end = StoreEnd::unknown;
+    std::string id;
+    bool operator==(const StoreLease &) const = default;
+};
+
+// Every call counts against the store's rate, a waiting watch as one.
+class Store
+{
+public:
+    virtual ~Store() = default;
+
+    virtual void read(const std::string &key, std::function<void(const StoreRead &)> done) = 0;
+
+    // Returns once the value's index is above the given one, or the time is over.
+    virtual void watch(const std::string &key, std::uint64_t afterIndex, Duration longest,
+                       std::function<void(const StoreRead &)> done)
+        = 0;
+
+    // Writes if the value's index is the expected one; 0 means that it must not exist.
+    virtual void compareAndSet(const std::string &key, std::uint64_t expectedIndex,
+                               const std::string &value,
+                               std::function<void(const StoreWrite &)> done)
+        = 0;
+
+    virtual void remove(const std::string &key, std::function<void(const StoreWrite &)> done) = 0;
+
+    virtual void grantLease(Duration life, std::function<void(const StoreLease &)> done) = 0;
+    virtual void renewLease(const std::string &id, std::function<void(const StoreLease &)> done)
+        = 0;
+    // Sets the value if no other lease holds the key; the key vanishes with the lease.
+    virtual void acquire(const std::string &key, const std::string &leaseId,
+                         const std::string &value, std::function<void(const StoreWrite &)> done)
+        = 0;
+};
+
+// Speaks the HTTP interface of Consul's key-value store: transactions with "cas", sessions as
+// leases, blocking queries as watches. Callbacks come on the client's loop.
+std::unique_ptr<Store> makeConsulStore(HttpClient &client, const std::string &address);
+
+} // namespace ibisnotch
--- /dev/null
+++ b/src/decide/admission.cc
@@ -0,0 +1,87 @@
+#include "ibisnotch/admission.h"
+
+#include <algorithm>
+
+namespace ibisnotch {
+
+namespace {
+
+constexpr double shortestPause = 1;
+constexpr double longestPause = 60;
+constexpr double shareSlack = 1.25;
+
+double seconds(Duration duration)
+{
+    return std::chrono::duration<double>(duration).count();
+}
+
+} // namespace
+
+Duration spreadRetryAfter(double waitSeconds, Random &random)
+{
+    const double base = std::clamp(waitSeconds, shortestPause, longestPause);
+    const double spread = base * (1 + random.uniform());
+    return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(spread));
+}
+
+bool Admission::overShare(const AdmissionQuestion &question)
+{
+    const std::lock_guard lock(m_mutex);
+    auto &customers = m_usage[question.service->name];
+    double shares = 0;
+    int total = 0;
+    for (const auto &[name, usage] : customers) {
+        if (usage.inFlight == 0 && name != question.customer->name)
+            continue;
+        shares += usage.share;
+        total += usage.inFlight;
+    }
+    const Usage &own = customers[question.customer->name];
+    if (own.inFlight == 0)
+        return false;
+    const double fair = total * question.customer->share / std::max(shares, 0.01);
+    return own.inFlight + 1 > fair * shareSlack + 1;
+}
+
+AdmissionAnswer Admission::ask(const AdmissionQuestion &question, Random &random)
+{
+    const double expected = seconds(question.service->expected);
+    const double wait = waitSeconds(question.slots, question.outstanding, expected);
+    if (question.slots <= 0)
+        return {ResultCode::noBackendServer, spreadRetryAfter(shortestPause, random)};
+    const double fill = question.outstanding / question.slots;
+    const double remaining = seconds(question.remaining);
+    const double needed = seconds(question.way) + wait + expected;
+    // Where a late answer counts as undelivered, running it would only make the next one late too.
+    if (needed > remaining && (question.lateIsUndelivered || wait > 0))
+        return {ResultCode::deadlineTooShort, spreadRetryAfter(wait, random)};
+    if (fill < 1)
+        return {ResultCode::served, {}};
+    if (overShare(question))
+        return {ResultCode::customerOverShare, spreadRetryAfter(wait, random)};
+    // Less urgent services give way first when the queue fills.
+    constexpr double perPriority = 0.05;
+    const double limit = question.queueFactor * (1 - perPriority * question.service->priority);
+    if (fill >= std::max(1.0, limit))
+        return {ResultCode::overloaded, spreadRetryAfter(wait, random)};
+    return {ResultCode::served, {}};
+}
+
+void Admission::onTaken(const std::string &customer, const std::string &service, double share)
+{
+    const std::lock_guard lock(m_mutex);
+    Usage &usage = m_usage[service][customer];
+    ++usage.inFlight;
+    usage.share = share;
+}
+
+void Admission::onOver(const std::string &customer, const std::string &service)
+{
+    const std::lock_guard lock(m_mutex);
+    auto &customers = m_usage[service];
+    Usage &usage = customers[customer];
+    if (--usage.inFlight <= 0)
+        customers.erase(customer);
+}
+
+} // namespace ibisnotch
--- /dev/null
+++ b/src/decide/booking.cc
@@ -0,0 +1,434 @@
+#include "ibisnotch/booking.h"
+
+#include <algorithm>
+#include <charconv>
+
+#include <absl/strings/str_split.h>
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+
+#include "ibisnotch/hash.h"
+
+namespace ibisnotch {
+
+namespace {
+
+constexpr std::string_view issuedPrefix = "ib1.";
+constexpr std::size_t uuidLength = 36;
+constexpr std::size_t uuidVersionAt = 14;
+constexpr std::size_t uuidVariantAt = 19;
+constexpr Duration storeRetryPause = std::chrono::milliseconds(200);
+constexpr std::size_t claimBytes = 128; // upper bound of one serialized claim
+
+std::optional<std::uint64_t> parseHex(std::string_view text)
+{
+    std::uint64_t value = 0;
+    const auto result = std::from_chars(text.data(), text.data() + text.size(), value, 16);
+    if (text.empty() || result.ec != std::errc() || result.ptr != text.data() + text.size())
+        return std::nullopt;
+    return value;
+}
+
+bool hasUuidShape(std::string_view text)
+{
+    if (text.size() != uuidLength)
+        return false;
+    for (std::size_t i = 0; i < text.size(); ++i) {
+        const bool dash = i == 8 || i == 13 || i == 18 || i == 23;
+        if (dash ? text[i] != '-' : !std::isxdigit(static_cast<unsigned char>(text[i])))
+            return false;
+    }
+    return true;
+}
+
+std::optional<CallerKey> parseUuid7(std::string_view text)
+{
+    if (!hasUuidShape(text) || text[uuidVersionAt] != '7')
+        return std::nullopt;
+    if (std::string_view("89abAB").find(text[uuidVariantAt]) == std::string_view::npos)
+        return std::nullopt;
+    const std::string digits = std::string(text.substr(0, 8)) + std::string(text.substr(9, 4));
+    const auto milliseconds = parseHex(digits);
+    if (!milliseconds)
+        return std::nullopt;
+    // Upper and lower case name the same UUID, and must not be two bookings.
+    std::string lower(text);
+    std::transform(lower.begin(), lower.end(), lower.begin(),
+                   [](unsigned char c) { return static_cast<char>(std::tolower(c)); });
+    return CallerKey{lower, WallTime(std::chrono::milliseconds(*milliseconds))};
+}
+
+std::optional<IssuedKey> parseIssued(std::string_view text)
+{
+    constexpr std::size_t parts = 4;
+    if (text.substr(0, issuedPrefix.size()) != issuedPrefix)
+        return std::nullopt;
+    const std::vector<std::string> fields
+        = absl::StrSplit(absl::string_view(text.data(), text.size()), '.');
+    if (fields.size() != parts || fields[1].empty())
+        return std::nullopt;
+    const auto incarnation = parseHex(fields[2]);
+    if (!incarnation || !parseHex(fields[3]))
+        return std::nullopt;
+    return IssuedKey{std::string(text), fields[1], *incarnation};
+}
+
+std::string_view stateLetter(ClaimState state)
+{
+    switch (state) {
+    case ClaimState::claimed:
+        return "c";
+    case ClaimState::done:
+        return "d";
+    case ClaimState::notRun:
+        return "n";
+    }
+    return "c";
+}
+
+ClaimState stateOf(std::string_view letter)
+{
+    if (letter == "d")
+        return ClaimState::done;
+    if (letter == "n")
+        return ClaimState::notRun;
+    return ClaimState::claimed;
+}
+
+} // namespace
+
+absl::StatusOr<BookingKey> parseBookingKey(std::string_view text)
+{
+    if (auto issued = parseIssued(text))
+        return BookingKey(*std::move(issued));
+    if (auto uuid = parseUuid7(text))
+        return BookingKey(*std::move(uuid));
+    return makeStatus(ResultCode::bookingKeyForm, "the key is neither a UUIDv7 nor an issued key");
+}
+
+std::string makeCallerKey(WallTime born, Random &random)
+{
+    const auto milliseconds = static_cast<std::uint64_t>(wallMilliseconds(born));
+    const std::uint64_t a = random.next();
+    const std::uint64_t b = random.next();
+    return fmt::format("{:08x}-{:04x}-7{:03x}-{:04x}-{:012x}", (milliseconds >> 16) & 0xffffffffU,
+                       milliseconds & 0xffffU, a & 0xfffU, 0x8000U | ((a >> 16) & 0x3fffU),
+                       b & 0xffffffffffffULL);
+}
+
+bool keyAccepted(const CallerKey &key, WallTime now, Duration keyLife)
+{
+    return key.born <= now + clockTolerance && now < key.born + keyLife;
+}
+
+std::string claimPageName(const CallerKey &key, std::string_view claimId, int shards)
+{
+    const auto hour
+        = std::chrono::duration_cast<std::chrono::hours>(key.born.time_since_epoch()).count();
+    const auto shard = hash64(claimId) % static_cast<std::uint64_t>(shards);
+    return fmt::format("ibisnotch/claims/{}/{}", hour, shard);
+}
+
+std::string claimId(std::string_view customer, std::string_view key)
+{
+    return hash128Hex(customer, key);
+}
+
+std::string serializeClaimPage(const ClaimPage &page)
+{
+    nlohmann::json claims = nlohmann::json::object();
+    for (const auto &[id, claim] : page)
+        claims[id] = {claim.claimant, claim.bodyHash, stateLetter(claim.state), claim.httpStatus};
+    return nlohmann::json{{"claims", claims}}.dump();
+}
+
+absl::StatusOr<ClaimPage> parseClaimPage(std::string_view text)
+{
+    try {
+        ClaimPage page;
+        const auto json = nlohmann::json::parse(text);
+        for (const auto &[id, fields] : json.at("claims").items())
+            page[id] = {fields.at(0), fields.at(1), stateOf(fields.at(2).get<std::string>()),
+                        fields.at(3)};
+        return page;
+    } catch (const nlohmann::json::exception &error) {
+        return absl::InvalidArgumentError(fmt::format("broken claim page: {}", error.what()));
+    }
+}
+
+void ClaimPageWriter::claim(Request request)
+{
+    m_claims.push_back(std::move(request));
+}
+
+void ClaimPageWriter::settle(std::uint64_t attempt, const std::string &claimId, ClaimState state,
+                             int httpStatus)
+{
+    m_settlements.push_back({attempt, claimId, state, httpStatus});
+}
+
+void ClaimPageWriter::onRead(std::uint64_t call, std::uint64_t index, const ClaimPage &page)
+{
+    if (call != m_call)
+        return;
+    m_call.reset();
+    m_known = true;
+    m_index = index;
+    m_page = page;
+}
+
+void ClaimPageWriter::onReadFailed(std::uint64_t call, TimePoint now)
+{
+    if (call != m_call)
+        return;
+    m_call.reset();
+    backOff(now);
+}
+
+void ClaimPageWriter::onWritten(std::uint64_t call, PageWriteEnd end, std::uint64_t newIndex,
+                                TimePoint now)
+{
+    if (call != m_call)
+        return;
+    m_call.reset();
+    switch (end) {
+    case PageWriteEnd::applied:
+        m_page = m_written;
+        m_index = newIndex;
+        dropSettled();
+        return;
+    case PageWriteEnd::conflict:
+        m_known = false;
+        return;
+    case PageWriteEnd::notApplied:
+        backOff(now);
+        return;
+    case PageWriteEnd::unknown:
+        // The write may have taken effect although its answer was lost, or may do so later. Only
+        // the page itself tells: it is read back, and the attempt's number decides. A write that
+        // lands later than the read fails our next compare-and-swap, which leads back here.
+        m_known = false;
+        backOff(now);
+        return;
+    }
+}
+
+void ClaimPageWriter::backOff(TimePoint now)
+{
+    m_notBefore = now + storeRetryPause;
+}
+
+std::vector<ClaimAction> ClaimPageWriter::advance(TimePoint now)
+{
+    std::vector<ClaimAction> actions;
+    if (!m_call && m_known)
+        decideClaims(actions);
+    giveUpOverdue(now, actions);
+    const bool work = !m_claims.empty() || !m_settlements.empty();
+    if (!m_call && work && now >= m_notBefore)
+        startCall(actions);
+    return actions;
+}
+
+std::optional<ClaimResult> ClaimPageWriter::resultFor(const Request &request) const
+{
+    const auto found = m_page.find(request.claimId);
+    if (found == m_page.end())
+        return std::nullopt;
+    const Claim &claim = found->second;
+    if (claim.claimant == request.attempt)
+        return ClaimResult{request.attempt, ClaimOutcome::granted, 0};
+    if (claim.bodyHash != request.bodyHash)
+        return ClaimResult{request.attempt, ClaimOutcome::otherBody, 0};
+    if (claim.state == ClaimState::done)
+        return ClaimResult{request.attempt, ClaimOutcome::alreadyDone, claim.httpStatus};
+    if (claim.state == ClaimState::claimed)
+        return ClaimResult{request.attempt, ClaimOutcome::unknown, 0};
+    return std::nullopt;
+}
+
+void ClaimPageWriter::decideClaims(std::vector<ClaimAction> &actions)
+{
+    std::deque<Request> open;
+    for (Request &request : m_claims) {
+        if (const auto result = resultFor(request))
+            actions.emplace_back(*result);
+        else
+            open.push_back(std::move(request));
+    }
+    m_claims = std::move(open);
+}
+
+void ClaimPageWriter::giveUpOverdue(TimePoint now, std::vector<ClaimAction> &actions)
+{
+    std::deque<Request> open;
+    for (Request &request : m_claims) {
+        if (now < request.giveUpAt) {
+            open.push_back(std::move(request));
+            continue;
+        }
+        actions.emplace_back(ClaimResult{request.attempt, ClaimOutcome::storeUnreachable, 0});
+        // A write of this claim may still land. The attempt is over and never sends, so saying so
+        // on the page lets the caller use the key again instead of hearing "unknown" for a day.
+        m_settlements.push_back({request.attempt, request.claimId, ClaimState::notRun, 0});
+    }
+    m_claims = std::move(open);
+}
+
+bool ClaimPageWriter::applyClaim(const Request &request, ClaimPage &page)
+{
+    if (page.size() * claimBytes >= claimPageLimit)
+        return false;
+    page[request.claimId] = {request.attempt, request.bodyHash, ClaimState::claimed, 0};
+    return true;
+}
+
+bool ClaimPageWriter::applySettlements(ClaimPage &page)
+{
+    bool changed = false;
+    for (const Settlement &settlement : m_settlements) {
+        const auto found = page.find(settlement.claimId);
+        if (found == page.end() || found->second.claimant != settlement.attempt)
+            continue;
+        if (found->second.state != ClaimState::claimed)
+            continue;
+        found->second.state = settlement.state;
+        found->second.httpStatus = settlement.httpStatus;
+        changed = true;
+    }
+    return changed;
+}
+
+void ClaimPageWriter::dropSettled()
+{
+    std::deque<Settlement> open;
+    for (Settlement &settlement : m_settlements) {
+        const auto found = m_page.find(settlement.claimId);
+        const bool waiting = found != m_page.end() && found->second.claimant == settlement.attempt
+            && found->second.state == ClaimState::claimed;
+        if (waiting)
+            open.push_back(std::move(settlement));
+    }
+    m_settlements = std::move(open);
+}
+
+void ClaimPageWriter::startCall(std::vector<ClaimAction> &actions)
+{
+    if (!m_known) {
+        m_call = m_nextCall++;
+        actions.emplace_back(ReadPage{*m_call});
+        return;
+    }
+    m_written = m_page;
+    bool changed = applySettlements(m_written);
+    std::deque<Request> open;
+    for (Request &request : m_claims) {
+        // Two requests with one key in one batch: the first claims, the second meets the claim.
+        if (m_written.count(request.claimId) > 0
+            && m_written[request.claimId].state != ClaimState::notRun) {
+            open.push_back(std::move(request));
+            continue;
+        }
+        if (!applyClaim(request, m_written)) {
+            actions.emplace_back(ClaimResult{request.attempt, ClaimOutcome::pageFull, 0});
+            continue;
+        }
+        changed = true;
+        open.push_back(std::move(request));
+    }
+    m_claims = std::move(open);
+    if (!changed) {
+        dropSettled();
+        return;
+    }
+    m_call = m_nextCall++;
+    actions.emplace_back(WritePage{*m_call, m_index, serializeClaimPage(m_written)});
+}
+
+IssuedKeys::IssuedKeys(std::string instance, std::uint64_t incarnation, Limits limits)
+    : m_instance(std::move(instance)), m_incarnation(incarnation), m_limits(limits)
+{
+}
+
+std::optional<std::string> IssuedKeys::issue(const std::string &customer, TimePoint now,
+                                             Random &random)
+{
+    forgetOld(now);
+    if (m_keys.size() >= m_limits.most)
+        return std::nullopt;
+    std::string key
+        = fmt::format("{}{}.{:x}.{:016x}", issuedPrefix, m_instance, m_incarnation, random.next());
+    m_keys[key] = {customer, "", now, State::unused, 0, ""};
+    m_order.emplace_back(now, key);
+    return key;
+}
+
+void IssuedKeys::forgetOld(TimePoint now)
+{
+    while (!m_order.empty() && m_order.front().first + m_limits.life <= now) {
+        const auto found = m_keys.find(m_order.front().second);
+        // A send that is under way keeps its entry: it still has an outcome to record.
+        if (found != m_keys.end() && found->second.state == State::sending) {
+            m_order.emplace_back(now, m_order.front().second);
+            m_order.pop_front();
+            return;
+        }
+        if (found != m_keys.end())
+            m_keys.erase(found);
+        m_order.pop_front();
+    }
+}
+
+IssuedKeys::Decision IssuedKeys::begin(const IssuedKey &key, const std::string &customer,
+                                       const std::string &bodyHash, TimePoint now)
+{
+    if (key.instance != m_instance)
+        return {IssuedUse::notOurs, 0, ""};
+    forgetOld(now);
+    const auto found = m_keys.find(key.text);
+    if (key.incarnation != m_incarnation || found == m_keys.end()
+        || found->second.customer != customer)
+        return {IssuedUse::issuerGone, 0, ""};
+    Entry &entry = found->second;
+    if (entry.state != State::unused && entry.bodyHash != bodyHash)
+        return {IssuedUse::otherBody, 0, ""};
+    switch (entry.state) {
+    case State::unused:
+        entry.state = State::sending;
+        entry.bodyHash = bodyHash;
+        return {IssuedUse::send, 0, ""};
+    case State::sending:
+        return {IssuedUse::inProgress, 0, ""};
+    case State::done:
+        return {IssuedUse::repeat, entry.httpStatus, entry.answer};
+    case State::unknown:
+        return {IssuedUse::unknown, 0, ""};
+    }
+    return {IssuedUse::unknown, 0, ""};
+}
+
+void IssuedKeys::finishDone(const std::string &key, int httpStatus, std::string answer)
+{
+    const auto found = m_keys.find(key);
+    if (found == m_keys.end())
+        return;
+    found->second.state = State::done;
+    found->second.httpStatus = httpStatus;
+    found->second.answer = std::move(answer);
+}
+
+void IssuedKeys::finishNotRun(const std::string &key)
+{
+    const auto found = m_keys.find(key);
+    if (found != m_keys.end())
+        found->second.state = State::unused;
+}
+
+void IssuedKeys::finishUnknown(const std::string &key)
+{
+    const auto found = m_keys.find(key);
+    if (found != m_keys.end())
+        found->second.state = State::unknown;
+}
+
+} // namespace ibisnotch
--- /dev/null
+++ b/src/decide/entry-list.cc
@@ -0,0 +1,51 @@
+#include "ibisnotch/entry-list.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace ibisnotch {
+
+namespace {
+
+constexpr std::size_t mostInstances = 6;
+constexpr double lifetimeSeconds = 10;
+constexpr double fullPercent = 100;
+constexpr double leastWeight = 0.05;
+
+struct Ranked
+{
+    bool home = false;
+    double draw = 0;
+    const Member *member = nullptr;
+};
+
+} // namespace
+
+EntryList makeEntryList(const std::vector<Member> &members, const std::string &callerRegion,
+                        const std::vector<std::string> &allowedRegions, Random &random)
+{
+    std::vector<Ranked> ranked;
+    for (const Member &member : members) {
+        const bool allowed = std::find(allowedRegions.begin(), allowedRegions.end(), member.region)
+            != allowedRegions.end();
+        if (member.state != MemberState::alive || !allowed)
+            continue;
+        const double free = std::max(leastWeight, 1 - member.loadPercent / fullPercent);
+        // The logarithm of a uniform number over the weight orders a weighted sample.
+        const double draw = std::log(random.uniform() + 1e-12) / free;
+        ranked.push_back({member.region == callerRegion, draw, &member});
+    }
+    std::sort(ranked.begin(), ranked.end(), [](const Ranked &a, const Ranked &b) {
+        return a.home != b.home ? a.home : a.draw > b.draw;
+    });
+    EntryList list;
+    for (const Ranked &item : ranked) {
+        if (list.instances.size() < mostInstances)
+            list.instances.push_back(*item.member);
+    }
+    const double lifetime = lifetimeSeconds * (0.8 + 0.4 * random.uniform());
+    list.lifetime = std::chrono::milliseconds(static_cast<long>(lifetime * 1000));
+    return list;
+}
+
+} // namespace ibisnotch
--- /dev/null
+++ b/src/decide/membership.cc
@@ -0,0 +1,329 @@
+#include "ibisnotch/membership.h"
+
+#include <algorithm>
+#include <bit>
+
+namespace ibisnotch {
+
+namespace {
+
+constexpr int seedProbeOneIn = 10;
+
+bool isGone(MemberState state)
+{
+    return state == MemberState::dead || state == MemberState::left;
+}
+
+template <typename T> void shuffle(std::deque<T> &items, Random &random)
+{
+    for (std::size_t i = items.size(); i > 1; --i)
+        std::swap(items[i - 1], items[random.below(i)]);
+}
+
+} // namespace
+
+bool overrides(const Member &a, const Member &b)
+{
+    if (a.incarnation != b.incarnation)
+        return a.incarnation > b.incarnation;
+    return a.state > b.state;
+}
+
+Membership::Membership(Member self, std::vector<std::string> seeds, MembershipSettings settings)
+    : m_self(std::move(self)), m_seeds(std::move(seeds)), m_settings(settings)
+{
+    std::erase(m_seeds, m_self.gossipAddress);
+}
+
+int Membership::spreadCount() const
+{
+    // Each piece of news is carried a few times per doubling of the fleet, which reaches everyone
+    // with high probability and then stops.
+    constexpr int perDoubling = 3;
+    return perDoubling * static_cast<int>(std::bit_width(m_entries.size() + 1));
+}
+
+Probe Membership::makeProbe(ProbeKind kind, std::uint64_t sequence)
+{
+    Probe probe;
+    probe.kind = kind;
+    probe.sequence = sequence;
+    probe.sender = m_self;
+    std::vector<Entry *> fresh;
+    for (auto &[name, entry] : m_entries) {
+        if (entry.spreadLeft > 0)
+            fresh.push_back(&entry);
+    }
+    std::stable_sort(fresh.begin(), fresh.end(),
+                     [](const Entry *a, const Entry *b) { return a->spreadLeft > b->spreadLeft; });
+    fresh.resize(std::min(fresh.size(), m_settings.newsPerProbe));
+    for (Entry *entry : fresh) {
+        --entry->spreadLeft;
+        probe.news.push_back(entry->member);
+    }
+    return probe;
+}
+
+std::vector<SendProbe> Membership::tick(TimePoint now, Random &random)
+{
+    std::vector<SendProbe> out;
+    if (m_lastTick && now - *m_lastTick > m_settings.freezeGap)
+        excuseFreeze(now);
+    m_lastTick = now;
+    checkWaiting(now, random, out);
+    expire(now);
+    if (now >= m_nextProbe) {
+        m_nextProbe = now + m_settings.period;
+        startProbe(now, random, out);
+        probeSeedOrDead(random, out);
+    }
+    return out;
+}
+
+void Membership::excuseFreeze(TimePoint now)
+{
+    // This process stood still; the others did not. Timers that ran out meanwhile say nothing about
+    // them, and acting on those would declare a healthy fleet dead on waking.
+    m_frozen = true;
+    m_waiting.clear();
+    m_relays.clear();
+    for (auto &[name, entry] : m_entries) {
+        if (entry.member.state == MemberState::suspect)
+            entry.changed = now;
+    }
+}
+
+bool Membership::takeFreeze()
+{
+    const bool frozen = m_frozen;
+    m_frozen = false;
+    return frozen;
+}
+
+std::optional<std::string> Membership::nextTarget(Random &random)
+{
+    // A shuffled round rather than random picks: each member is probed once a round, which bounds
+    // the time until a failure is noticed.
+    for (int pass = 0; pass < 2; ++pass) {
+        while (!m_round.empty()) {
+            const std::string name = m_round.front();
+            m_round.pop_front();
+            const auto found = m_entries.find(name);
+            if (found != m_entries.end() && !isGone(found->second.member.state))
+                return name;
+        }
+        for (const auto &[name, entry] : m_entries)
+            m_round.push_back(name);
+        shuffle(m_round, random);
+    }
+    return std::nullopt;
+}
+
+void Membership::startProbe(TimePoint now, Random &random, std::vector<SendProbe> &out)
+{
+    const auto name = nextTarget(random);
+    if (!name)
+        return;
+    const std::uint64_t sequence = ++m_sequence;
+    m_waiting[sequence] = {*name, now + m_settings.ackTimeout, false};
+    out.push_back({m_entries.at(*name).member.gossipAddress, makeProbe(ProbeKind::ping, sequence)});
+}
+
+void Membership::probeSeedOrDead(Random &random, std::vector<SendProbe> &out)
+{
+    const bool alone = usable().empty();
+    if (!alone && random.below(seedProbeOneIn) != 0)
+        return;
+    std::vector<std::string> addresses = m_seeds;
+    for (const auto &[name, entry] : m_entries) {
+        if (entry.member.state == MemberState::dead)
+            addresses.push_back(entry.member.gossipAddress);
+    }
+    if (addresses.empty())
+        return;
+    out.push_back(
+        {addresses[random.below(addresses.size())], makeProbe(ProbeKind::ping, ++m_sequence)});
+}
+
+void Membership::checkWaiting(TimePoint now, Random &random, std::vector<SendProbe> &out)
+{
+    std::vector<std::uint64_t> over;
+    for (auto &[sequence, waiting] : m_waiting) {
+        if (now < waiting.ackBy)
+            continue;
+        if (!waiting.indirect) {
+            waiting.indirect = true;
+            waiting.ackBy = now + m_settings.period - m_settings.ackTimeout;
+            askOthers(waiting, sequence, random, out);
+            continue;
+        }
+        over.push_back(sequence);
+        const auto found = m_entries.find(waiting.name);
+        if (found != m_entries.end() && found->second.member.state == MemberState::alive)
+            setState(found->second, MemberState::suspect, now);
+        else if (found != m_entries.end() && found->second.member.state == MemberState::leaving)
+            setState(found->second, MemberState::left, now);
+    }
+    for (const std::uint64_t sequence : over)
+        m_waiting.erase(sequence);
+    std::erase_if(m_relays, [now](const auto &relay) { return relay.second.until <= now; });
+}
+
+void Membership::askOthers(const Waiting &waiting, std::uint64_t sequence, Random &random,
+                           std::vector<SendProbe> &out)
+{
+    const auto target = m_entries.find(waiting.name);
+    if (target == m_entries.end())
+        return;
+    std::deque<std::string> helpers;
+    for (const Member &member : usable()) {
+        if (member.name != waiting.name)
+            helpers.push_back(member.gossipAddress);
+    }
+    shuffle(helpers, random);
+    const auto count = std::min<std::size_t>(helpers.size(), m_settings.indirectProbes);
+    for (std::size_t i = 0; i < count; ++i) {
+        Probe probe = makeProbe(ProbeKind::pingRequest, sequence);
+        probe.target = target->second.member;
+        out.push_back({helpers[i], std::move(probe)});
+    }
+}
+
+void Membership::setState(Entry &entry, MemberState state, TimePoint now)
+{
+    entry.member.state = state;
+    entry.changed = now;
+    entry.spreadLeft = spreadCount();
+}
+
+void Membership::expire(TimePoint now)
+{
+    for (auto &[name, entry] : m_entries) {
+        const bool overdue = entry.changed + m_settings.suspicion <= now;
+        if (entry.member.state == MemberState::suspect && overdue)
+            setState(entry, MemberState::dead, now);
+    }
+    std::erase_if(m_entries, [&](const auto &item) {
+        return isGone(item.second.member.state)
+            && item.second.changed + m_settings.forgetDead <= now;
+    });
+}
+
+bool Membership::learnOfSelf(const Member &member)
+{
+    // Someone takes us for suspect or dead, or remembers an earlier run of this instance. A higher
+    // incarnation is the only thing that overrides it, and only we may raise ours.
+    const bool wrong = member.incarnation > m_self.incarnation
+        || (member.incarnation == m_self.incarnation && member.state > m_self.state);
+    if (!wrong)
+        return false;
+    m_self.incarnation = member.incarnation + 1;
+    return true;
+}
+
+bool Membership::learn(const Member &member, TimePoint now)
+{
+    if (member.name.empty())
+        return false;
+    if (member.name == m_self.name)
+        return learnOfSelf(member);
+    const auto found = m_entries.find(member.name);
+    if (found == m_entries.end()) {
+        // News of a member that is gone already would bring it back for others to probe.
+        if (isGone(member.state))
+            return false;
+        m_entries[member.name] = {member, now, spreadCount()};
+        return true;
+    }
+    if (!overrides(member, found->second.member))
+        return false;
+    found->second.member = member;
+    setState(found->second, member.state, now);
+    return true;
+}
+
+std::vector<SendProbe> Membership::onProbe(const Probe &probe, const std::string &from,
+                                           TimePoint now, Random &random)
+{
+    std::vector<SendProbe> out;
+    // Read before learning, which may overwrite what we hold of the sender.
+    const auto known = m_entries.find(probe.sender.name);
+    const bool senderThoughtGone = known != m_entries.end()
+        && known->second.member.state >= MemberState::suspect
+        && known->second.member.state != MemberState::leaving;
+    Member held;
+    if (senderThoughtGone)
+        held = known->second.member;
+    learn(probe.sender, now);
+    if (const auto entry = m_entries.find(probe.sender.name); entry != m_entries.end())
+        entry->second.member.loadPercent = probe.sender.loadPercent;
+    for (const Member &member : probe.news)
+        learn(member, now);
+
+    switch (probe.kind) {
+    case ProbeKind::ping: {
+        Probe ack = makeProbe(ProbeKind::ack, probe.sequence);
+        // Tell a member that we thought gone, so that it can refute at once.
+        if (senderThoughtGone)
+            ack.news.push_back(held);
+        out.push_back({from, std::move(ack)});
+        break;
+    }
+    case ProbeKind::pingRequest: {
+        const std::uint64_t sequence = ++m_sequence;
+        m_relays[sequence] = {from, probe.sequence, now + m_settings.period};
+        out.push_back({probe.target.gossipAddress, makeProbe(ProbeKind::ping, sequence)});
+        break;
+    }
+    case ProbeKind::ack: {
+        const auto relay = m_relays.find(probe.sequence);
+        if (relay != m_relays.end()) {
+            out.push_back(
+                {relay->second.address, makeProbe(ProbeKind::ack, relay->second.sequence)});
+            m_relays.erase(relay);
+        }
+        m_waiting.erase(probe.sequence);
+        break;
+    }
+    }
+    (void)random;
+    return out;
+}
+
+std::vector<SendProbe> Membership::spread(int fanout, Random &random)
+{
+    std::deque<std::string> addresses;
+    for (const Member &member : usable())
+        addresses.push_back(member.gossipAddress);
+    shuffle(addresses, random);
+    addresses.resize(std::min<std::size_t>(addresses.size(), fanout));
+    std::vector<SendProbe> out;
+    for (const std::string &address : addresses)
+        out.push_back({address, makeProbe(ProbeKind::ping, ++m_sequence)});
+    return out;
+}
+
+void Membership::leave()
+{
+    m_self.state = MemberState::leaving;
+}
+
+std::vector<Member> Membership::members() const
+{
+    std::vector<Member> result;
+    for (const auto &[name, entry] : m_entries)
+        result.push_back(entry.member);
+    return result;
+}
+
+std::vector<Member> Membership::usable() const
+{
+    std::vector<Member> result;
+    for (const auto &[name, entry] : m_entries) {
+        if (entry.member.state == MemberState::alive)
+            result.push_back(entry.member);
+    }
+    return result;
+}
+
+} // namespace ibisnotch
--- /dev/null
+++ b/src/decide/pick.cc
@@ -0,0 +1,109 @@
+#include "ibisnotch/pick.h"
+
+#include <algorithm>
+
+#include "ibisnotch/hash.h"
+
+namespace ibisnotch {
+
+namespace {
+
+constexpr std::size_t prefixBytes = 512;
+
+double fill(const Candidate &candidate)
+{
+    return (candidate.load + 1) / candidate.slots;
+}
+
+bool better(const Candidate &a, const Candidate &b, const PickQuestion &question)
+{
+    const double costA = question.weights.cost * a.view->server.cost * question.expectedSeconds;
+    const double costB = question.weights.cost * b.view->server.cost * question.expectedSeconds;
+    // Up to its slots a server does not make a request wait, so there the cheaper one wins.
+    const bool bothFree = fill(a) <= 1 && fill(b) <= 1;
+    if (bothFree && costA != costB)
+        return costA < costB;
+    return fill(a) < fill(b);
+}
+
+} // namespace
+
+std::vector<Candidate> candidatesFor(const RoutingTable &table, const Service &service,
+                                     const std::set<std::string> &tried, TimePoint now)
+{
+    std::vector<Candidate> usable;
+    std::vector<Candidate> trials;
+    for (const ServerView &view : table.servers) {
+        if (!servesService(view.server, service) || tried.count(view.server.name) > 0)
+            continue;
+        const Candidate candidate{&view, correctedLoad(view, table.senders),
+                                  std::max(0.5, rampedSlots(view, now))};
+        if (view.status == ServerStatus::usable)
+            usable.push_back(candidate);
+        else if (view.status == ServerStatus::trial && !view.counters->probing)
+            trials.push_back(candidate);
+    }
+    // An ejected server gets one request to show that it is back. It goes in among the others
+    // rather than first, since most of the time it is not back.
+    usable.insert(usable.end(), trials.begin(), trials.end());
+    return usable;
+}
+
+std::size_t RandomPicker::pick(const PickQuestion &question, Random &random)
+{
+    return random.below(question.candidates.size());
+}
+
+std::size_t RoundRobinPicker::pick(const PickQuestion &question, Random &)
+{
+    return m_next++ % question.candidates.size();
+}
+
+std::size_t LeastReportedPicker::pick(const PickQuestion &question, Random &)
+{
+    const auto least
+        = std::min_element(question.candidates.begin(), question.candidates.end(),
+                           [](const Candidate &a, const Candidate &b) {
+                               return a.view->reported / a.slots < b.view->reported / b.slots;
+                           });
+    return static_cast<std::size_t>(least - question.candidates.begin());
+}
+
+std::size_t TwoChoicesPicker::pick(const PickQuestion &question, Random &random)
+{
+    const std::size_t count = question.candidates.size();
+    const std::size_t a = random.below(count);
+    if (count == 1)
+        return a;
+    std::size_t b = random.below(count - 1);
+    if (b >= a)
+        ++b;
+    return better(question.candidates[b], question.candidates[a], question) ? b : a;
+}
+
+std::size_t AffinityPicker::pick(const PickQuestion &question, Random &random)
+{
+    if (question.prefix == 0)
+        return m_fallback.pick(question, random);
+    std::vector<std::pair<std::uint64_t, std::size_t>> order;
+    for (std::size_t i = 0; i < question.candidates.size(); ++i) {
+        const std::string &name = question.candidates[i].view->server.name;
+        order.emplace_back(rendezvousWeight(name, question.prefix), i);
+    }
+    std::sort(order.rbegin(), order.rend());
+    // The first two in the order may hold the prefix; a third copy would waste cache memory.
+    constexpr std::size_t homes = 2;
+    for (std::size_t rank = 0; rank < std::min(homes, order.size()); ++rank) {
+        if (fill(question.candidates[order[rank].second]) <= m_bound)
+            return order[rank].second;
+    }
+    return m_fallback.pick(question, random);
+}
+
+std::uint64_t prefixOf(std::string_view customer, std::string_view service, std::string_view body)
+{
+    const std::uint64_t seed = hash64(service, hash64(customer));
+    return hash64(body.substr(0, prefixBytes), seed);
+}
+
+} // namespace ibisnotch
--- /dev/null
+++ b/src/decide/process-settings.cc
@@ -0,0 +1,82 @@
+#include "ibisnotch/process-settings.h"
+
+#include <fstream>
+#include <sstream>
+
+#include <absl/strings/numbers.h>
+#include <absl/strings/str_join.h>
+#include <fmt/format.h>
+
+#include "ibisnotch/settings.h"
+
+namespace ibisnotch {
+
+namespace {
+
+Address readAddress(SettingReader &reader, const std::string &key)
+{
+    const std::string text = reader.requiredText(key);
+    const auto address = parseAddress(text);
+    if (!address.ok() && !text.empty())
+        reader.fail(key, std::string(address.status().message()));
+    return address.ok() ? *address : Address{};
+}
+
+} // namespace
+
+absl::StatusOr<Address> parseAddress(const std::string &text)
+{
+    constexpr int highestPort = 65535;
+    const std::size_t colon = text.rfind(':');
+    int port = 0;
+    const bool ok = colon != std::string::npos && colon > 0
+        && absl::SimpleAtoi(text.substr(colon + 1), &port) && port > 0 && port <= highestPort;
+    if (!ok)
+        return absl::InvalidArgumentError(
+            fmt::format("expected IP:port such as 127.0.0.1:8001, found \"{}\"", text));
+    return Address{text.substr(0, colon), static_cast<std::uint16_t>(port)};
+}
+
+absl::StatusOr<ProcessSettings> parseProcessSettings(std::string_view text, const std::string &file)
+{
+    constexpr int mostWorkers = 64;
+    constexpr int mostConnections = 1000000;
+    const auto tree = parseSettings(text, file);
+    if (!tree.ok())
+        return tree.status();
+    std::vector<std::string> errors;
+    SettingReader reader(*tree, "", errors);
+    ProcessSettings settings;
+    settings.name = reader.requiredText("name");
+    if (settings.name.find_first_of("@,. ") != std::string::npos)
+        reader.fail("name", "may not hold a space or one of @ , .");
+    settings.region = reader.requiredText("region");
+    settings.dataCentre = reader.requiredText("dataCentre");
+    settings.callers = readAddress(reader, "callers");
+    settings.peers = readAddress(reader, "peers");
+    settings.gossip = readAddress(reader, "gossip");
+    settings.store = readAddress(reader, "store").text();
+    settings.seeds = reader.texts("seeds");
+    settings.workers = reader.integer("workers", settings.workers, 1, mostWorkers);
+    settings.maxConnections
+        = reader.integer("maxConnections", settings.maxConnections, 1, mostConnections);
+    settings.idleTimeout = reader.duration("idleTimeout", settings.idleTimeout);
+    settings.drainTime = reader.duration("drainTime", settings.drainTime);
+    settings.logLevel = reader.choice("logLevel", "info", {"debug", "info", "warn", "error"});
+    reader.finish();
+    if (!errors.empty())
+        return absl::InvalidArgumentError(absl::StrJoin(errors, "\n"));
+    return settings;
+}
+
+absl::StatusOr<std::string> readFile(const std::string &path)
+{
+    std::ifstream file(path, std::ios::binary);
+    if (!file)
+        return absl::NotFoundError(fmt::format("{}: cannot be read", path));
+    std::ostringstream text;
+    text << file.rdbuf();
+    return text.str();
+}
+
+} // namespace ibisnotch
--- /dev/null
+++ b/src/decide/quarantine.cc
@@ -0,0 +1,124 @@
+#include "ibisnotch/quarantine.h"
+
+#include <algorithm>
+
+#include "ibisnotch/hash.h"
+
+namespace ibisnotch {
+
+std::string requestFingerprint(std::string_view customer, std::string_view service,
+                               std::string_view body)
+{
+    return hash128Hex(customer, service, body);
+}
+
+Quarantine::Quarantine(std::string self, Limits limits) : m_self(std::move(self)), m_limits(limits)
+{
+}
+
+void Quarantine::forgetOld(TimePoint now)
+{
+    std::erase_if(m_suspects, [&](const auto &entry) {
+        return entry.second.last + m_limits.quarantineFor <= now;
+    });
+}
+
+QuarantineAnswer Quarantine::ask(const std::string &fingerprint, TimePoint now)
+{
+    forgetOld(now);
+    const auto found = m_suspects.find(fingerprint);
+    if (found == m_suspects.end() || found->second.cleared)
+        return QuarantineAnswer::clear;
+    const Suspect &suspect = found->second;
+    if (suspect.servers.size() >= m_limits.mostServersLost)
+        return QuarantineAnswer::quarantined;
+    if (suspect.trialUnderWay)
+        return QuarantineAnswer::held;
+    if (suspect.observer == m_self)
+        return QuarantineAnswer::trial;
+    // The observer has had its time and may be gone. Its single trial passes to whoever is asked,
+    // and the first loss would complete the two.
+    const bool holdOver = suspect.last + m_limits.holdFor <= now;
+    return holdOver ? QuarantineAnswer::trial : QuarantineAnswer::held;
+}
+
+void Quarantine::onTrial(const std::string &fingerprint)
+{
+    const auto found = m_suspects.find(fingerprint);
+    if (found != m_suspects.end())
+        found->second.trialUnderWay = true;
+}
+
+void Quarantine::onTrialOver(const std::string &fingerprint)
+{
+    const auto found = m_suspects.find(fingerprint);
+    if (found != m_suspects.end())
+        found->second.trialUnderWay = false;
+}
+
+CrashMark Quarantine::onServerLost(const std::string &fingerprint, const std::string &server,
+                                   TimePoint now)
+{
+    Suspect &suspect = m_suspects[fingerprint];
+    if (suspect.cleared)
+        suspect = {};
+    if (suspect.servers.empty())
+        suspect.observer = m_self;
+    suspect.servers.insert(server);
+    suspect.last = now;
+    return {fingerprint, server, suspect.observer, 0, false};
+}
+
+std::vector<CrashMark> Quarantine::onAnswered(const std::string &fingerprint)
+{
+    const auto found = m_suspects.find(fingerprint);
+    if (found == m_suspects.end() || found->second.cleared)
+        return {};
+    found->second.cleared = true;
+    std::vector<CrashMark> marks;
+    for (const std::string &server : found->second.servers)
+        marks.push_back({fingerprint, server, found->second.observer, 0, true});
+    return marks;
+}
+
+bool Quarantine::onMark(const CrashMark &mark, TimePoint now)
+{
+    const TimePoint happened = now - std::chrono::milliseconds(mark.ageMs);
+    if (happened + m_limits.quarantineFor <= now)
+        return false;
+    if (mark.cleared) {
+        const auto found = m_suspects.find(mark.fingerprint);
+        const bool news = found != m_suspects.end() && !found->second.cleared
+            && found->second.servers.size() < m_limits.mostServersLost;
+        if (news)
+            found->second.cleared = true;
+        return news;
+    }
+    Suspect &suspect = m_suspects[mark.fingerprint];
+    if (suspect.cleared || !suspect.servers.insert(mark.server).second)
+        return false;
+    // Two instances may each see a first loss. The smaller name keeps the trial, everywhere alike.
+    if (suspect.observer.empty() || mark.observer < suspect.observer)
+        suspect.observer = mark.observer;
+    suspect.last = std::max(suspect.last, happened);
+    return true;
+}
+
+std::vector<CrashMark> Quarantine::recentMarks(TimePoint now, std::size_t most) const
+{
+    constexpr Duration recent = std::chrono::seconds(30);
+    std::vector<CrashMark> marks;
+    for (const auto &[fingerprint, suspect] : m_suspects) {
+        if (suspect.last + recent <= now)
+            continue;
+        const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(now - suspect.last);
+        for (const std::string &server : suspect.servers) {
+            if (marks.size() < most)
+                marks.push_back({fingerprint, server, suspect.observer,
+                                 static_cast<std::uint32_t>(age.count()), suspect.cleared});
+        }
+    }
+    return marks;
+}
+
+} // namespace ibisnotch
--- /dev/null
+++ b/src/decide/region-choice.cc
@@ -0,0 +1,126 @@
+#include "ibisnotch/region-choice.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace ibisnotch {
+
+namespace {
+
+constexpr Duration summaryLife = std::chrono::seconds(15);
+
+bool contains(const std::vector<std::string> &list, const std::string &item)
+{
+    return std::find(list.begin(), list.end(), item) != list.end();
+}
+
+double seconds(Duration duration)
+{
+    return std::chrono::duration<double>(duration).count();
+}
+
+// How much the margin counts under a deployment's weights: sending away costs share and link, so a
+// deployment that weighs those more asks for a longer wait at home first.
+double marginFactor(const Weights &weights)
+{
+    const double against = weights.sentAway + weights.cost;
+    const double total = against + weights.tailLatency;
+    constexpr double strongest = 4;
+    return total <= 0 ? 1 : strongest * against / total;
+}
+
+} // namespace
+
+double waitSeconds(double slots, double outstanding, double expectedSeconds)
+{
+    if (slots <= 0)
+        return std::numeric_limits<double>::infinity();
+    const double waiting = std::max(0.0, outstanding + 1 - slots);
+    return waiting / slots * expectedSeconds;
+}
+
+RegionLoad summarize(const std::string &region, const Service &service,
+                     std::span<const Candidate> candidates)
+{
+    RegionLoad load{region, service.name, 0, 0, 0};
+    for (const Candidate &candidate : candidates) {
+        load.slots += candidate.slots;
+        load.outstanding += candidate.load;
+    }
+    return load;
+}
+
+void RegionTable::onLoad(const RegionLoad &load, TimePoint now)
+{
+    const std::lock_guard lock(m_mutex);
+    const TimePoint at = now - std::chrono::milliseconds(load.ageMs);
+    Entry &entry = m_entries[{load.region, load.service}];
+    if (at <= entry.at)
+        return;
+    entry = {load, at, 0};
+}
+
+void RegionTable::onSentAway(const std::string &region, const std::string &service)
+{
+    const std::lock_guard lock(m_mutex);
+    const auto found = m_entries.find({region, service});
+    if (found != m_entries.end())
+        found->second.sentSince += 1;
+}
+
+std::optional<RegionLoad> RegionTable::find(const std::string &region, const std::string &service,
+                                            TimePoint now) const
+{
+    const std::lock_guard lock(m_mutex);
+    const auto found = m_entries.find({region, service});
+    if (found == m_entries.end() || found->second.at + summaryLife <= now)
+        return std::nullopt;
+    RegionLoad load = found->second.load;
+    load.outstanding += found->second.sentSince;
+    return load;
+}
+
+RegionAnswer RegionChooser::choose(const RegionQuestion &question, const RegionTable &table,
+                                   TimePoint now, Random &random)
+{
+    const double expected = seconds(question.service->expected);
+    const bool homeAllowed = contains(question.allowed, question.home);
+    if (question.allowed.empty() || (!homeAllowed && !question.mayForward))
+        return {std::nullopt, 0, true};
+    const double homeWait
+        = waitSeconds(question.homeLoad.slots, question.homeLoad.outstanding, expected);
+    RegionAnswer best;
+    double bestAway = std::numeric_limits<double>::infinity();
+    for (const std::string &region : question.allowed) {
+        const bool open = question.mayForward && region != question.home
+            && contains(question.reachable, region);
+        if (!open)
+            continue;
+        const auto load = table.find(region, question.service->name, now);
+        if (!load || load->slots <= 0)
+            continue;
+        // A little noise spreads senders over regions that look alike.
+        const double noise = random.uniform() * 0.01;
+        const double away = waitSeconds(load->slots, load->outstanding, expected)
+            + 2 * seconds(question.oneWay) + noise;
+        if (away < bestAway) {
+            bestAway = away;
+            best = {region, away, false};
+        }
+    }
+    if (!homeAllowed)
+        return best;
+    const bool homeRuns = question.homeLoad.slots > 0;
+    const std::lock_guard lock(m_mutex);
+    bool &sendingAway = m_sendingAway[question.service->name];
+    const double whole = seconds(question.awayMargin) * marginFactor(question.weights);
+    const double margin = sendingAway ? whole / 2 : whole;
+    sendingAway = best.region && homeWait > bestAway + margin;
+    if (sendingAway)
+        return best;
+    if (!homeRuns)
+        return {};
+    return {question.home, homeWait, false};
+}
+
+} // namespace ibisnotch
--- /dev/null
+++ b/src/decide/retry.cc
@@ -0,0 +1,70 @@
+#include "ibisnotch/retry.h"
+
+#include <algorithm>
+
+namespace ibisnotch {
+
+bool certainlyNotRun(AttemptEnd end)
+{
+    return end == AttemptEnd::notConnected || end == AttemptEnd::refusedNotRun
+        || end == AttemptEnd::refusedForGood;
+}
+
+double &RetryBudget::tokens(const std::string &customer, const std::string &service)
+{
+    return m_tokens.try_emplace({customer, service}, m_burst).first->second;
+}
+
+void RetryBudget::onRequest(const std::string &customer, const std::string &service,
+                            double retryShare)
+{
+    const std::lock_guard lock(m_mutex);
+    double &left = tokens(customer, service);
+    left = std::min(m_burst, left + retryShare);
+}
+
+bool RetryBudget::take(const std::string &customer, const std::string &service)
+{
+    const std::lock_guard lock(m_mutex);
+    double &left = tokens(customer, service);
+    if (left < 1)
+        return false;
+    left -= 1;
+    return true;
+}
+
+RetryAnswer mayRetry(const RetryQuestion &question)
+{
+    if (question.end == AttemptEnd::answered || question.end == AttemptEnd::refusedForGood)
+        return RetryAnswer::giveUp;
+    if (question.callerHasSeenBytes || question.attemptsMade >= mostAttempts)
+        return RetryAnswer::giveUp;
+    if (question.remaining < question.expected)
+        return RetryAnswer::giveUp;
+    // A booking whose outcome is unknown must not be sent again: the backend server may have acted
+    // on it, and a second caterer would be paid. Only a certain "not run" lets it go elsewhere.
+    if (!question.idempotent && !certainlyNotRun(question.end))
+        return RetryAnswer::giveUp;
+    return RetryAnswer::retry;
+}
+
+ResultCode finalCode(AttemptEnd end, bool idempotent, bool deadlineOver)
+{
+    if (certainlyNotRun(end))
+        return idempotent ? ResultCode::noBackendServer : ResultCode::bookingNotRun;
+    if (!idempotent)
+        return ResultCode::outcomeUnknown;
+    if (deadlineOver)
+        return ResultCode::deadlineExceeded;
+    switch (end) {
+    case AttemptEnd::cutShort:
+    case AttemptEnd::silent:
+        return ResultCode::answerCutShort;
+    case AttemptEnd::notOurs:
+        return ResultCode::answerNotOurs;
+    default:
+        return ResultCode::backendFailed;
+    }
+}
+
+} // namespace ibisnotch
--- /dev/null
+++ b/src/decide/server-table.cc
@@ -0,0 +1,220 @@
+#include "ibisnotch/server-table.h"
+
+#include <algorithm>
+
+namespace ibisnotch {
+
+std::string_view serverStatusName(ServerStatus status)
+{
+    switch (status) {
+    case ServerStatus::usable:
+        return "usable";
+    case ServerStatus::trial:
+        return "trial";
+    case ServerStatus::ejected:
+        return "ejected";
+    case ServerStatus::leaving:
+        return "leaving";
+    case ServerStatus::unreachable:
+        return "unreachable";
+    }
+    return "usable";
+}
+
+double rampedSlots(const ServerView &view, TimePoint now)
+{
+    const double elapsed = std::chrono::duration<double>(now - view.coldSince).count();
+    const double whole = std::chrono::duration<double>(rampTime).count();
+    const double part = std::clamp(elapsed / whole, 0.0, 1.0);
+    return view.server.slots * (rampStart + (1 - rampStart) * part);
+}
+
+double correctedLoad(const ServerView &view, int senders)
+{
+    const int own = view.counters->sentSinceReport - view.counters->endedSinceReport;
+    const double corrected = view.reported + static_cast<double>(own) * senders;
+    return std::max(corrected, static_cast<double>(view.counters->inFlight));
+}
+
+void ServerTable::setConfig(std::shared_ptr<const FleetConfig> config, TimePoint now)
+{
+    const std::lock_guard lock(m_mutex);
+    std::map<std::string, Record> records;
+    for (const auto &[name, server] : config->servers) {
+        const auto old = m_records.find(name);
+        Record record;
+        const bool same = old != m_records.end() && old->second.server.address == server.address;
+        if (same)
+            record = old->second;
+        else
+            record.counters = std::make_shared<ServerCounters>();
+        // At the first configuration the whole fleet is running already, so caches are warm; a
+        // server that is added later starts cold.
+        if (!same)
+            record.coldSince = m_config ? now : now - rampTime;
+        record.server = server;
+        records.emplace(name, std::move(record));
+    }
+    m_records = std::move(records);
+    m_config = std::move(config);
+}
+
+void ServerTable::setSenders(int senders)
+{
+    const std::lock_guard lock(m_mutex);
+    m_senders = std::max(1, senders);
+}
+
+void ServerTable::startIncarnation(Record &record, const LoadReport &report, TimePoint now)
+{
+    const bool restarted = record.everReported && record.report.incarnation != 0;
+    if (restarted)
+        record.coldSince = now;
+    record.leaving = false;
+    record.failures = 0;
+    record.ejections = 0;
+    record.ejectedUntil = {};
+    record.report.incarnation = report.incarnation;
+}
+
+bool ServerTable::onReport(const LoadReport &report, TimePoint now)
+{
+    const std::lock_guard lock(m_mutex);
+    const auto found = m_records.find(report.server);
+    if (found == m_records.end())
+        return false;
+    Record &record = found->second;
+    const ServerStatus before = statusOf(record, now);
+    const TimePoint at = now - std::chrono::milliseconds(report.ageMs);
+    // A report of an earlier run of the server, or one that went round the fleet longer than the
+    // one we hold, must not bring a leaving server back.
+    if (report.incarnation != 0 && report.incarnation < record.report.incarnation)
+        return false;
+    if (report.incarnation > record.report.incarnation)
+        startIncarnation(record, report, now);
+    record.leaving = record.leaving || report.leaving;
+    if (record.everReported && at <= record.reportedAt)
+        return statusOf(record, now) != before;
+    const std::uint64_t incarnation = record.report.incarnation;
+    record.report = report;
+    record.report.incarnation = incarnation;
+    record.reportedAt = at;
+    record.everReported = true;
+    if (report.reachable) {
+        record.counters->sentSinceReport = 0;
+        record.counters->endedSinceReport = 0;
+    }
+    return statusOf(record, now) != before;
+}
+
+void ServerTable::onLeavingList(const std::vector<LeavingNotice> &notices)
+{
+    const std::lock_guard lock(m_mutex);
+    for (const LeavingNotice &notice : notices) {
+        const auto found = m_records.find(notice.server);
+        if (found == m_records.end())
+            continue;
+        // A server that started after the notice is another run under the same name.
+        if (found->second.report.incarnation <= notice.sinceMs)
+            found->second.leaving = true;
+    }
+}
+
+void ServerTable::onOwnWord(const std::string &server)
+{
+    const std::lock_guard lock(m_mutex);
+    const auto found = m_records.find(server);
+    if (found != m_records.end())
+        found->second.leaving = true;
+}
+
+void ServerTable::onAttempt(const std::string &server, bool failed, TimePoint now)
+{
+    const std::lock_guard lock(m_mutex);
+    const auto found = m_records.find(server);
+    if (found == m_records.end())
+        return;
+    Record &record = found->second;
+    record.counters->probing = false;
+    if (!failed) {
+        // The first success after an ejection ends it and restarts the ramp: its cache is cold.
+        if (record.ejections > 0)
+            record.coldSince = now;
+        record.failures = 0;
+        record.ejections = 0;
+        record.ejectedUntil = {};
+        return;
+    }
+    ++record.failures;
+    const bool trialFailed = record.ejections > 0 && now >= record.ejectedUntil;
+    if (record.failures < m_limits.failuresToEject && !trialFailed)
+        return;
+    const Duration pause = m_limits.firstEjection * (1 << std::min(record.ejections, 10));
+    record.ejectedUntil = now + std::min(pause, m_limits.longestEjection);
+    ++record.ejections;
+    record.failures = 0;
+}
+
+void ServerTable::setDrained(const std::string &server, bool drained)
+{
+    const std::lock_guard lock(m_mutex);
+    const auto found = m_records.find(server);
+    if (found != m_records.end())
+        found->second.drained = drained;
+}
+
+ServerStatus ServerTable::statusOf(const Record &record, TimePoint now) const
+{
+    if (record.leaving || record.drained)
+        return ServerStatus::leaving;
+    if (record.everReported && !record.report.reachable)
+        return ServerStatus::unreachable;
+    if (now < record.ejectedUntil)
+        return ServerStatus::ejected;
+    return record.ejections > 0 ? ServerStatus::trial : ServerStatus::usable;
+}
+
+RoutingTable ServerTable::table(TimePoint now) const
+{
+    const std::lock_guard lock(m_mutex);
+    RoutingTable result;
+    result.config = m_config;
+    result.senders = m_senders;
+    for (const auto &[name, record] : m_records) {
+        ServerView view;
+        view.server = record.server;
+        view.status = statusOf(record, now);
+        view.reported = record.report.running + record.report.waiting;
+        view.reportedAt = record.reportedAt;
+        view.coldSince = record.coldSince;
+        view.incarnation = record.report.incarnation;
+        view.counters = record.counters;
+        result.servers.push_back(std::move(view));
+    }
+    return result;
+}
+
+std::vector<LoadReport> ServerTable::reports(TimePoint now, std::size_t most,
+                                             std::size_t &cursor) const
+{
+    const std::lock_guard lock(m_mutex);
+    std::vector<LoadReport> result;
+    const std::size_t size = m_records.size();
+    if (size == 0)
+        return result;
+    for (std::size_t step = 0; step < size && result.size() < most; ++step) {
+        const auto &record = std::next(m_records.begin(), (cursor + step) % size)->second;
+        const Duration age = now - record.reportedAt;
+        if (!record.everReported || age > m_limits.reportLife)
+            continue;
+        LoadReport report = record.report;
+        report.leaving = record.leaving;
+        report.ageMs = static_cast<std::uint32_t>(
+            std::chrono::duration_cast<std::chrono::milliseconds>(age).count());
+        result.push_back(report);
+    }
+    cursor = (cursor + most) % size;
+    return result;
+}
+
+} // namespace ibisnotch
--- /dev/null
+++ b/src/entry/control.cc
@@ -0,0 +1,451 @@
+#include "control.h"
+
+#include <algorithm>
+
+#include <absl/strings/numbers.h>
+#include <absl/strings/str_split.h>
+#include <nlohmann/json.hpp>
+
+#include "ibisnotch/hash.h"
+#include "ibisnotch/log.h"
+
+namespace ibisnotch {
+
+namespace {
+
+constexpr std::string_view configKey = "ibisnotch/config/current";
+constexpr std::string_view listKey = "platform/instances";
+constexpr Duration tickPeriod = std::chrono::milliseconds(100);
+constexpr Duration pollPeriod = std::chrono::milliseconds(500);
+constexpr Duration watchTime = std::chrono::seconds(30);
+constexpr Duration watchPause = std::chrono::seconds(1);
+constexpr Duration publishAtLeast = std::chrono::milliseconds(500);
+constexpr std::size_t pollersPerServer = 2;
+constexpr std::size_t watchersPerRegion = 2;
+constexpr std::size_t loadsPerMessage = 24;
+constexpr std::size_t regionLoadsPerMessage = 16;
+constexpr std::size_t marksPerMessage = 8;
+constexpr int newsFanout = 4;
+
+Member selfMember(const EntryState &state)
+{
+    const ProcessSettings &settings = state.settings;
+    Member self;
+    self.name = settings.name;
+    self.region = settings.region;
+    self.dataCentre = settings.dataCentre;
+    self.callerAddress = settings.callers.text();
+    self.peerAddress = settings.peers.text();
+    self.gossipAddress = settings.gossip.text();
+    self.incarnation = state.incarnation;
+    return self;
+}
+
+// One value of the Prometheus text form; labels are ignored and equal names added up.
+double metricValue(const std::string &text, std::string_view name)
+{
+    double sum = 0;
+    for (const absl::string_view line : absl::StrSplit(text, '\n')) {
+        const bool named
+            = line.substr(0, name.size()) == absl::string_view(name.data(), name.size())
+            && line.size() > name.size() && (line[name.size()] == ' ' || line[name.size()] == '{');
+        double value = 0;
+        if (named && absl::SimpleAtod(line.substr(line.rfind(' ') + 1), &value))
+            sum += value;
+    }
+    return sum;
+}
+
+LoadReport parseLoad(const std::string &server, const WholeAnswer &answer)
+{
+    constexpr int statusOk = 200;
+    constexpr double milliseconds = 1000;
+    LoadReport report;
+    report.server = server;
+    report.reachable
+        = answer.result.end == TransferEnd::complete && answer.response.status == statusOk;
+    if (!report.reachable)
+        return report;
+    const std::string &text = answer.response.body;
+    report.running = static_cast<std::uint32_t>(metricValue(text, "vllm:num_requests_running"));
+    report.waiting = static_cast<std::uint32_t>(metricValue(text, "vllm:num_requests_waiting"));
+    report.leaving = metricValue(text, "engine_draining") > 0;
+    report.incarnation = static_cast<std::uint64_t>(metricValue(text, "process_start_time_seconds")
+                                                    * milliseconds);
+    return report;
+}
+
+// {"leaving": [{"name": "bp-m1", "sinceMs": 1760000000000}]}
+std::vector<LeavingNotice> parseNotices(const nlohmann::json &list)
+{
+    std::vector<LeavingNotice> notices;
+    for (const auto &item : list.value("leaving", nlohmann::json::array())) {
+        if (item.is_object())
+            notices.push_back({item.value("name", ""), item.value("sinceMs", std::uint64_t(0))});
+    }
+    return notices;
+}
+
+} // namespace
+
+Control::Control(EntryState &state, HttpClient &client, Store &store)
+    : m_state(state), m_client(client), m_store(store),
+      m_membership(selfMember(state), state.settings.seeds, MembershipSettings{}),
+      m_link(state.settings.gossip, *this)
+{
+}
+
+Control::~Control()
+{
+    stop();
+}
+
+void Control::start()
+{
+    m_link.post([this] { tick(); });
+}
+
+void Control::stop()
+{
+    m_link.stop();
+}
+
+void Control::leave()
+{
+    m_link.post([this] {
+        m_membership.leave();
+        publishMembers();
+        // Everyone hears it directly: a caller must not be pointed here any more, and at this
+        // moment there is no time to wait for news to travel by itself.
+        send(m_membership.spread(static_cast<int>(m_membership.usable().size()), m_state.random));
+    });
+}
+
+void Control::shareMarks(std::vector<CrashMark> marks)
+{
+    m_link.post([this, marks = std::move(marks)] {
+        // A caller who re-sends is likely to reach the same region next, so all of it hears first
+        // hand; the other regions hear through a few of their members.
+        int others = newsFanout;
+        for (const Member &member : m_membership.usable()) {
+            const bool local = member.region == m_state.settings.region;
+            if (!local && others-- <= 0)
+                continue;
+            GossipMessage news;
+            news.probe.sender = m_membership.self();
+            news.probe.kind = ProbeKind::ack;
+            news.configVersion = m_state.gate.version();
+            news.marks = marks;
+            m_link.sendGossip(member.gossipAddress, news);
+        }
+    });
+}
+
+void Control::routingChanged()
+{
+    m_link.post([this] { m_routingDirty = true; });
+}
+
+void Control::tick()
+{
+    const TimePoint now = m_state.clock.now();
+    send(m_membership.tick(now, m_state.random));
+    if (m_membership.takeFreeze()) {
+        logLine(LogPart::control, LogLevel::warn, "Woke from a freeze.");
+        m_pulling = false;
+    }
+    publishMembers();
+    if (now >= m_nextPoll) {
+        m_nextPoll = now + pollPeriod;
+        pollServers();
+        updateOwnLoad();
+    }
+    watchConfig();
+    watchList();
+    if (m_routingDirty || now - m_lastPublish > publishAtLeast)
+        publishRouting();
+    m_link.postAfter(tickPeriod, [this] { tick(); });
+}
+
+std::string Control::regionOf(const std::string &gossipAddress) const
+{
+    for (const Member &member : m_membership.members()) {
+        if (member.gossipAddress == gossipAddress)
+            return member.region;
+    }
+    return "";
+}
+
+GossipMessage Control::message(Probe probe, const std::string &toRegion)
+{
+    GossipMessage message;
+    message.probe = std::move(probe);
+    message.configVersion = m_state.gate.version();
+    const TimePoint now = m_state.clock.now();
+    {
+        const std::lock_guard lock(m_state.quarantineMutex);
+        message.marks = m_state.quarantine.recentMarks(now, marksPerMessage);
+    }
+    if (toRegion == m_state.settings.region) {
+        message.loads = m_state.servers.reports(now, loadsPerMessage, m_loadCursor);
+        return message;
+    }
+    const auto table = m_state.routing.read();
+    if (!table || !table->config)
+        return message;
+    for (const auto &[name, service] : table->config->services) {
+        if (message.regionLoads.size() >= regionLoadsPerMessage)
+            break;
+        const auto candidates = candidatesFor(*table, service, {}, now);
+        message.regionLoads.push_back(summarize(m_state.settings.region, service, candidates));
+    }
+    return message;
+}
+
+void Control::send(const std::vector<SendProbe> &probes)
+{
+    for (const SendProbe &item : probes)
+        m_link.sendGossip(item.address, message(item.probe, regionOf(item.address)));
+}
+
+void Control::publishMembers()
+{
+    std::vector<Member> members = m_membership.members();
+    members.push_back(m_membership.self());
+    const auto old = m_state.members.read();
+    if (old && *old == members)
+        return;
+    int senders = 0;
+    for (const Member &member : members) {
+        const bool sends = member.region == m_state.settings.region
+            && (member.state == MemberState::alive || member.state == MemberState::leaving);
+        senders += sends ? 1 : 0;
+    }
+    m_state.servers.setSenders(senders);
+    if (old) {
+        for (const Member &member : members) {
+            const auto before = std::find_if(old->begin(), old->end(), [&](const Member &one) {
+                return one.name == member.name;
+            });
+            if (before != old->end() && before->state != member.state)
+                logLine(LogPart::control, LogLevel::info, "Member changed.",
+                        {{"member", member.name},
+                         {"state", std::to_string(static_cast<int>(member.state))}});
+        }
+    }
+    m_state.members.publish(std::make_shared<const std::vector<Member>>(std::move(members)));
+    m_routingDirty = true;
+}
+
+void Control::publishRouting()
+{
+    const TimePoint now = m_state.clock.now();
+    m_routingDirty = false;
+    m_lastPublish = now;
+    m_state.routing.publish(std::make_shared<const RoutingTable>(m_state.servers.table(now)));
+}
+
+void Control::updateOwnLoad()
+{
+    const auto table = m_state.routing.read();
+    if (!table || !table->config)
+        return;
+    double slots = 0;
+    for (const ServerView &view : table->servers)
+        slots += view.server.slots;
+    const double part = slots <= 0 ? 0 : m_state.inFlight * table->senders / slots;
+    constexpr double percent = 100;
+    m_membership.setLoadPercent(static_cast<std::uint8_t>(std::min(1.0, part) * percent));
+    m_state.metrics.setGauge("ibisnotch_in_flight", m_state.inFlight);
+    m_state.metrics.setGauge("ibisnotch_config_version",
+                             static_cast<double>(m_state.gate.version()));
+}
+
+// Whether this instance is among the first of its region for a task, by rendezvous hashing over the
+// members that are alive: tasks are spread without anyone handing them out, and pass on by
+// themselves when an instance goes.
+bool Control::amongFirst(const std::string &key, std::size_t count) const
+{
+    const std::uint64_t hash = hash64(key);
+    const std::uint64_t own = rendezvousWeight(m_state.settings.name, hash);
+    std::size_t ahead = 0;
+    for (const Member &member : m_membership.usable()) {
+        const bool local = member.region == m_state.settings.region;
+        if (local && rendezvousWeight(member.name, hash) > own)
+            ++ahead;
+    }
+    return ahead < count;
+}
+
+void Control::pollServers()
+{
+    const auto config = m_state.gate.config();
+    if (!config)
+        return;
+    for (const auto &[name, server] : config->servers) {
+        if (amongFirst(name, pollersPerServer))
+            pollServer(server);
+    }
+}
+
+void Control::pollServer(const BackendServer &server)
+{
+    OutgoingRequest request;
+    request.url = "http://" + server.address + "/metrics";
+    request.limits.connect = std::chrono::milliseconds(500);
+    request.limits.firstByte = std::chrono::seconds(1);
+    request.limits.total = std::chrono::seconds(1);
+    sendWhole(m_client, std::move(request), [this, name = server.name](const WholeAnswer &answer) {
+        m_link.post([this, name, answer] { onPolled(name, answer); });
+    });
+}
+
+void Control::onPolled(const std::string &server, const WholeAnswer &answer)
+{
+    const LoadReport report = parseLoad(server, answer);
+    if (!m_state.servers.onReport(report, m_state.clock.now()))
+        return;
+    m_routingDirty = true;
+    logLine(LogPart::load, LogLevel::info, "Backend server changed.",
+            {{"server", server},
+             {"reachable", report.reachable ? "yes" : "no"},
+             {"leaving", report.leaving ? "yes" : "no"}});
+    // The rest of the region hears of it at once rather than when the next probe comes by.
+    publishRouting();
+    send(m_membership.spread(newsFanout, m_state.random));
+}
+
+void Control::onGossip(const GossipMessage &message, const std::string &from)
+{
+    const TimePoint now = m_state.clock.now();
+    send(m_membership.onProbe(message.probe, from, now, m_state.random));
+    if (message.probe.sender.region == m_state.settings.region) {
+        for (const LoadReport &report : message.loads)
+            m_routingDirty |= m_state.servers.onReport(report, now);
+    }
+    for (const RegionLoad &load : message.regionLoads)
+        m_state.regions.onLoad(load, now);
+    {
+        const std::lock_guard lock(m_state.quarantineMutex);
+        for (const CrashMark &mark : message.marks)
+            m_state.quarantine.onMark(mark, now);
+    }
+    if (message.configVersion > m_state.gate.version())
+        pullFrom(from);
+}
+
+PeerReply Control::onRequest(const PeerRequest &request)
+{
+    PeerReply reply;
+    if (m_state.gate.version() > request.haveVersion)
+        reply.delta = m_state.gate.deltaSince(request.haveVersion);
+    if (request.wantMembers) {
+        reply.members = m_membership.members();
+        reply.members.push_back(m_membership.self());
+    }
+    return reply;
+}
+
+void Control::pullFrom(const std::string &gossipAddress)
+{
+    if (m_pulling)
+        return;
+    m_pulling = true;
+    PeerRequest request;
+    request.haveVersion = m_state.gate.version();
+    request.wantMembers = request.haveVersion == 0;
+    m_link.exchange(gossipAddress, request, [this](const std::optional<PeerReply> &reply) {
+        m_pulling = false;
+        if (!reply)
+            return;
+        for (const Member &member : reply->members)
+            m_membership.learn(member, m_state.clock.now());
+        if (reply->delta.toVersion == 0)
+            return;
+        const auto before = m_state.gate.document();
+        const auto document = applyDelta(before.get(), reply->delta);
+        if (document.ok())
+            offer(*document, "peer");
+    });
+}
+
+void Control::offer(const ConfigDocument &document, const std::string &source)
+{
+    const OfferAnswer answer = m_state.gate.offer(document);
+    if (answer == OfferAnswer::invalid)
+        logLine(
+            LogPart::config, LogLevel::error, "Version turned down.",
+            {{"version", std::to_string(document.version)}, {"reason", m_state.gate.lastError()}});
+    if (answer != OfferAnswer::accepted)
+        return;
+    logLine(LogPart::config, LogLevel::info, "Version in force.",
+            {{"version", std::to_string(document.version)}, {"source", source}});
+    const TimePoint now = m_state.clock.now();
+    m_state.servers.setConfig(m_state.gate.config(), now);
+    m_state.servers.onLeavingList(m_leavingList);
+    publishRouting();
+    announceConfig();
+}
+
+void Control::announceConfig()
+{
+    send(m_membership.spread(newsFanout, m_state.random));
+}
+
+void Control::watchConfig()
+{
+    if (m_watchingConfig
+        || !(m_state.gate.version() == 0 || amongFirst("config", watchersPerRegion)))
+        return;
+    m_watchingConfig = true;
+    const auto done
+        = [this](const StoreRead &read) { m_link.post([this, read] { onStoreConfig(read); }); };
+    if (m_configIndex == 0)
+        m_store.read(std::string(configKey), done);
+    else
+        m_store.watch(std::string(configKey), m_configIndex, watchTime, done);
+}
+
+void Control::onStoreConfig(const StoreRead &read)
+{
+    const bool good = read.end == StoreEnd::ok;
+    if (good) {
+        m_configIndex = read.index;
+        const auto document = parseDocument(read.value);
+        if (document.ok())
+            offer(*document, "store");
+        else
+            logLine(LogPart::config, LogLevel::error, "Document not readable.");
+    }
+    m_link.postAfter(good ? Duration(0) : watchPause, [this] { m_watchingConfig = false; });
+}
+
+void Control::watchList()
+{
+    if (m_watchingList || !amongFirst("list", watchersPerRegion))
+        return;
+    m_watchingList = true;
+    const auto done
+        = [this](const StoreRead &read) { m_link.post([this, read] { onList(read); }); };
+    if (m_listIndex == 0)
+        m_store.read(std::string(listKey), done);
+    else
+        m_store.watch(std::string(listKey), m_listIndex, watchTime, done);
+}
+
+void Control::onList(const StoreRead &read)
+{
+    const bool good = read.end == StoreEnd::ok;
+    const auto list = nlohmann::json::parse(good ? read.value : "", nullptr, false);
+    if (good)
+        m_listIndex = read.index;
+    if (list.is_object()) {
+        m_leavingList = parseNotices(list);
+        m_state.servers.onLeavingList(m_leavingList);
+        publishRouting();
+        send(m_membership.spread(newsFanout, m_state.random));
+    }
+    m_link.postAfter(good ? Duration(0) : watchPause, [this] { m_watchingList = false; });
+}
+
+} // namespace ibisnotch
--- /dev/null
+++ b/src/entry/dispatch.cc
@@ -0,0 +1,658 @@
+#include "dispatch.h"
+
+#include <algorithm>
+
+#include <fmt/format.h>
+
+#include "attempt.h"
+#include "ibisnotch/entry-list.h"
+#include "ibisnotch/log.h"
+
+namespace ibisnotch {
+
+namespace {
+
+constexpr int patienceFactor = 8;
+constexpr Duration leastPatience = std::chrono::seconds(2);
+constexpr Duration longestSilence = std::chrono::seconds(3);
+constexpr Duration connectTime = std::chrono::milliseconds(500);
+constexpr Duration claimTime = std::chrono::seconds(3);
+constexpr Duration aliveCheckAfter = std::chrono::milliseconds(300);
+constexpr double noServerPause = 2;
+
+std::string_view endName(AttemptEnd end)
+{
+    switch (end) {
+    case AttemptEnd::answered:
+        return "answered";
+    case AttemptEnd::notConnected:
+        return "not connected";
+    case AttemptEnd::refusedNotRun:
+        return "refused, not run";
+    case AttemptEnd::refusedForGood:
+        return "refused for good";
+    case AttemptEnd::brokenOff:
+        return "broken off";
+    case AttemptEnd::silent:
+        return "silent";
+    case AttemptEnd::cutShort:
+        return "cut short";
+    case AttemptEnd::notOurs:
+        return "answer of another request";
+    case AttemptEnd::serverError:
+        return "server error";
+    }
+    return "";
+}
+
+double seconds(Duration duration)
+{
+    return std::chrono::duration<double>(duration).count();
+}
+
+} // namespace
+
+Dispatch::Dispatch(DispatchServices services, ExchangePtr exchange, HttpClient &client)
+    : m_state(services.state), m_control(services.control), m_desk(services.desk),
+      m_exchange(std::move(exchange)), m_client(client)
+{
+}
+
+void Dispatch::trace(std::string what)
+{
+    traceStep(*m_exchange, m_state.clock, std::move(what));
+}
+
+Duration Dispatch::remaining() const
+{
+    return m_exchange->deadline - m_state.clock.now();
+}
+
+std::string Dispatch::servedBy() const
+{
+    return m_state.settings.name + "/" + m_servedBy;
+}
+
+void Dispatch::start()
+{
+    const Exchange &exchange = *m_exchange;
+    m_state.retries.onRequest(exchange.customer->name, exchange.service->name,
+                              exchange.config().limits.retryShare);
+    if (!exchange.isBooking() || exchange.cleared) {
+        m_right = Right::notNeeded;
+        return route();
+    }
+    takeRight();
+}
+
+// ---- The right to send a booking ----------------------------------------------------------------
+
+void Dispatch::takeRight()
+{
+    if (const auto *issued = std::get_if<IssuedKey>(&*m_exchange->bookingKey))
+        return useIssuedKey(*issued);
+    // Refused before it is claimed, so that a refused booking costs no store call.
+    const auto planned = plan(true);
+    if (const auto *refusal = std::get_if<Refusal>(&planned))
+        return refuse(*refusal);
+    claimCallerKey(std::get<CallerKey>(*m_exchange->bookingKey));
+}
+
+void Dispatch::useIssuedKey(const IssuedKey &key)
+{
+    IssuedKeys::Decision decision;
+    {
+        const std::lock_guard lock(m_state.keysMutex);
+        decision = m_state.issuedKeys.begin(key, m_exchange->customer->name, m_exchange->bodyHash,
+                                            m_state.clock.now());
+    }
+    switch (decision.use) {
+    case IssuedUse::send:
+        m_right = Right::issuedKey;
+        trace("issued key, first use");
+        return route();
+    case IssuedUse::repeat: {
+        trace("issued key, answer repeated");
+        HttpResponse response{
+            decision.httpStatus,
+            answerHeaders(m_exchange->id, ResultCode::bookingRepeated, servedBy()),
+            decision.answer};
+        response.headers.add("Content-Type", "application/json");
+        m_exchange->responder->reply(response);
+        return finish(ResultCode::bookingRepeated);
+    }
+    case IssuedUse::inProgress:
+        return refuse({ResultCode::bookingInProgress, "", spreadRetryAfter(1, m_state.random)});
+    case IssuedUse::unknown:
+        return refuse({ResultCode::outcomeUnknown, "", {}});
+    case IssuedUse::otherBody:
+        return refuse({ResultCode::bookingKeyReused, "", {}});
+    case IssuedUse::issuerGone:
+        return refuse({ResultCode::issuerGone, "", {}});
+    case IssuedUse::notOurs:
+        return forwardToIssuer(key);
+    }
+}
+
+void Dispatch::forwardToIssuer(const IssuedKey &key)
+{
+    const auto members = m_state.members.read();
+    const auto found = std::find_if(members->begin(), members->end(), [&](const Member &member) {
+        return member.name == key.instance && member.state != MemberState::dead
+            && member.state != MemberState::left;
+    });
+    if (found == members->end())
+        return refuse({ResultCode::issuerGone, "", {}});
+    if (!mayForwardTo(m_exchange->path, m_state.hop(), {found->name, found->region}))
+        return refuse({ResultCode::loopRefused, "", {}});
+    const auto &allowed = m_exchange->allowedRegions;
+    if (std::find(allowed.begin(), allowed.end(), found->region) == allowed.end())
+        return refuse({ResultCode::residencyForbids, "the key's issuer", {}});
+    trace("handed to the issuer of its key, " + found->name);
+    m_toIssuer = true;
+    send({true, found->name, found->region, found->peerAddress, 0, nullptr, false});
+}
+
+void Dispatch::claimCallerKey(const CallerKey &key)
+{
+    m_claimId = claimId(m_exchange->customer->name, key.text);
+    m_claimPage = claimPageName(key, m_claimId, m_exchange->config().limits.bookingShards);
+    m_claimAttempt = m_state.random.next();
+    ClaimDesk::Order order;
+    order.page = m_claimPage;
+    order.request = {m_claimAttempt, m_claimId, m_exchange->bodyHash,
+                     m_state.clock.now() + std::min(claimTime, remaining())};
+    m_desk.claim(std::move(order), [self = shared_from_this()](const ClaimResult &result) {
+        self->m_client.post([self, result] { self->onClaim(result); });
+    });
+}
+
+void Dispatch::onClaim(const ClaimResult &result)
+{
+    switch (result.outcome) {
+    case ClaimOutcome::granted:
+        break;
+    case ClaimOutcome::alreadyDone:
+        return refuse({ResultCode::bookingRepeated,
+                       fmt::format("its answer had status {}", result.httpStatus),
+                       {}});
+    case ClaimOutcome::unknown:
+        return refuse({ResultCode::outcomeUnknown, "", {}});
+    case ClaimOutcome::otherBody:
+        return refuse({ResultCode::bookingKeyReused, "", {}});
+    case ClaimOutcome::pageFull:
+        return refuse({ResultCode::claimPageFull, "", spreadRetryAfter(60, m_state.random)});
+    case ClaimOutcome::storeUnreachable:
+        return refuse({ResultCode::storeUnreachable, "", spreadRetryAfter(5, m_state.random)});
+    }
+    m_right = Right::claim;
+    trace("claim granted");
+    // This process may have been paused since it checked the key's age. Once the claim is held, a
+    // second look suffices: the page of a key whose time is over may be dropped, but no instance
+    // accepts that key any more, so nobody can claim it again behind our back.
+    const auto &key = std::get<CallerKey>(*m_exchange->bookingKey);
+    const Duration life = m_exchange->config().limits.bookingKeyLife;
+    if (!keyAccepted(key, m_state.clock.wallNow(), life) || remaining().count() <= 0) {
+        settleNotRun();
+        return refuse({ResultCode::bookingNotRun, "", spreadRetryAfter(1, m_state.random)});
+    }
+    route();
+}
+
+void Dispatch::settleDone(int status, const std::string &answer)
+{
+    if (m_right == Right::claim)
+        m_desk.settle(m_claimPage, m_claimAttempt, m_claimId, ClaimState::done, status);
+    if (m_right == Right::issuedKey) {
+        const std::lock_guard lock(m_state.keysMutex);
+        m_state.issuedKeys.finishDone(m_exchange->bookingKeyText, status, answer);
+    }
+    m_right = Right::notNeeded;
+}
+
+void Dispatch::settleNotRun()
+{
+    if (m_right == Right::claim)
+        m_desk.settle(m_claimPage, m_claimAttempt, m_claimId, ClaimState::notRun, 0);
+    if (m_right == Right::issuedKey) {
+        const std::lock_guard lock(m_state.keysMutex);
+        m_state.issuedKeys.finishNotRun(m_exchange->bookingKeyText);
+    }
+    m_right = Right::notNeeded;
+}
+
+void Dispatch::settleUnknown()
+{
+    // A claim without an outcome already means "unknown" to everyone who reads it.
+    if (m_right == Right::issuedKey) {
+        const std::lock_guard lock(m_state.keysMutex);
+        m_state.issuedKeys.finishUnknown(m_exchange->bookingKeyText);
+    }
+    m_right = Right::notNeeded;
+}
+
+// ---- Choice of a target -------------------------------------------------------------------------
+
+std::variant<Dispatch::Target, Refusal> Dispatch::plan(bool admit)
+{
+    const TimePoint now = m_state.clock.now();
+    const auto table = m_state.routing.read();
+    const auto members = m_state.members.read();
+    const Service &service = *m_exchange->service;
+    const FleetConfig &config = m_exchange->config();
+    const auto candidates = candidatesFor(*table, service, m_tried, now);
+
+    RegionQuestion question;
+    question.home = m_state.settings.region;
+    question.allowed = m_exchange->allowedRegions;
+    for (const Member &member : *members) {
+        const bool usable = member.state == MemberState::alive && m_tried.count(member.name) == 0
+            && mayForwardTo(m_exchange->path, m_state.hop(), {member.name, member.region});
+        if (usable)
+            question.reachable.push_back(member.region);
+    }
+    question.service = &service;
+    question.homeLoad = summarize(question.home, service, candidates);
+    question.weights = config.weights;
+    question.oneWay = config.regionOneWay;
+    question.awayMargin = config.limits.awayMargin;
+    question.mayForward = !m_exchange->fromPeer || regionChanges(m_exchange->path) == 0;
+    const RegionAnswer answer
+        = m_state.chooser.choose(question, m_state.regions, now, m_state.random);
+    if (answer.residencyForbids)
+        return Refusal{ResultCode::residencyForbids, "", {}};
+    if (!answer.region)
+        return Refusal{ResultCode::noBackendServer, "",
+                       spreadRetryAfter(noServerPause, m_state.random)};
+    const bool away = *answer.region != question.home;
+    if (admit && !m_admitted) {
+        const auto load = away
+            ? m_state.regions.find(*answer.region, service.name, now).value_or(RegionLoad{})
+            : question.homeLoad;
+        AdmissionQuestion ask;
+        ask.customer = m_exchange->customer;
+        ask.service = &service;
+        ask.slots = load.slots;
+        ask.outstanding = load.outstanding;
+        ask.queueFactor = config.limits.queueFactor;
+        ask.lateIsUndelivered = config.weights.lateIsUndelivered;
+        ask.way = away ? 2 * config.regionOneWay : Duration(0);
+        ask.remaining = remaining();
+        const AdmissionAnswer admission = m_state.admission.ask(ask, m_state.random);
+        if (admission.code != ResultCode::served)
+            return Refusal{admission.code, "", admission.retryAfter};
+        m_admitted = true;
+        m_state.admission.onTaken(m_exchange->customer->name, service.name,
+                                  m_exchange->customer->share);
+    }
+    if (away)
+        return planAway(*answer.region);
+    return pickServer(*table, now);
+}
+
+std::variant<Dispatch::Target, Refusal> Dispatch::planAway(const std::string &region)
+{
+    std::vector<Member> members = *m_state.members.read();
+    std::erase_if(members, [&](const Member &member) {
+        return m_tried.count(member.name) > 0 || member.name == m_state.settings.name;
+    });
+    const EntryList list = makeEntryList(members, region, {region}, m_state.random);
+    if (list.instances.empty())
+        return Refusal{ResultCode::noBackendServer, "",
+                       spreadRetryAfter(noServerPause, m_state.random)};
+    const Member &member = list.instances.front();
+    return Target{true, member.name, member.region, member.peerAddress, 0, nullptr, false};
+}
+
+std::variant<Dispatch::Target, Refusal> Dispatch::pickServer(const RoutingTable &table,
+                                                             TimePoint now)
+{
+    const auto candidates = candidatesFor(table, *m_exchange->service, m_tried, now);
+    if (candidates.empty())
+        return Refusal{ResultCode::noBackendServer, "",
+                       spreadRetryAfter(noServerPause, m_state.random)};
+    PickQuestion question;
+    question.candidates = candidates;
+    question.prefix = m_exchange->prefix;
+    question.weights = m_exchange->config().weights;
+    question.expectedSeconds = seconds(m_exchange->service->expected);
+    const Candidate &chosen = candidates[m_state.picker.pick(question, m_state.random)];
+    trace(fmt::format("picked {} of {}, load {:.1f} of {:.1f} slots", chosen.view->server.name,
+                      candidates.size(), chosen.load, chosen.slots));
+    const BackendServer &server = chosen.view->server;
+    return Target{false,
+                  server.name,
+                  m_state.settings.region,
+                  server.address,
+                  server.cost,
+                  chosen.view->counters,
+                  chosen.view->status == ServerStatus::trial};
+}
+
+// ---- Attempts -----------------------------------------------------------------------------------
+
+void Dispatch::route()
+{
+    const auto planned = plan(true);
+    if (const auto *refusal = std::get_if<Refusal>(&planned)) {
+        settleNotRun();
+        return refuse(*refusal);
+    }
+    const Target &target = std::get<Target>(planned);
+    if (target.away)
+        trace("sent to another region by " + target.name);
+    send(target);
+}
+
+bool Dispatch::passQuarantine()
+{
+    const std::lock_guard lock(m_state.quarantineMutex);
+    const auto answer = m_state.quarantine.ask(m_exchange->fingerprint, m_state.clock.now());
+    if (answer == QuarantineAnswer::held || answer == QuarantineAnswer::quarantined)
+        return false;
+    if (answer == QuarantineAnswer::trial) {
+        m_trial = true;
+        m_state.quarantine.onTrial(m_exchange->fingerprint);
+    }
+    return true;
+}
+
+TransferLimits Dispatch::limitsFor(const Target &target) const
+{
+    TransferLimits limits;
+    limits.connect = std::min(connectTime, remaining());
+    limits.total = remaining();
+    const Duration patience
+        = std::max(leastPatience, m_exchange->service->expected * patienceFactor);
+    // An idempotent request does not wait its whole time for a connection that may have gone
+    // silent. A booking has nowhere else to go, so it waits.
+    const bool moveOn = m_exchange->service->idempotent && !target.away;
+    limits.firstByte = moveOn ? std::min(patience, limits.total) : limits.total;
+    limits.idle = moveOn ? longestSilence : limits.total;
+    return limits;
+}
+
+OutgoingRequest Dispatch::makeRequest(const Target &target) const
+{
+    const Exchange &exchange = *m_exchange;
+    OutgoingRequest request;
+    request.method = exchange.request.method;
+    std::string path = exchange.request.path;
+    if (!target.away && exchange.service->kind == ServiceKind::application)
+        path = exchange.service->path;
+    request.url = "http://" + target.address + path;
+    if (!exchange.request.query.empty())
+        request.url += "?" + exchange.request.query;
+    request.body = exchange.request.body;
+    request.limits = limitsFor(target);
+    request.freshConnection = exchange.isBooking() || m_attempts > 1;
+    request.headers.add(std::string(requestIdHeader), exchange.id);
+    request.headers.add("Content-Type",
+                        exchange.request.headers.get("Content-Type").value_or("application/json"));
+    if (exchange.isBooking())
+        request.headers.add("Idempotency-Key", exchange.bookingKeyText);
+    if (!target.away)
+        return request;
+    ForwardPath path2 = exchange.path;
+    path2.push_back(m_state.hop());
+    request.headers.add(std::string(forwardPathHeader), printForwardPath(path2));
+    request.headers.add("Authorization",
+                        exchange.request.headers.get("Authorization").value_or(""));
+    if (const auto service = exchange.request.headers.get("X-Service"))
+        request.headers.add("X-Service", *service);
+    const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(remaining()).count();
+    request.headers.add("X-Request-Timeout-Ms", std::to_string(left));
+    const bool holdsRight = m_right == Right::claim || m_right == Right::issuedKey;
+    if (holdsRight || exchange.cleared)
+        request.headers.add("X-Ibisnotch-Cleared-By", m_state.settings.name);
+    return request;
+}
+
+void Dispatch::send(const Target &target)
+{
+    if (remaining().count() <= 0) {
+        settleNotRun();
+        return refuse({ResultCode::deadlineTooShort, "", spreadRetryAfter(1, m_state.random)});
+    }
+    if (!target.away && !passQuarantine()) {
+        settleNotRun();
+        return refuse({ResultCode::heldForTrial, "", spreadRetryAfter(2, m_state.random)});
+    }
+    ++m_attempts;
+    m_tried.insert(target.name);
+    m_servedBy = target.name;
+    if (target.away && target.region != m_state.settings.region) {
+        m_sentAway = true;
+        m_state.regions.onSentAway(target.region, m_exchange->service->name);
+    }
+    if (target.counters) {
+        target.counters->probing = target.trial;
+        ++target.counters->inFlight;
+        ++target.counters->sentSinceReport;
+    }
+    const bool chat = m_exchange->service->kind == ServiceKind::model;
+    AnswerForm form = chat ? AnswerForm::json : AnswerForm::plain;
+    if (m_exchange->streaming)
+        form = AnswerForm::eventStream;
+    auto attempt = std::make_shared<Attempt>(shared_from_this(), target, form);
+    m_client.send(makeRequest(target), std::move(attempt));
+}
+
+void Dispatch::noteAttempt(const Target &target, AttemptEnd end)
+{
+    trace(fmt::format("attempt {} at {}: {}", m_attempts, target.name, endName(end)));
+    if (target.away)
+        return;
+    --target.counters->inFlight;
+    ++target.counters->endedSinceReport;
+    const bool refused = end == AttemptEnd::refusedNotRun || end == AttemptEnd::refusedForGood;
+    const bool failed = end != AttemptEnd::answered && !refused;
+    m_state.servers.onAttempt(target.name, failed, m_state.clock.now());
+    if (failed) {
+        m_control.routingChanged();
+        logLine(LogPart::request, LogLevel::warn, "Attempt failed.",
+                {{"request", m_exchange->id},
+                 {"customer", m_exchange->customer->name},
+                 {"server", target.name},
+                 {"end", std::string(endName(end))}});
+    }
+}
+
+void Dispatch::onAttemptEnd(const Target &target, AttemptEnd end, Attempt &attempt)
+{
+    noteAttempt(target, end);
+    m_mayHaveRun = m_mayHaveRun || (!certainlyNotRun(end) && end != AttemptEnd::answered);
+    if (m_trial) {
+        const std::lock_guard lock(m_state.quarantineMutex);
+        m_state.quarantine.onTrialOver(m_exchange->fingerprint);
+    }
+    if (!target.away && end == AttemptEnd::brokenOff && !m_exchange->responder->closed())
+        onServerLost(target);
+    if (end == AttemptEnd::answered)
+        return deliver(attempt);
+    if (tryAgain(end, attempt.streamed()))
+        return route();
+    if (attempt.streamed())
+        return breakOff(end);
+    giveUp(end);
+}
+
+void Dispatch::onServerLost(const Target &target)
+{
+    CrashMark mark;
+    {
+        const std::lock_guard lock(m_state.quarantineMutex);
+        mark = m_state.quarantine.onServerLost(m_exchange->fingerprint, target.name,
+                                               m_state.clock.now());
+    }
+    trace("crash mark for " + target.name);
+    m_control.shareMarks({mark});
+    checkServerAlive(target);
+}
+
+// A connection can break without the server being lost. If the server still answers, the request is
+// not to blame and the mark is taken back.
+void Dispatch::checkServerAlive(const Target &target)
+{
+    m_client.postAfter(aliveCheckAfter, [self = shared_from_this(), target] {
+        OutgoingRequest request;
+        request.url = "http://" + target.address + "/health";
+        request.limits.total = std::chrono::seconds(1);
+        request.freshConnection = true;
+        sendWhole(self->m_client, std::move(request), [self](const WholeAnswer &answer) {
+            if (!answer.result.answered)
+                return;
+            std::vector<CrashMark> cleared;
+            {
+                const std::lock_guard lock(self->m_state.quarantineMutex);
+                cleared = self->m_state.quarantine.onAnswered(self->m_exchange->fingerprint);
+            }
+            self->m_control.shareMarks(std::move(cleared));
+        });
+    });
+}
+
+bool Dispatch::tryAgain(AttemptEnd end, bool callerHasSeenBytes)
+{
+    RetryQuestion question;
+    question.end = end;
+    question.idempotent = m_exchange->service->idempotent;
+    question.callerHasSeenBytes = callerHasSeenBytes;
+    question.attemptsMade = m_attempts;
+    question.remaining = remaining();
+    question.expected = m_exchange->service->expected;
+    if (mayRetry(question) != RetryAnswer::retry || m_exchange->responder->closed())
+        return false;
+    // Only the instance next to the backend servers repeats a request that was sent; one that
+    // forwarded it does so only where it reached nobody. Otherwise each would multiply the other's.
+    const bool forwarded = m_sentAway;
+    if (forwarded && !certainlyNotRun(end))
+        return false;
+    // Only the issuer of a key may send its booking; there is nowhere else to try.
+    if (m_toIssuer)
+        return false;
+    if (!m_state.retries.take(m_exchange->customer->name, m_exchange->service->name)) {
+        trace("no retry: budget spent");
+        return false;
+    }
+    m_state.metrics.onRetry();
+    trace("retry");
+    return true;
+}
+
+void Dispatch::deliver(Attempt &attempt)
+{
+    std::vector<CrashMark> cleared;
+    if (m_trial) {
+        const std::lock_guard lock(m_state.quarantineMutex);
+        cleared = m_state.quarantine.onAnswered(m_exchange->fingerprint);
+    }
+    if (!cleared.empty())
+        m_control.shareMarks(std::move(cleared));
+    const ResultCode code = attempt.code();
+    const RunState run = resultInfo(code).run;
+    if (run == RunState::run)
+        settleDone(attempt.answer().status, attempt.answer().body);
+    else if (run == RunState::notRun)
+        settleNotRun();
+    else
+        settleUnknown();
+    if (attempt.streamed()) {
+        m_exchange->responder->finish();
+        return finish(code);
+    }
+    m_firstByte = m_state.clock.now();
+    HttpResponse response = attempt.answer();
+    const std::string by = response.headers.get("X-Served-By").value_or("");
+    Headers headers = answerHeaders(m_exchange->id, code,
+                                    by.empty() ? servedBy() : m_state.settings.name + "/" + by);
+    for (const char *name : {"Content-Type", "Retry-After"}) {
+        if (const auto value = response.headers.get(name))
+            headers.add(name, *value);
+    }
+    response.headers = std::move(headers);
+    m_exchange->responder->reply(std::move(response));
+    finish(code);
+}
+
+// The caller has part of an answer. It must see that the rest is missing.
+void Dispatch::breakOff(AttemptEnd end)
+{
+    const bool late = remaining().count() <= 0;
+    const ResultCode code = finalCode(end, m_exchange->service->idempotent, late);
+    if (m_exchange->streaming) {
+        const HttpResponse refusal = refusalResponse(m_exchange->id, {code, "", {}}, servedBy());
+        m_exchange->responder->write("data: " + refusal.body + "\n\n");
+    }
+    m_exchange->responder->abort();
+    settleUnknown();
+    finish(code);
+}
+
+void Dispatch::giveUp(AttemptEnd end)
+{
+    const bool late = remaining().count() <= 0;
+    // The issuer may have run this key before and is not there to say so.
+    if (m_toIssuer && certainlyNotRun(end))
+        return refuse({ResultCode::issuerGone, "", {}});
+    if (certainlyNotRun(end))
+        settleNotRun();
+    else
+        settleUnknown();
+    const ResultCode code = finalCode(end, m_exchange->service->idempotent, late);
+    const bool mayComeBack = m_exchange->service->idempotent || certainlyNotRun(end);
+    refuse({code, "", mayComeBack ? spreadRetryAfter(1, m_state.random) : Duration(0)});
+}
+
+// ---- The end ------------------------------------------------------------------------------------
+
+void Dispatch::refuse(const Refusal &wanted)
+{
+    Refusal refusal = wanted;
+    // An earlier attempt of this request may have run. A later refusal, true of the last attempt
+    // alone, would tell the caller that nothing happened at all.
+    if (m_mayHaveRun && resultInfo(refusal.code).run == RunState::notRun)
+        refusal.code = m_exchange->service->idempotent ? ResultCode::backendFailed
+                                                       : ResultCode::outcomeUnknown;
+    trace("refused: " + std::string(resultInfo(refusal.code).name));
+    m_exchange->responder->reply(refusalResponse(m_exchange->id, refusal, servedBy()));
+    finish(refusal.code);
+}
+
+void Dispatch::finish(ResultCode code)
+{
+    const TimePoint now = m_state.clock.now();
+    const Exchange &exchange = *m_exchange;
+    if (m_admitted)
+        m_state.admission.onOver(exchange.customer->name, exchange.service->name);
+    m_admitted = false;
+    RequestRecord record;
+    record.service = exchange.service->name;
+    record.customer = exchange.customer->name;
+    record.code = code;
+    record.total = now - exchange.arrived;
+    record.firstByte = m_firstByte.value_or(now) - exchange.arrived;
+    record.attempts = m_attempts;
+    record.sentAway = m_sentAway;
+    const bool inTime = now <= exchange.deadline;
+    const bool good = resultInfo(code).run == RunState::run && inTime;
+    record.worthDelivered = good ? exchange.service->worth : 0;
+    m_state.metrics.onRequest(record);
+    // A caller's own faults do not spend the service's error budget.
+    constexpr int firstSystemCode = 3000;
+    const bool callersFault
+        = static_cast<int>(code) < firstSystemCode && resultInfo(code).run == RunState::notRun;
+    if (!callersFault && !exchange.fromPeer)
+        m_state.burn.count(record.service, record.customer, !good, m_state.clock.wallNow());
+    m_exchange->trace.resultCode = static_cast<int>(code);
+    m_state.traces.add(m_exchange->trace);
+    logLine(LogPart::request, good ? LogLevel::debug : LogLevel::info, "Request over.",
+            {{"request", exchange.id},
+             {"customer", record.customer},
+             {"service", record.service},
+             {"code", std::to_string(static_cast<int>(code))},
+             {"attempts", std::to_string(m_attempts)}});
+    --m_state.inFlight;
+}
+
+} // namespace ibisnotch
--- /dev/null
+++ b/src/entry/exchange.cc
@@ -0,0 +1,52 @@
+#include "exchange.h"
+
+#include <nlohmann/json.hpp>
+
+#include "ibisnotch/answer-check.h"
+
+namespace ibisnotch {
+
+void traceStep(Exchange &exchange, const Clock &clock, std::string what)
+{
+    const auto at
+        = std::chrono::duration_cast<std::chrono::milliseconds>(clock.now() - exchange.arrived);
+    exchange.trace.steps.push_back({at.count(), std::move(what)});
+}
+
+Headers answerHeaders(const std::string &requestId, ResultCode code, const std::string &servedBy)
+{
+    Headers headers;
+    headers.add(std::string(requestIdHeader), requestId);
+    headers.add("X-Result-Code", std::to_string(static_cast<int>(code)));
+    headers.add("X-Run-State", std::string(runStateName(resultInfo(code).run)));
+    headers.add("X-Served-By", servedBy);
+    return headers;
+}
+
+HttpResponse refusalResponse(const std::string &requestId, const Refusal &refusal,
+                             const std::string &servedBy)
+{
+    const ResultInfo &info = resultInfo(refusal.code);
+    const auto retryMs
+        = std::chrono::duration_cast<std::chrono::milliseconds>(refusal.retryAfter).count();
+    nlohmann::json error{{"code", static_cast<int>(refusal.code)},
+                         {"type", info.name},
+                         {"run", runStateName(info.run)},
+                         {"message", info.advice},
+                         {"request_id", requestId}};
+    if (!refusal.detail.empty())
+        error["detail"] = refusal.detail;
+    if (retryMs > 0)
+        error["retry_after_ms"] = retryMs;
+    HttpResponse response;
+    response.status = info.httpStatus;
+    response.headers = answerHeaders(requestId, refusal.code, servedBy);
+    response.headers.add("Content-Type", "application/json");
+    if (retryMs > 0)
+        response.headers.add("Retry-After", std::to_string((retryMs + 999) / 1000));
+    response.body = nlohmann::json{{"error", error}}.dump(-1, ' ', false,
+                                                          nlohmann::json::error_handler_t::replace);
+    return response;
+}
+
+} // namespace ibisnotch
--- /dev/null
+++ b/src/entry/exchange.h
@@ -0,0 +1,67 @@
+// One caller's request while this instance serves it.
+#pragma once
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "ibisnotch/booking.h"
+#include "ibisnotch/config.h"
+#include "ibisnotch/forward-path.h"
+#include "ibisnotch/http-server.h"
+#include "ibisnotch/server-table.h"
+#include "trace.h"
+
+namespace ibisnotch {
+
+struct Exchange
+{
+    HttpRequest request;
+    std::shared_ptr<Responder> responder;
+    bool fromPeer = false;
+
+    std::string id;
+    TimePoint arrived;
+    TimePoint deadline;
+    ForwardPath path; // before this instance
+    // A booking whose right to send was taken by the instance that handed it on.
+    bool cleared = false;
+
+    std::shared_ptr<const RoutingTable> table;
+    const Customer *customer = nullptr; // of the table's configuration
+    const Service *service = nullptr;
+    bool streaming = false;
+    std::vector<std::string> allowedRegions;
+    std::optional<BookingKey> bookingKey;
+    std::string bookingKeyText;
+    std::string bodyHash;
+    std::string fingerprint;
+    std::uint64_t prefix = 0;
+
+    Trace trace;
+
+    const FleetConfig &config() const { return *table->config; }
+    bool isBooking() const { return !service->idempotent; }
+};
+
+using ExchangePtr = std::shared_ptr<Exchange>;
+
+// What a caller is told in place of an answer.
+struct Refusal
+{
+    ResultCode code = ResultCode::malformedRequest;
+    std::string detail;
+    Duration retryAfter{};
+    bool operator==(const Refusal &) const = default;
+};
+
+void traceStep(Exchange &exchange, const Clock &clock, std::string what);
+
+// Headers that every answer carries.
+Headers answerHeaders(const std::string &requestId, ResultCode code, const std::string &servedBy);
+
+HttpResponse refusalResponse(const std::string &requestId, const Refusal &refusal,
+                             const std::string &servedBy);
+
+} // namespace ibisnotch
--- /dev/null
+++ b/src/entry/filters.cc
@@ -0,0 +1,283 @@
+#include "filters.h"
+
+#include <algorithm>
+
+#include <absl/strings/match.h>
+#include <absl/strings/numbers.h>
+#include <absl/strings/strip.h>
+#include <nlohmann/json.hpp>
+
+#include "ibisnotch/hash.h"
+
+namespace ibisnotch {
+
+namespace {
+
+constexpr std::string_view chatPath = "/v1/chat/completions";
+constexpr std::string_view servicesPath = "/v1/services/";
+
+// Loops between gateways, and forged paths: callers may not send one.
+class PathFilter final : public Filter
+{
+public:
+    explicit PathFilter(EntryState &state) : m_state(state) { }
+
+    std::optional<Refusal> apply(Exchange &exchange) override
+    {
+        if (!exchange.fromPeer)
+            return std::nullopt;
+        const auto text = exchange.request.headers.get(forwardPathHeader);
+        if (!text)
+            return Refusal{ResultCode::malformedRequest, "no forward path", {}};
+        const auto path = parseForwardPath(*text);
+        if (!path.ok())
+            return Refusal{resultCodeOf(path.status()), std::string(path.status().message()), {}};
+        const auto checked = checkForwardPath(*path, m_state.hop());
+        if (!checked.ok())
+            return Refusal{resultCodeOf(checked), std::string(checked.message()), {}};
+        exchange.path = *path;
+        return std::nullopt;
+    }
+
+private:
+    EntryState &m_state;
+};
+
+class CustomerFilter final : public Filter
+{
+public:
+    std::optional<Refusal> apply(Exchange &exchange) override
+    {
+        const std::string field = exchange.request.headers.get("Authorization").value_or("");
+        absl::string_view token = field;
+        if (!absl::ConsumePrefix(&token, "Bearer ") || token.empty())
+            return Refusal{ResultCode::unknownCustomer, "no bearer token", {}};
+        const std::string hash = sha256Hex(std::string_view(token.data(), token.size()));
+        for (const auto &[name, customer] : exchange.config().customers) {
+            if (customer.tokenSha256 == hash) {
+                exchange.customer = &customer;
+                exchange.trace.customer = name;
+                return std::nullopt;
+            }
+        }
+        return Refusal{ResultCode::unknownCustomer, "unknown token", {}};
+    }
+};
+
+class ServiceFilter final : public Filter
+{
+public:
+    std::optional<Refusal> apply(Exchange &exchange) override
+    {
+        const auto limit = static_cast<std::size_t>(exchange.config().limits.maxBodyBytes);
+        if (exchange.request.body.size() > limit)
+            return Refusal{ResultCode::bodyTooLarge, "limit " + std::to_string(limit), {}};
+        const auto refusal
+            = exchange.request.path == chatPath ? chat(exchange) : application(exchange);
+        if (refusal)
+            return refusal;
+        exchange.trace.service = exchange.service->name;
+        const auto &allowed = exchange.customer->services;
+        const bool permitted = allowed.empty()
+            || std::find(allowed.begin(), allowed.end(), exchange.service->name) != allowed.end();
+        if (!permitted)
+            return Refusal{ResultCode::unknownService, "not a service of this customer", {}};
+        return std::nullopt;
+    }
+
+private:
+    static std::optional<Refusal> chat(Exchange &exchange)
+    {
+        if (exchange.request.method != "POST")
+            return Refusal{ResultCode::noSuchPath, "POST expected", {}};
+        const auto body = nlohmann::json::parse(exchange.request.body, nullptr, false);
+        if (!body.is_object() || !body.contains("model") || !body["model"].is_string()
+            || !body.contains("messages") || !body["messages"].is_array())
+            return Refusal{
+                ResultCode::malformedRequest, "expected JSON with model and messages", {}};
+        if (body.contains("stream") && !body["stream"].is_boolean())
+            return Refusal{ResultCode::malformedRequest, "stream: expected true or false", {}};
+        exchange.streaming = body.value("stream", false);
+        return findModelService(exchange, body["model"].get<std::string>());
+    }
+
+    static std::optional<Refusal> findModelService(Exchange &exchange, const std::string &model)
+    {
+        const auto wanted = exchange.request.headers.get("X-Service");
+        bool modelKnown = false;
+        for (const auto &[name, service] : exchange.config().services) {
+            if (service.kind != ServiceKind::model || service.model != model)
+                continue;
+            modelKnown = true;
+            if (wanted && *wanted != name)
+                continue;
+            exchange.service = &service;
+            return std::nullopt;
+        }
+        if (!modelKnown)
+            return Refusal{ResultCode::unknownModel, "", {}};
+        return Refusal{ResultCode::unknownService, "no such service for this model", {}};
+    }
+
+    static std::optional<Refusal> application(Exchange &exchange)
+    {
+        const std::string name = exchange.request.path.substr(servicesPath.size());
+        const auto found = exchange.config().services.find(name);
+        const bool known = found != exchange.config().services.end()
+            && found->second.kind == ServiceKind::application;
+        if (!known)
+            return Refusal{ResultCode::unknownService, "", {}};
+        if (exchange.request.method != found->second.method)
+            return Refusal{ResultCode::malformedRequest, found->second.method + " expected", {}};
+        exchange.service = &found->second;
+        return std::nullopt;
+    }
+};
+
+class DeadlineFilter final : public Filter
+{
+public:
+    explicit DeadlineFilter(EntryState &state) : m_state(state) { }
+
+    std::optional<Refusal> apply(Exchange &exchange) override
+    {
+        Duration remaining = exchange.service->deadline;
+        if (const auto text = exchange.request.headers.get("X-Request-Timeout-Ms")) {
+            const auto given = parseMilliseconds(*text);
+            if (!given)
+                return Refusal{ResultCode::malformedRequest, "X-Request-Timeout-Ms", {}};
+            remaining = std::min(remaining, *given);
+        }
+        if (const auto text = exchange.request.headers.get("X-Request-Deadline")) {
+            const auto given = parseMilliseconds(*text);
+            if (!given)
+                return Refusal{ResultCode::malformedRequest, "X-Request-Deadline", {}};
+            const Duration now(m_state.clock.wallNow().time_since_epoch());
+            remaining = std::min(remaining, *given - now);
+        }
+        if (remaining.count() <= 0)
+            return Refusal{ResultCode::deadlinePassed, "", {}};
+        exchange.deadline = exchange.arrived + remaining;
+        return std::nullopt;
+    }
+
+private:
+    static std::optional<Duration> parseMilliseconds(const std::string &text)
+    {
+        constexpr long long longest = 1LL << 50;
+        long long value = 0;
+        if (!absl::SimpleAtoi(text, &value) || value > longest || value < -longest)
+            return std::nullopt;
+        return Duration(std::chrono::milliseconds(value));
+    }
+
+    EntryState &m_state;
+};
+
+// The sender checked too. This check holds when the sender had another version of the rules.
+class ResidencyFilter final : public Filter
+{
+public:
+    explicit ResidencyFilter(EntryState &state) : m_state(state) { }
+
+    std::optional<Refusal> apply(Exchange &exchange) override
+    {
+        exchange.allowedRegions
+            = allowedRegions(exchange.config(), *exchange.customer, *exchange.service);
+        const auto &allowed = exchange.allowedRegions;
+        const bool here
+            = std::find(allowed.begin(), allowed.end(), m_state.settings.region) != allowed.end();
+        if (allowed.empty() || (exchange.fromPeer && !here))
+            return Refusal{ResultCode::residencyForbids, "", {}};
+        return std::nullopt;
+    }
+
+private:
+    EntryState &m_state;
+};
+
+class QuarantineFilter final : public Filter
+{
+public:
+    explicit QuarantineFilter(EntryState &state) : m_state(state) { }
+
+    std::optional<Refusal> apply(Exchange &exchange) override
+    {
+        exchange.fingerprint = requestFingerprint(exchange.customer->name, exchange.service->name,
+                                                  exchange.request.body);
+        exchange.prefix = exchange.service->kind == ServiceKind::model
+            ? prefixOf(exchange.customer->name, exchange.service->name, exchange.request.body)
+            : 0;
+        const std::lock_guard lock(m_state.quarantineMutex);
+        const auto answer = m_state.quarantine.ask(exchange.fingerprint, m_state.clock.now());
+        switch (answer) {
+        case QuarantineAnswer::clear:
+        case QuarantineAnswer::trial:
+            return std::nullopt;
+        case QuarantineAnswer::held:
+            return Refusal{ResultCode::heldForTrial, "", spreadRetryAfter(2, m_state.random)};
+        case QuarantineAnswer::quarantined:
+            return Refusal{ResultCode::quarantined, "", {}};
+        }
+        return std::nullopt;
+    }
+
+private:
+    EntryState &m_state;
+};
+
+class BookingKeyFilter final : public Filter
+{
+public:
+    explicit BookingKeyFilter(EntryState &state) : m_state(state) { }
+
+    std::optional<Refusal> apply(Exchange &exchange) override
+    {
+        if (!exchange.isBooking())
+            return std::nullopt;
+        const auto text = exchange.request.headers.get("Idempotency-Key");
+        if (!text || text->empty())
+            return Refusal{ResultCode::bookingKeyMissing, "", {}};
+        const auto key = parseBookingKey(*text);
+        if (!key.ok())
+            return Refusal{resultCodeOf(key.status()), std::string(key.status().message()), {}};
+        const auto *callerKey = std::get_if<CallerKey>(&*key);
+        const Duration life = exchange.config().limits.bookingKeyLife;
+        if (callerKey != nullptr && !keyAccepted(*callerKey, m_state.clock.wallNow(), life))
+            return Refusal{ResultCode::bookingKeyForm, "the key's time is not accepted", {}};
+        exchange.bookingKey = *key;
+        exchange.bookingKeyText = callerKey != nullptr ? callerKey->text : *text;
+        exchange.bodyHash
+            = hash128Hex(exchange.service->name, exchange.request.query, exchange.request.body);
+        exchange.cleared = isCleared(exchange);
+        return std::nullopt;
+    }
+
+private:
+    // Only the instance that took the right to send may pass it on, and only by the peers' port.
+    static bool isCleared(const Exchange &exchange)
+    {
+        const auto by = exchange.request.headers.get("X-Ibisnotch-Cleared-By");
+        return exchange.fromPeer && by && !exchange.path.empty()
+            && exchange.path.back().instance == *by;
+    }
+
+    EntryState &m_state;
+};
+
+} // namespace
+
+std::vector<std::unique_ptr<Filter>> makeFilters(EntryState &state)
+{
+    std::vector<std::unique_ptr<Filter>> filters;
+    filters.push_back(std::make_unique<PathFilter>(state));
+    filters.push_back(std::make_unique<CustomerFilter>());
+    filters.push_back(std::make_unique<ServiceFilter>());
+    filters.push_back(std::make_unique<DeadlineFilter>(state));
+    filters.push_back(std::make_unique<ResidencyFilter>(state));
+    filters.push_back(std::make_unique<QuarantineFilter>(state));
+    filters.push_back(std::make_unique<BookingKeyFilter>(state));
+    return filters;
+}
+
+} // namespace ibisnotch
--- /dev/null
+++ b/src/entry/operators.cc
@@ -0,0 +1,144 @@
+#include "operators.h"
+
+#include <nlohmann/json.hpp>
+
+#include "ibisnotch/log.h"
+
+namespace ibisnotch {
+
+namespace {
+
+using nlohmann::json;
+
+HttpResponse reply(int status, const json &body)
+{
+    return {status, {{"Content-Type", "application/json"}}, body.dump()};
+}
+
+std::string_view memberStateName(MemberState state)
+{
+    switch (state) {
+    case MemberState::alive:
+        return "alive";
+    case MemberState::suspect:
+        return "suspect";
+    case MemberState::leaving:
+        return "leaving";
+    case MemberState::dead:
+        return "dead";
+    case MemberState::left:
+        return "left";
+    }
+    return "";
+}
+
+json membersOf(const EntryState &state)
+{
+    json list = json::array();
+    const auto members = state.members.read();
+    if (!members)
+        return list;
+    for (const Member &member : *members)
+        list.push_back({{"name", member.name},
+                        {"region", member.region},
+                        {"dataCentre", member.dataCentre},
+                        {"callers", member.callerAddress},
+                        {"peers", member.peerAddress},
+                        {"state", memberStateName(member.state)},
+                        {"loadPercent", member.loadPercent}});
+    return list;
+}
+
+json serversOf(const EntryState &state)
+{
+    json list = json::array();
+    const auto table = state.routing.read();
+    if (!table)
+        return list;
+    const TimePoint now = state.clock.now();
+    for (const ServerView &view : table->servers)
+        list.push_back({{"name", view.server.name},
+                        {"address", view.server.address},
+                        {"status", serverStatusName(view.status)},
+                        {"load", correctedLoad(view, table->senders)},
+                        {"slots", view.server.slots},
+                        {"trustedSlots", rampedSlots(view, now)},
+                        {"inFlightHere", view.counters->inFlight.load()}});
+    return list;
+}
+
+HttpResponse status(DispatchServices &services)
+{
+    const EntryState &state = services.state;
+    const TrafficCount traffic = services.control.traffic();
+    const auto controlMs
+        = std::chrono::duration_cast<std::chrono::milliseconds>(services.control.processorTime());
+    return reply(200,
+                 {{"name", state.settings.name},
+                  {"region", state.settings.region},
+                  {"configVersion", state.gate.version()},
+                  {"configError", state.gate.lastError()},
+                  {"stopping", state.stopping.load()},
+                  {"inFlight", state.inFlight.load()},
+                  {"control",
+                   {{"processorMs", controlMs.count()},
+                    {"bytesSent", traffic.bytesSent},
+                    {"bytesReceived", traffic.bytesReceived}}},
+                  {"members", membersOf(state)},
+                  {"servers", serversOf(state)}});
+}
+
+HttpResponse explain(const EntryState &state, const HttpRequest &request)
+{
+    const auto trace = state.traces.find(queryValue(request.query, "id").value_or(""));
+    if (!trace)
+        return reply(404, {{"error", "no such request here, or too long ago"}});
+    json steps = json::array();
+    for (const TraceStep &step : trace->steps)
+        steps.push_back({{"atMs", step.atMs}, {"what", step.what}});
+    return reply(200,
+                 {{"instance", state.settings.name},
+                  {"request", trace->requestId},
+                  {"customer", trace->customer},
+                  {"service", trace->service},
+                  {"code", trace->resultCode},
+                  {"startedMs", trace->startedMs},
+                  {"steps", steps}});
+}
+
+HttpResponse drain(DispatchServices &services, const HttpRequest &request, bool drained)
+{
+    const std::string server = queryValue(request.query, "server").value_or("");
+    const auto config = services.state.gate.config();
+    if (request.method != "POST" || !config || config->servers.count(server) == 0)
+        return reply(404, {{"error", "POST with server=NAME of this region expected"}});
+    services.state.servers.setDrained(server, drained);
+    services.control.routingChanged();
+    logLine(LogPart::load, LogLevel::info, drained ? "Drained." : "Undrained.",
+            {{"server", server}});
+    return reply(200, {{"server", server}, {"drained", drained}});
+}
+
+} // namespace
+
+std::optional<HttpResponse> answerOperator(DispatchServices &services, const HttpRequest &request)
+{
+    const EntryState &state = services.state;
+    if (request.path == "/metrics")
+        return HttpResponse{
+            200, {{"Content-Type", "text/plain; version=0.0.4"}}, state.metrics.prometheusText()};
+    if (request.path == "/admin/status")
+        return status(services);
+    if (request.path == "/admin/explain")
+        return explain(state, request);
+    if (request.path == "/admin/burn")
+        return HttpResponse{
+            200, {{"Content-Type", "application/json"}}, serializeBurn(state.burn.series())};
+    if (request.path == "/admin/drain")
+        return drain(services, request, true);
+    if (request.path == "/admin/undrain")
+        return drain(services, request, false);
+    return std::nullopt;
+}
+
+} // namespace ibisnotch
--- /dev/null
+++ b/src/entry/state.h
@@ -0,0 +1,65 @@
+// What the parts of one entry instance share.
+#pragma once
+
+#include <atomic>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <vector>
+
+#include "ibisnotch/admission.h"
+#include "ibisnotch/booking.h"
+#include "ibisnotch/burn.h"
+#include "ibisnotch/clock.h"
+#include "ibisnotch/config-gate.h"
+#include "ibisnotch/forward-path.h"
+#include "ibisnotch/membership.h"
+#include "ibisnotch/metrics.h"
+#include "ibisnotch/pick.h"
+#include "ibisnotch/process-settings.h"
+#include "ibisnotch/quarantine.h"
+#include "ibisnotch/rcu.h"
+#include "ibisnotch/region-choice.h"
+#include "ibisnotch/retry.h"
+#include "ibisnotch/server-table.h"
+#include "trace.h"
+
+namespace ibisnotch {
+
+// Set once; the control loop and the request threads both use it.
+struct EntryState
+{
+    explicit EntryState(ProcessSettings from);
+
+    Hop hop() const { return {settings.name, settings.region}; }
+
+    const ProcessSettings settings;
+    const std::uint64_t incarnation;
+    SystemClock clock;
+    Random random;
+
+    ConfigGate gate;
+    ServerTable servers;
+    RegionTable regions;
+    RcuValue<RoutingTable> routing;
+    RcuValue<std::vector<Member>> members; // this instance included
+
+    RegionChooser chooser;
+    Admission admission;
+    RetryBudget retries;
+    AffinityPicker picker;
+
+    std::mutex quarantineMutex;
+    Quarantine quarantine;
+    std::mutex keysMutex;
+    IssuedKeys issuedKeys;
+
+    Metrics metrics;
+    BurnCounter burn;
+    TraceBook traces;
+
+    std::atomic<bool> stopping = false;
+    std::atomic<int> inFlight = 0;
+};
+
+} // namespace ibisnotch
--- /dev/null
+++ b/src/net/config-admin.cc
@@ -0,0 +1,224 @@
+#include "ibisnotch/config-admin.h"
+
+#include <algorithm>
+#include <filesystem>
+#include <future>
+#include <set>
+
+#include <absl/strings/str_split.h>
+#include <fmt/format.h>
+
+#include "ibisnotch/process-settings.h"
+
+namespace ibisnotch {
+
+namespace {
+
+constexpr std::string_view currentKey = "ibisnotch/config/current";
+
+std::string historyKey(std::uint64_t version)
+{
+    return fmt::format("ibisnotch/config/history/{}", version);
+}
+
+absl::Status unavailable()
+{
+    return absl::UnavailableError("the store does not answer; nothing was changed, try again");
+}
+
+void diffFile(const std::string &name, const std::string &from, const std::string &to,
+              std::string &out)
+{
+    if (from == to)
+        return;
+    const std::vector<std::string> before = absl::StrSplit(from, '\n');
+    const std::vector<std::string> after = absl::StrSplit(to, '\n');
+    // The longest common subsequence, by the usual table.
+    std::vector<std::vector<int>> common(before.size() + 1, std::vector<int>(after.size() + 1, 0));
+    for (std::size_t i = before.size(); i-- > 0;) {
+        for (std::size_t j = after.size(); j-- > 0;)
+            common[i][j] = before[i] == after[j] ? common[i + 1][j + 1] + 1
+                                                 : std::max(common[i + 1][j], common[i][j + 1]);
+    }
+    out += "--- " + name + "\n";
+    std::size_t i = 0;
+    std::size_t j = 0;
+    while (i < before.size() || j < after.size()) {
+        const bool same = i < before.size() && j < after.size() && before[i] == after[j];
+        const bool removed = !same && i < before.size()
+            && (j == after.size() || common[i + 1][j] >= common[i][j + 1]);
+        if (same) {
+            ++i;
+            ++j;
+        } else if (removed) {
+            out += fmt::format("{}: - {}\n", i + 1, before[i]);
+            ++i;
+        } else {
+            out += fmt::format("{}: + {}\n", j + 1, after[j]);
+            ++j;
+        }
+    }
+}
+
+} // namespace
+
+StoreRead ConfigAdmin::read(const std::string &key)
+{
+    std::promise<StoreRead> answer;
+    m_store.read(key, [&answer](const StoreRead &result) { answer.set_value(result); });
+    return answer.get_future().get();
+}
+
+StoreWrite ConfigAdmin::write(const std::string &key, std::uint64_t index, const std::string &value)
+{
+    std::promise<StoreWrite> answer;
+    m_store.compareAndSet(key, index, value,
+                          [&answer](const StoreWrite &result) { answer.set_value(result); });
+    return answer.get_future().get();
+}
+
+absl::StatusOr<StoredConfig> ConfigAdmin::current()
+{
+    const StoreRead found = read(std::string(currentKey));
+    if (found.end == StoreEnd::notFound)
+        return StoredConfig{};
+    if (found.end != StoreEnd::ok)
+        return unavailable();
+    auto document = parseDocument(found.value);
+    if (!document.ok())
+        return document.status();
+    return StoredConfig{*std::move(document), found.index};
+}
+
+absl::StatusOr<ConfigDocument> ConfigAdmin::version(std::uint64_t number)
+{
+    const auto now = current();
+    if (!now.ok())
+        return now.status();
+    if (now->document && now->document->version == number)
+        return *now->document;
+    const StoreRead found = read(historyKey(number));
+    if (found.end == StoreEnd::notFound)
+        return absl::NotFoundError(fmt::format("no version {}", number));
+    if (found.end != StoreEnd::ok)
+        return unavailable();
+    return parseDocument(found.value);
+}
+
+absl::Status ConfigAdmin::keepHistory(const ConfigDocument &document)
+{
+    // Written before the version is replaced. Its content is fixed, so it does not matter how many
+    // operators write it, nor whether an answer is lost.
+    const StoreWrite written = write(historyKey(document.version), 0, serializeDocument(document));
+    if (written.end == StoreEnd::ok || written.end == StoreEnd::conflict)
+        return absl::OkStatus();
+    return unavailable();
+}
+
+absl::StatusOr<ConfigDocument> ConfigAdmin::apply(ConfigDocument draft,
+                                                  std::optional<std::uint64_t> basedOn)
+{
+    const auto now = current();
+    if (!now.ok())
+        return now.status();
+    const std::uint64_t version = now->document ? now->document->version : 0;
+    if (basedOn && *basedOn != version)
+        return absl::AbortedError(fmt::format(
+            "version {} is in force, the change was made on {}; nothing was changed, see diff",
+            version, *basedOn));
+    const auto checked = validateDocument(draft, now->document ? &*now->document : nullptr);
+    if (!checked.ok())
+        return checked.status();
+    if (now->document) {
+        const absl::Status kept = keepHistory(*now->document);
+        if (!kept.ok())
+            return kept;
+    }
+    draft.version = version + 1;
+    const StoreWrite written = write(std::string(currentKey), now->index, serializeDocument(draft));
+    switch (written.end) {
+    case StoreEnd::ok:
+        return draft;
+    case StoreEnd::notFound:
+    case StoreEnd::conflict:
+        return absl::AbortedError("another operator was first; nothing was changed, see diff");
+    case StoreEnd::notApplied:
+        return unavailable();
+    case StoreEnd::unknown:
+        return settleUnknown(draft);
+    }
+    return unavailable();
+}
+
+absl::StatusOr<ConfigDocument> ConfigAdmin::settleUnknown(const ConfigDocument &draft)
+{
+    // The answer was lost. Reading back tells whether the change took effect, and a plain repeat
+    // would not: it could meet its own first write and report a conflict.
+    const auto after = current();
+    if (!after.ok())
+        return absl::UnknownError("the store stopped answering during the change; it may have "
+                                  "taken effect, see show once it is back");
+    if (after->document && *after->document == draft)
+        return draft;
+    if (after->document && after->document->version >= draft.version)
+        return absl::AbortedError("another operator was first; nothing was changed, see diff");
+    return absl::UnknownError("the store lost the answer and does not show the change yet; see "
+                              "show before trying again");
+}
+
+absl::StatusOr<ConfigDocument> ConfigAdmin::rollBack(std::uint64_t number,
+                                                     const std::string &author)
+{
+    auto old = version(number);
+    if (!old.ok())
+        return old.status();
+    const auto now = current();
+    if (!now.ok())
+        return now.status();
+    old->author = author;
+    old->note = fmt::format("roll back to version {}", number);
+    return apply(*std::move(old), now->document ? now->document->version : 0);
+}
+
+absl::StatusOr<ConfigDocument> loadDocument(const std::string &folder)
+{
+    namespace fs = std::filesystem;
+    ConfigDocument document;
+    const auto base = readFile(folder + "/base.yaml");
+    if (!base.ok())
+        return base.status();
+    document.base = {"base.yaml", *base};
+    std::error_code error;
+    for (const auto &entry : fs::directory_iterator(folder + "/sites", error)) {
+        if (entry.path().extension() != ".yaml")
+            continue;
+        const auto text = readFile(entry.path().string());
+        if (!text.ok())
+            return text.status();
+        const std::string site = entry.path().stem().string();
+        document.overlays[site] = {"sites/" + site + ".yaml", *text};
+    }
+    if (error)
+        return absl::NotFoundError(folder + "/sites: cannot be read");
+    return document;
+}
+
+std::string diffDocuments(const ConfigDocument &from, const ConfigDocument &to)
+{
+    std::string out;
+    diffFile(to.base.name, from.base.text, to.base.text, out);
+    std::set<std::string> sites;
+    for (const auto &[site, file] : from.overlays)
+        sites.insert(site);
+    for (const auto &[site, file] : to.overlays)
+        sites.insert(site);
+    for (const std::string &site : sites) {
+        const auto before = from.overlays.find(site);
+        const auto after = to.overlays.find(site);
+        diffFile("site " + site, before == from.overlays.end() ? "" : before->second.text,
+                 after == to.overlays.end() ? "" : after->second.text, out);
+    }
+    return out;
+}
+
+} // namespace ibisnotch
--- /dev/null
+++ b/src/net/consul-store.cc
@@ -0,0 +1,188 @@
+#include <absl/strings/escaping.h>
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+
+#include "ibisnotch/http-client.h"
+#include "ibisnotch/store.h"
+
+namespace ibisnotch {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr int statusOk = 200;
+constexpr int statusNotFound = 404;
+constexpr int statusConflict = 409;
+constexpr int statusTooMany = 429;
+
+TransferLimits shortLimits()
+{
+    TransferLimits limits;
+    limits.connect = std::chrono::milliseconds(500);
+    limits.firstByte = std::chrono::seconds(2);
+    limits.idle = std::chrono::seconds(2);
+    limits.total = std::chrono::seconds(4);
+    return limits;
+}
+
+std::string encode(const std::string &value)
+{
+    return absl::Base64Escape(value);
+}
+
+// What is certain of a call that brought no usable answer.
+StoreEnd endOfFailure(const WholeAnswer &answer)
+{
+    const bool refused
+        = answer.result.end == TransferEnd::complete && answer.response.status == statusTooMany;
+    return refused || !answer.result.sent ? StoreEnd::notApplied : StoreEnd::unknown;
+}
+
+StoreRead parseRead(const WholeAnswer &answer)
+{
+    const bool complete = answer.result.end == TransferEnd::complete;
+    if (complete && answer.response.status == statusNotFound)
+        return {StoreEnd::notFound, "", 0};
+    if (!complete || answer.response.status != statusOk)
+        return {endOfFailure(answer), "", 0};
+    const auto body = json::parse(answer.response.body, nullptr, false);
+    if (!body.is_array() || body.empty())
+        return {StoreEnd::unknown, "", 0};
+    StoreRead read;
+    read.end = StoreEnd::ok;
+    read.index = body[0].value("ModifyIndex", std::uint64_t(0));
+    if (body[0].contains("Value") && body[0]["Value"].is_string())
+        absl::Base64Unescape(body[0]["Value"].get<std::string>(), &read.value);
+    return read;
+}
+
+StoreWrite parseTransaction(const WholeAnswer &answer)
+{
+    const bool complete = answer.result.end == TransferEnd::complete;
+    if (complete && answer.response.status == statusConflict)
+        return {StoreEnd::conflict, 0};
+    if (!complete || answer.response.status != statusOk)
+        return {endOfFailure(answer), 0};
+    const auto body = json::parse(answer.response.body, nullptr, false);
+    const json::json_pointer index("/Results/0/KV/ModifyIndex");
+    if (!body.is_object() || !body.contains(index))
+        return {StoreEnd::unknown, 0};
+    return {StoreEnd::ok, body[index].get<std::uint64_t>()};
+}
+
+StoreWrite parseBoolean(const WholeAnswer &answer)
+{
+    const bool complete = answer.result.end == TransferEnd::complete;
+    if (!complete || answer.response.status != statusOk)
+        return {endOfFailure(answer), 0};
+    return {answer.response.body.rfind("true", 0) == 0 ? StoreEnd::ok : StoreEnd::conflict, 0};
+}
+
+StoreLease parseLease(const WholeAnswer &answer, const std::string &id)
+{
+    const bool complete = answer.result.end == TransferEnd::complete;
+    if (complete && answer.response.status == statusNotFound)
+        return {StoreEnd::notFound, ""};
+    if (!complete || answer.response.status != statusOk)
+        return {endOfFailure(answer), ""};
+    const auto body = json::parse(answer.response.body, nullptr, false);
+    if (body.is_object() && body.contains("ID"))
+        return {StoreEnd::ok, body["ID"].get<std::string>()};
+    return {StoreEnd::ok, id};
+}
+
+class ConsulStore final : public Store
+{
+public:
+    ConsulStore(HttpClient &client, std::string address)
+        : m_client(client), m_base("http://" + std::move(address) + "/v1/")
+    {
+    }
+
+    void read(const std::string &key, std::function<void(const StoreRead &)> done) override
+    {
+        call("GET", "kv/" + key, "", shortLimits(),
+             [done](const WholeAnswer &answer) { done(parseRead(answer)); });
+    }
+
+    void watch(const std::string &key, std::uint64_t afterIndex, Duration longest,
+               std::function<void(const StoreRead &)> done) override
+    {
+        const auto seconds = std::chrono::duration_cast<std::chrono::seconds>(longest);
+        TransferLimits limits = shortLimits();
+        limits.firstByte += longest;
+        limits.total += longest;
+        call("GET", fmt::format("kv/{}?index={}&wait={}s", key, afterIndex, seconds.count()), "",
+             limits, [done](const WholeAnswer &answer) { done(parseRead(answer)); });
+    }
+
+    void compareAndSet(const std::string &key, std::uint64_t expectedIndex,
+                       const std::string &value,
+                       std::function<void(const StoreWrite &)> done) override
+    {
+        const json body = json::array({{{"KV",
+                                         {{"Verb", "cas"},
+                                          {"Key", key},
+                                          {"Value", encode(value)},
+                                          {"Index", expectedIndex}}}}});
+        call("PUT", "txn", body.dump(), shortLimits(),
+             [done](const WholeAnswer &answer) { done(parseTransaction(answer)); });
+    }
+
+    void remove(const std::string &key, std::function<void(const StoreWrite &)> done) override
+    {
+        call("DELETE", "kv/" + key, "", shortLimits(),
+             [done](const WholeAnswer &answer) { done(parseBoolean(answer)); });
+    }
+
+    void grantLease(Duration life, std::function<void(const StoreLease &)> done) override
+    {
+        const auto seconds = std::chrono::duration_cast<std::chrono::seconds>(life);
+        const json body{{"TTL", fmt::format("{}s", seconds.count())},
+                        {"Behavior", "delete"},
+                        {"LockDelay", "0s"}};
+        call("PUT", "session/create", body.dump(), shortLimits(),
+             [done](const WholeAnswer &answer) { done(parseLease(answer, "")); });
+    }
+
+    void renewLease(const std::string &id, std::function<void(const StoreLease &)> done) override
+    {
+        call("PUT", "session/renew/" + id, "", shortLimits(),
+             [done, id](const WholeAnswer &answer) { done(parseLease(answer, id)); });
+    }
+
+    void acquire(const std::string &key, const std::string &leaseId, const std::string &value,
+                 std::function<void(const StoreWrite &)> done) override
+    {
+        call("PUT", fmt::format("kv/{}?acquire={}", key, leaseId), value, shortLimits(),
+             [done](const WholeAnswer &answer) { done(parseBoolean(answer)); });
+    }
+
+private:
+    void call(const std::string &method, const std::string &path, std::string body,
+              const TransferLimits &limits, std::function<void(const WholeAnswer &)> done)
+    {
+        OutgoingRequest request;
+        request.method = method;
+        request.url = m_base + path;
+        request.body = std::move(body);
+        request.limits = limits;
+        // libcurl repeats a request by itself when a kept connection proves closed. A repeated
+        // compare-and-swap that did take effect the first time would come back as a conflict.
+        request.freshConnection = method != "GET";
+        sendWhole(m_client, std::move(request), std::move(done));
+    }
+
+    HttpClient &m_client;
+    std::string m_base;
+};
+
+} // namespace
+
+std::unique_ptr<Store> makeConsulStore(HttpClient &client, const std::string &address)
+{
+    return std::make_unique<ConsulStore>(client, address);
+}
+
+} // namespace ibisnotch
--- /dev/null
+++ b/src/net/http-client.cc
@@ -0,0 +1,445 @@
+#include "ibisnotch/http-client.h"
+
+#include <algorithm>
+#include <future>
+#include <mutex>
+#include <thread>
+#include <unordered_map>
+
+#include <absl/strings/ascii.h>
+#include <absl/strings/str_split.h>
+#include <asio/io_context.hpp>
+#include <asio/posix/stream_descriptor.hpp>
+#include <asio/post.hpp>
+#include <asio/steady_timer.hpp>
+#include <curl/curl.h>
+
+namespace ibisnotch {
+
+namespace {
+
+constexpr std::size_t maxCollectedBytes = 4U << 20;
+constexpr auto congestionCheck = std::chrono::milliseconds(20);
+constexpr long maxIdleConnections = 256;
+
+struct SocketWatch
+{
+    explicit SocketWatch(asio::io_context &io) : descriptor(io) { }
+    asio::posix::stream_descriptor descriptor;
+    int wanted = 0;
+    bool reading = false;
+    bool writing = false;
+    bool removed = false;
+};
+
+void initCurlOnce()
+{
+    static std::once_flag once;
+    std::call_once(once, [] { curl_global_init(CURL_GLOBAL_ALL); });
+}
+
+} // namespace
+
+class HttpClient::Private
+{
+public:
+    struct Transfer
+    {
+        Private *owner = nullptr;
+        OutgoingRequest request;
+        std::shared_ptr<AnswerSink> sink;
+        CURL *easy = nullptr;
+        curl_slist *headerList = nullptr;
+        Headers answerHeaders;
+        int status = 0;
+        bool answered = false;
+        bool cancelled = false;
+        bool timedOut = false;
+        bool paused = false;
+        std::chrono::steady_clock::time_point started;
+        std::chrono::steady_clock::time_point progress;
+        std::unique_ptr<asio::steady_timer> timer;
+    };
+
+    Private() : m_timer(m_io)
+    {
+        initCurlOnce();
+        m_multi = curl_multi_init();
+        curl_multi_setopt(m_multi, CURLMOPT_SOCKETFUNCTION, &Private::onSocketWanted);
+        curl_multi_setopt(m_multi, CURLMOPT_SOCKETDATA, this);
+        curl_multi_setopt(m_multi, CURLMOPT_TIMERFUNCTION, &Private::onTimerWanted);
+        curl_multi_setopt(m_multi, CURLMOPT_TIMERDATA, this);
+        curl_multi_setopt(m_multi, CURLMOPT_MAXCONNECTS, maxIdleConnections);
+        m_thread = std::thread([this] {
+            const auto guard = asio::make_work_guard(m_io);
+            m_io.run();
+        });
+    }
+
+    ~Private()
+    {
+        m_io.stop();
+        m_thread.join();
+        for (auto &[easy, transfer] : m_transfers) {
+            curl_multi_remove_handle(m_multi, easy);
+            curl_slist_free_all(transfer->headerList);
+            curl_easy_cleanup(easy);
+        }
+        curl_multi_cleanup(m_multi);
+    }
+
+    void start(OutgoingRequest request, std::shared_ptr<AnswerSink> sink)
+    {
+        auto transfer = std::make_shared<Transfer>();
+        transfer->owner = this;
+        transfer->request = std::move(request);
+        transfer->sink = std::move(sink);
+        transfer->easy = curl_easy_init();
+        transfer->started = std::chrono::steady_clock::now();
+        transfer->progress = transfer->started;
+        transfer->timer = std::make_unique<asio::steady_timer>(m_io);
+        configure(*transfer);
+        m_transfers[transfer->easy] = transfer;
+        curl_multi_add_handle(m_multi, transfer->easy);
+        armTimer(transfer);
+    }
+
+    asio::io_context m_io;
+
+private:
+    static void configure(Transfer &transfer)
+    {
+        CURL *easy = transfer.easy;
+        const OutgoingRequest &request = transfer.request;
+        for (const auto &[name, value] : request.headers.fields())
+            transfer.headerList
+                = curl_slist_append(transfer.headerList, (name + ": " + value).c_str());
+        transfer.headerList = curl_slist_append(transfer.headerList, "Expect:");
+        curl_easy_setopt(easy, CURLOPT_PRIVATE, &transfer);
+        curl_easy_setopt(easy, CURLOPT_URL, request.url.c_str());
+        curl_easy_setopt(easy, CURLOPT_PROXY, "");
+        curl_easy_setopt(easy, CURLOPT_HTTP_VERSION, CURL_HTTP_VERSION_1_1);
+        curl_easy_setopt(easy, CURLOPT_HTTPHEADER, transfer.headerList);
+        curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
+        curl_easy_setopt(easy, CURLOPT_TCP_NODELAY, 1L);
+        curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, request.method.c_str());
+        if (!request.body.empty() || request.method == "POST" || request.method == "PUT") {
+            curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE, static_cast<long>(request.body.size()));
+            curl_easy_setopt(easy, CURLOPT_POSTFIELDS, request.body.c_str());
+        }
+        const auto connect
+            = std::chrono::duration_cast<std::chrono::milliseconds>(request.limits.connect);
+        curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS, static_cast<long>(connect.count()));
+        curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, &Private::onBody);
+        curl_easy_setopt(easy, CURLOPT_WRITEDATA, &transfer);
+        curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, &Private::onHeader);
+        curl_easy_setopt(easy, CURLOPT_HEADERDATA, &transfer);
+        if (request.freshConnection) {
+            curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, 1L);
+            curl_easy_setopt(easy, CURLOPT_FORBID_REUSE, 1L);
+        }
+    }
+
+    static std::size_t onHeader(char *data, std::size_t size, std::size_t count, void *user)
+    {
+        auto &transfer = *static_cast<Transfer *>(user);
+        const std::string line(absl::StripAsciiWhitespace(absl::string_view(data, size * count)));
+        if (line.rfind("HTTP/", 0) == 0) {
+            transfer.answerHeaders = {};
+            return size * count;
+        }
+        if (!line.empty()) {
+            const std::pair<std::string, std::string> field
+                = absl::StrSplit(line, absl::MaxSplits(':', 1));
+            transfer.answerHeaders.add(field.first,
+                                       std::string(absl::StripAsciiWhitespace(field.second)));
+            return size * count;
+        }
+        return deliverHead(transfer) ? size * count : 0;
+    }
+
+    static bool deliverHead(Transfer &transfer)
+    {
+        long status = 0;
+        curl_easy_getinfo(transfer.easy, CURLINFO_RESPONSE_CODE, &status);
+        transfer.progress = std::chrono::steady_clock::now();
+        if (status < 200)
+            return true;
+        transfer.status = static_cast<int>(status);
+        transfer.answered = true;
+        if (!transfer.sink->onHead(transfer.status, transfer.answerHeaders))
+            transfer.cancelled = true;
+        return !transfer.cancelled;
+    }
+
+    static std::size_t onBody(char *data, std::size_t size, std::size_t count, void *user)
+    {
+        auto &transfer = *static_cast<Transfer *>(user);
+        transfer.progress = std::chrono::steady_clock::now();
+        if (transfer.sink->congested()) {
+            transfer.paused = true;
+            return CURL_WRITEFUNC_PAUSE;
+        }
+        if (!transfer.sink->onData(std::string_view(data, size * count))) {
+            transfer.cancelled = true;
+            return 0;
+        }
+        return size * count;
+    }
+
+    static int onSocketWanted(CURL *, curl_socket_t fd, int what, void *user, void *)
+    {
+        static_cast<Private *>(user)->watchSocket(fd, what);
+        return 0;
+    }
+
+    static int onTimerWanted(CURLM *, long milliseconds, void *user)
+    {
+        static_cast<Private *>(user)->setCurlTimer(milliseconds);
+        return 0;
+    }
+
+    void setCurlTimer(long milliseconds)
+    {
+        m_timer.cancel();
+        if (milliseconds < 0)
+            return;
+        m_timer.expires_after(std::chrono::milliseconds(milliseconds));
+        m_timer.async_wait([this](const asio::error_code &error) {
+            if (!error)
+                act(CURL_SOCKET_TIMEOUT, 0);
+        });
+    }
+
+    void watchSocket(curl_socket_t fd, int what)
+    {
+        auto &watch = m_sockets[fd];
+        if (what == CURL_POLL_REMOVE) {
+            if (watch) {
+                watch->removed = true;
+                watch->descriptor.release();
+            }
+            m_sockets.erase(fd);
+            return;
+        }
+        if (!watch) {
+            watch = std::make_shared<SocketWatch>(m_io);
+            watch->descriptor.assign(fd);
+        }
+        watch->wanted = what;
+        arm(fd, watch);
+    }
+
+    void arm(curl_socket_t fd, const std::shared_ptr<SocketWatch> &watch)
+    {
+        if ((watch->wanted & CURL_POLL_IN) != 0 && !watch->reading) {
+            watch->reading = true;
+            waitFor(fd, watch, asio::posix::stream_descriptor::wait_read);
+        }
+        if ((watch->wanted & CURL_POLL_OUT) != 0 && !watch->writing) {
+            watch->writing = true;
+            waitFor(fd, watch, asio::posix::stream_descriptor::wait_write);
+        }
+    }
+
+    void waitFor(curl_socket_t fd, const std::shared_ptr<SocketWatch> &watch,
+                 asio::posix::stream_descriptor::wait_type type)
+    {
+        watch->descriptor.async_wait(type, [this, fd, watch, type](const asio::error_code &error) {
+            const bool read = type == asio::posix::stream_descriptor::wait_read;
+            (read ? watch->reading : watch->writing) = false;
+            if (watch->removed)
+                return;
+            const int flags = error ? CURL_CSELECT_ERR : read ? CURL_CSELECT_IN : CURL_CSELECT_OUT;
+            const int wantedBit = read ? CURL_POLL_IN : CURL_POLL_OUT;
+            if ((watch->wanted & wantedBit) != 0)
+                act(fd, flags);
+            if (!watch->removed && !error)
+                arm(fd, watch);
+        });
+    }
+
+    void act(curl_socket_t fd, int flags)
+    {
+        int running = 0;
+        curl_multi_socket_action(m_multi, fd, flags, &running);
+        collectFinished();
+    }
+
+    void collectFinished()
+    {
+        int left = 0;
+        while (CURLMsg *message = curl_multi_info_read(m_multi, &left)) {
+            if (message->msg == CURLMSG_DONE)
+                finish(message->easy_handle, message->data.result);
+        }
+    }
+
+    void finish(CURL *easy, CURLcode code)
+    {
+        const auto found = m_transfers.find(easy);
+        const std::shared_ptr<Transfer> transfer = found->second;
+        TransferResult result;
+        result.sent = wasSent(easy);
+        result.answered = transfer->answered;
+        result.end = endOf(*transfer, code, result.sent);
+        transfer->timer->cancel();
+        curl_multi_remove_handle(m_multi, easy);
+        curl_easy_cleanup(easy);
+        curl_slist_free_all(transfer->headerList);
+        m_transfers.erase(found);
+        transfer->sink->onEnd(result);
+    }
+
+    static bool wasSent(CURL *easy)
+    {
+        long requestBytes = 0;
+        curl_easy_getinfo(easy, CURLINFO_REQUEST_SIZE, &requestBytes);
+        return requestBytes > 0;
+    }
+
+    static TransferEnd endOf(const Transfer &transfer, CURLcode code, bool sent)
+    {
+        if (transfer.cancelled)
+            return TransferEnd::cancelled;
+        if (transfer.timedOut)
+            return sent ? TransferEnd::timedOut : TransferEnd::refusedByPeer;
+        if (code == CURLE_OK)
+            return TransferEnd::complete;
+        return sent ? TransferEnd::brokenOff : TransferEnd::refusedByPeer;
+    }
+
+    std::chrono::steady_clock::time_point nextLimit(const Transfer &transfer) const
+    {
+        const TransferLimits &limits = transfer.request.limits;
+        auto next = std::chrono::steady_clock::time_point::max();
+        if (limits.total.count() > 0)
+            next = transfer.started + limits.total;
+        if (!transfer.answered && limits.firstByte.count() > 0)
+            next = std::min(next, transfer.started + limits.firstByte);
+        if (transfer.answered && !transfer.paused && limits.idle.count() > 0)
+            next = std::min(next, transfer.progress + limits.idle);
+        if (transfer.paused)
+            next = std::min(next, std::chrono::steady_clock::now() + congestionCheck);
+        return next;
+    }
+
+    void armTimer(const std::shared_ptr<Transfer> &transfer)
+    {
+        const auto next = nextLimit(*transfer);
+        if (next == std::chrono::steady_clock::time_point::max())
+            return;
+        transfer->timer->expires_at(next);
+        transfer->timer->async_wait([this, weak = std::weak_ptr(transfer)](const auto &error) {
+            const auto alive = weak.lock();
+            if (!error && alive && m_transfers.count(alive->easy) > 0)
+                checkLimits(alive);
+        });
+    }
+
+    void checkLimits(const std::shared_ptr<Transfer> &transfer)
+    {
+        resumeIfTaken(*transfer);
+        if (m_transfers.count(transfer->easy) == 0)
+            return;
+        if (nextLimit(*transfer) <= std::chrono::steady_clock::now()) {
+            transfer->timedOut = true;
+            finish(transfer->easy, CURLE_OPERATION_TIMEDOUT);
+            return;
+        }
+        armTimer(transfer);
+    }
+
+    void resumeIfTaken(Transfer &transfer)
+    {
+        if (!transfer.paused || transfer.sink->congested())
+            return;
+        transfer.paused = false;
+        transfer.progress = std::chrono::steady_clock::now();
+        curl_easy_pause(transfer.easy, CURLPAUSE_CONT);
+        collectFinished();
+    }
+
+    CURLM *m_multi = nullptr;
+    asio::steady_timer m_timer;
+    std::unordered_map<curl_socket_t, std::shared_ptr<SocketWatch>> m_sockets;
+    std::unordered_map<CURL *, std::shared_ptr<Transfer>> m_transfers;
+    std::thread m_thread;
+};
+
+HttpClient::HttpClient() : m_d(std::make_unique<Private>()) { }
+
+HttpClient::~HttpClient() = default;
+
+void HttpClient::send(OutgoingRequest request, std::shared_ptr<AnswerSink> sink)
+{
+    asio::post(m_d->m_io,
+               [d = m_d.get(), request = std::move(request), sink = std::move(sink)]() mutable {
+                   d->start(std::move(request), std::move(sink));
+               });
+}
+
+void HttpClient::post(std::function<void()> task)
+{
+    asio::post(m_d->m_io, std::move(task));
+}
+
+void HttpClient::postAfter(Duration delay, std::function<void()> task)
+{
+    auto timer = std::make_shared<asio::steady_timer>(m_d->m_io);
+    timer->expires_after(delay);
+    timer->async_wait([timer, task = std::move(task)](const asio::error_code &error) {
+        if (!error)
+            task();
+    });
+}
+
+namespace {
+
+class Collector final : public AnswerSink
+{
+public:
+    explicit Collector(std::function<void(const WholeAnswer &)> done) : m_done(std::move(done)) { }
+
+    bool onHead(int status, const Headers &headers) override
+    {
+        m_answer.response.status = status;
+        m_answer.response.headers = headers;
+        return true;
+    }
+
+    bool onData(std::string_view data) override
+    {
+        m_answer.response.body += data;
+        return m_answer.response.body.size() <= maxCollectedBytes;
+    }
+
+    void onEnd(const TransferResult &result) override
+    {
+        m_answer.result = result;
+        m_done(m_answer);
+    }
+
+private:
+    std::function<void(const WholeAnswer &)> m_done;
+    WholeAnswer m_answer;
+};
+
+} // namespace
+
+void sendWhole(HttpClient &client, OutgoingRequest request,
+               std::function<void(const WholeAnswer &)> done)
+{
+    client.send(std::move(request), std::make_shared<Collector>(std::move(done)));
+}
+
+WholeAnswer sendAndWait(HttpClient &client, OutgoingRequest request)
+{
+    auto promise = std::make_shared<std::promise<WholeAnswer>>();
+    auto answer = promise->get_future();
+    sendWhole(client, std::move(request),
+              [promise](const WholeAnswer &whole) { promise->set_value(whole); });
+    return answer.get();
+}
+
+} // namespace ibisnotch
