--- /dev/null
+++ b/src/net/peer-link.cc
@@ -0,0 +1,331 @@
+#include "ibisnotch/peer-link.h"
+
+#include <array>
+#include <atomic>
+#include <ctime>
+#include <sstream>
+#include <thread>
+
+#include <pthread.h>
+
+#include <asio/connect.hpp>
+#include <asio/io_context.hpp>
+#include <asio/ip/tcp.hpp>
+#include <asio/ip/udp.hpp>
+#include <asio/post.hpp>
+#include <asio/read.hpp>
+#include <asio/steady_timer.hpp>
+#include <asio/write.hpp>
+#include <cereal/archives/portable_binary.hpp>
+#include <cereal/types/map.hpp>
+#include <cereal/types/string.hpp>
+#include <cereal/types/utility.hpp>
+#include <cereal/types/vector.hpp>
+
+namespace ibisnotch {
+
+namespace {
+
+constexpr std::size_t largestDatagram = 16384;
+constexpr std::uint32_t largestFrame = 8U << 20;
+constexpr auto exchangeTimeout = std::chrono::seconds(3);
+
+template <typename Archive> void serializeFields(Archive &archive, GossipMessage &message)
+{
+    archive(message.protocol, message.probe, message.configVersion, message.loads,
+            message.regionLoads, message.marks);
+}
+
+template <typename Archive> void serializeFields(Archive &archive, PeerRequest &request)
+{
+    archive(request.protocol, request.haveVersion, request.wantMembers);
+}
+
+template <typename Archive> void serializeFields(Archive &archive, PeerReply &reply)
+{
+    archive(reply.protocol, reply.delta, reply.members);
+}
+
+template <typename Message> std::string encode(Message message)
+{
+    std::ostringstream out(std::ios::binary);
+    cereal::PortableBinaryOutputArchive archive(out);
+    serializeFields(archive, message);
+    return out.str();
+}
+
+template <typename Message> std::optional<Message> decode(const std::string &bytes)
+{
+    // A damaged length field would make cereal reserve memory for it before it notices that the
+    // bytes are missing; std::length_error and std::bad_alloc are caught with its own exceptions.
+    try {
+        std::istringstream in(bytes, std::ios::binary);
+        cereal::PortableBinaryInputArchive archive(in);
+        Message message;
+        serializeFields(archive, message);
+        return message;
+    } catch (const std::exception &) {
+        return std::nullopt;
+    }
+}
+
+using asio::ip::tcp;
+using asio::ip::udp;
+
+std::array<unsigned char, 4> frameHead(std::size_t size)
+{
+    return {static_cast<unsigned char>(size >> 24), static_cast<unsigned char>(size >> 16),
+            static_cast<unsigned char>(size >> 8), static_cast<unsigned char>(size)};
+}
+
+std::uint32_t frameSize(const std::array<unsigned char, 4> &head)
+{
+    return (std::uint32_t(head[0]) << 24) | (std::uint32_t(head[1]) << 16)
+        | (std::uint32_t(head[2]) << 8) | head[3];
+}
+
+// One TCP connection of either side, with the buffers of its one frame each way.
+struct Conversation
+{
+    explicit Conversation(asio::io_context &io) : socket(io), timer(io) { }
+    tcp::socket socket;
+    asio::steady_timer timer;
+    std::array<unsigned char, 4> head{};
+    std::string in;
+    std::string out;
+};
+
+using ConversationPtr = std::shared_ptr<Conversation>;
+using FrameDone = std::function<void(bool)>;
+
+void readFrame(const ConversationPtr &talk, FrameDone done)
+{
+    asio::async_read(talk->socket, asio::buffer(talk->head),
+                     [talk, done = std::move(done)](const asio::error_code &error, std::size_t) {
+                         const std::uint32_t size = frameSize(talk->head);
+                         if (error || size > largestFrame)
+                             return done(false);
+                         talk->in.resize(size);
+                         asio::async_read(talk->socket, asio::buffer(talk->in),
+                                          [talk, done](const asio::error_code &bad, std::size_t) {
+                                              done(!bad);
+                                          });
+                     });
+}
+
+void writeFrame(const ConversationPtr &talk, const std::string &body, FrameDone done)
+{
+    const auto head = frameHead(body.size());
+    talk->out.assign(head.begin(), head.end());
+    talk->out += body;
+    asio::async_write(talk->socket, asio::buffer(talk->out),
+                      [talk, done = std::move(done)](const asio::error_code &error, std::size_t) {
+                          done(!error);
+                      });
+}
+
+void closeAfterTimeout(const ConversationPtr &talk)
+{
+    talk->timer.expires_after(exchangeTimeout);
+    talk->timer.async_wait([weak = std::weak_ptr(talk)](const asio::error_code &error) {
+        asio::error_code ignored;
+        if (const auto alive = weak.lock(); alive && !error)
+            alive->socket.close(ignored);
+    });
+}
+
+} // namespace
+
+std::string encodeGossip(const GossipMessage &message)
+{
+    return encode(message);
+}
+
+std::optional<GossipMessage> decodeGossip(const std::string &bytes)
+{
+    return decode<GossipMessage>(bytes);
+}
+
+class PeerLink::Private
+{
+public:
+    Private(const Address &address, PeerHandler &handler)
+        : m_handler(handler),
+          m_udp(m_io, udp::endpoint(asio::ip::make_address(address.host), address.port)),
+          m_acceptor(m_io, tcp::endpoint(asio::ip::make_address(address.host), address.port))
+    {
+        receive();
+        accept();
+        m_thread = std::thread([this] {
+            const auto guard = asio::make_work_guard(m_io);
+            m_io.run();
+        });
+    }
+
+    ~Private() { stop(); }
+
+    void stop()
+    {
+        m_io.stop();
+        if (m_thread.joinable())
+            m_thread.join();
+    }
+
+    void send(const std::string &address, const std::string &bytes)
+    {
+        const auto parsed = parseAddress(address);
+        asio::error_code error;
+        const auto host
+            = parsed.ok() ? asio::ip::make_address(parsed->host, error) : asio::ip::address();
+        if (!parsed.ok() || error)
+            return;
+        m_udp.send_to(asio::buffer(bytes), udp::endpoint(host, parsed->port), 0, error);
+        if (!error)
+            m_sent += bytes.size();
+    }
+
+    void exchange(const std::string &address, const PeerRequest &request,
+                  std::function<void(std::optional<PeerReply>)> done)
+    {
+        const auto parsed = parseAddress(address);
+        asio::error_code error;
+        const auto host
+            = parsed.ok() ? asio::ip::make_address(parsed->host, error) : asio::ip::address();
+        if (!parsed.ok() || error)
+            return done(std::nullopt);
+        auto talk = std::make_shared<Conversation>(m_io);
+        closeAfterTimeout(talk);
+        const std::string bytes = encode(request);
+        talk->socket.async_connect(
+            tcp::endpoint(host, parsed->port),
+            [this, talk, bytes, done = std::move(done)](const asio::error_code &refused) {
+                if (refused)
+                    return done(std::nullopt);
+                m_sent += bytes.size();
+                writeFrame(talk, bytes, [this, talk, done](bool written) {
+                    if (!written)
+                        return done(std::nullopt);
+                    readFrame(talk, [this, talk, done](bool read) {
+                        m_received += talk->in.size();
+                        done(read ? decode<PeerReply>(talk->in) : std::nullopt);
+                    });
+                });
+            });
+    }
+
+    asio::io_context m_io;
+    std::atomic<std::uint64_t> m_sent = 0;
+    std::atomic<std::uint64_t> m_received = 0;
+    std::thread m_thread;
+
+private:
+    void receive()
+    {
+        m_buffer.resize(largestDatagram);
+        m_udp.async_receive_from(asio::buffer(m_buffer), m_from,
+                                 [this](const asio::error_code &error, std::size_t size) {
+                                     if (error == asio::error::operation_aborted)
+                                         return;
+                                     if (!error)
+                                         onDatagram(size);
+                                     receive();
+                                 });
+    }
+
+    void onDatagram(std::size_t size)
+    {
+        m_received += size;
+        const auto message = decodeGossip(m_buffer.substr(0, size));
+        const std::string from = m_from.address().to_string() + ":" + std::to_string(m_from.port());
+        if (message)
+            m_handler.onGossip(*message, from);
+    }
+
+    void accept()
+    {
+        auto talk = std::make_shared<Conversation>(m_io);
+        m_acceptor.async_accept(talk->socket, [this, talk](const asio::error_code &error) {
+            if (error == asio::error::operation_aborted)
+                return;
+            if (!error)
+                serve(talk);
+            accept();
+        });
+    }
+
+    void serve(const ConversationPtr &talk)
+    {
+        closeAfterTimeout(talk);
+        readFrame(talk, [this, talk](bool read) {
+            const auto request = read ? decode<PeerRequest>(talk->in) : std::nullopt;
+            if (!request)
+                return;
+            const std::string reply = encode(m_handler.onRequest(*request));
+            m_received += talk->in.size();
+            m_sent += reply.size();
+            writeFrame(talk, reply, [talk](bool) { talk->timer.cancel(); });
+        });
+    }
+
+    PeerHandler &m_handler;
+    udp::socket m_udp;
+    tcp::acceptor m_acceptor;
+    std::string m_buffer;
+    udp::endpoint m_from;
+};
+
+PeerLink::PeerLink(const Address &address, PeerHandler &handler)
+    : m_d(std::make_unique<Private>(address, handler))
+{
+}
+
+PeerLink::~PeerLink() = default;
+
+void PeerLink::sendGossip(const std::string &address, const GossipMessage &message)
+{
+    m_d->send(address, encode(message));
+}
+
+void PeerLink::exchange(const std::string &address, const PeerRequest &request,
+                        std::function<void(std::optional<PeerReply>)> done)
+{
+    m_d->exchange(address, request, std::move(done));
+}
+
+void PeerLink::post(std::function<void()> task)
+{
+    asio::post(m_d->m_io, std::move(task));
+}
+
+void PeerLink::postAfter(Duration delay, std::function<void()> task)
+{
+    auto timer = std::make_shared<asio::steady_timer>(m_d->m_io);
+    timer->expires_after(delay);
+    timer->async_wait([timer, task = std::move(task)](const asio::error_code &error) {
+        if (!error)
+            task();
+    });
+}
+
+TrafficCount PeerLink::traffic() const
+{
+    return {m_d->m_sent, m_d->m_received};
+}
+
+Duration PeerLink::processorTime() const
+{
+    clockid_t clock = 0;
+    timespec time{};
+    if (pthread_getcpuclockid(m_d->m_thread.native_handle(), &clock) != 0
+        || clock_gettime(clock, &time) != 0)
+        return {};
+    return std::chrono::duration_cast<Duration>(std::chrono::seconds(time.tv_sec)
+                                                + std::chrono::nanoseconds(time.tv_nsec));
+}
+
+void PeerLink::stop()
+{
+    m_d->stop();
+}
+
+} // namespace ibisnotch
--- /dev/null
+++ b/src/standin-store.cc
@@ -0,0 +1,334 @@
+// A small stand-in for the platform's key-value service. It speaks the part of Consul's HTTP
+// interface that the system uses, and fails on command:
+//   PUT /standin/fault?mode=MODE[&count=N]
+// with MODE one of none, down (no answer to anything), refuse (429), loseAnswers (writes take
+// effect, their answers are lost), late (writes take effect after 1.5 s, answers are lost),
+// slow (every answer after 300 ms). With a count the fault ends after so many calls.
+#include <atomic>
+#include <csignal>
+#include <map>
+#include <mutex>
+#include <vector>
+
+#include <absl/strings/escaping.h>
+#include <absl/strings/numbers.h>
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+#include <popt.h>
+
+#include "ibisnotch/http-client.h"
+#include "ibisnotch/http-server.h"
+#include "ibisnotch/random.h"
+
+using namespace ibisnotch;
+using nlohmann::json;
+
+namespace {
+
+constexpr std::size_t largestValue = 1U << 20;
+
+enum class Fault { none, down, refuse, loseAnswers, late, slow };
+
+struct Value
+{
+    std::string bytes;
+    std::uint64_t index = 0;
+    std::string session;
+};
+
+struct Session
+{
+    Duration life{};
+    TimePoint expires;
+};
+
+struct Watch
+{
+    std::string key;
+    std::uint64_t after = 0;
+    std::shared_ptr<Responder> responder;
+};
+
+HttpResponse plain(int status, std::string body)
+{
+    return {status, {{"Content-Type", "application/json"}}, std::move(body)};
+}
+
+class StoreStandin final : public RequestHandler
+{
+public:
+    void handle(HttpRequest request, std::shared_ptr<Responder> responder) override
+    {
+        if (request.path.rfind("/standin/", 0) == 0)
+            return control(request, *responder);
+        const Fault fault = takeFault();
+        ++m_calls;
+        const bool write = request.method != "GET";
+        switch (fault) {
+        case Fault::down:
+            hold(responder);
+            return;
+        case Fault::refuse:
+            responder->reply(plain(429, "rate limit"));
+            return;
+        case Fault::loseAnswers:
+            if (!write)
+                return serve(request, responder);
+            serve(request, std::make_shared<LostResponder>());
+            return drop(responder);
+        case Fault::late:
+            if (!write)
+                return serve(request, responder);
+            m_silent.postAfter(std::chrono::milliseconds(1500), [this, request] {
+                serve(request, std::make_shared<LostResponder>());
+            });
+            return drop(responder);
+        case Fault::slow:
+            m_silent.postAfter(std::chrono::milliseconds(300),
+                               [this, request, responder] { serve(request, responder); });
+            return;
+        case Fault::none:
+            serve(request, responder);
+        }
+    }
+
+private:
+    class LostResponder final : public Responder
+    {
+    public:
+        void reply(HttpResponse) override { }
+        void start(int, const Headers &) override { }
+        void write(std::string) override { }
+        void finish() override { }
+        void abort() override { }
+        bool closed() const override { return true; }
+        std::size_t pendingBytes() const override { return 0; }
+    };
+
+    // The connection ends without an answer.
+    static void drop(const std::shared_ptr<Responder> &responder) { responder->abort(); }
+
+    void hold(std::shared_ptr<Responder> responder)
+    {
+        const std::lock_guard lock(m_mutex);
+        m_held.push_back(std::move(responder));
+    }
+
+    Fault takeFault()
+    {
+        const std::lock_guard lock(m_mutex);
+        const Fault fault = m_fault;
+        if (m_faultCount > 0 && --m_faultCount == 0)
+            m_fault = Fault::none;
+        return fault;
+    }
+
+    void control(const HttpRequest &request, Responder &responder)
+    {
+        static const std::map<std::string, Fault> modes{
+            {"none", Fault::none},     {"down", Fault::down},
+            {"refuse", Fault::refuse}, {"loseAnswers", Fault::loseAnswers},
+            {"late", Fault::late},     {"slow", Fault::slow}};
+        if (request.path == "/standin/calls")
+            return responder.reply(plain(200, std::to_string(m_calls.load())));
+        const auto mode = modes.find(queryValue(request.query, "mode").value_or("none"));
+        if (mode == modes.end())
+            return responder.reply(plain(400, "unknown mode"));
+        const std::lock_guard lock(m_mutex);
+        m_fault = mode->second;
+        m_faultCount = 0;
+        (void)absl::SimpleAtoi(queryValue(request.query, "count").value_or("0"), &m_faultCount);
+        // Callers that were left without an answer see their connections close.
+        for (const auto &held : m_held)
+            held->abort();
+        m_held.clear();
+        responder.reply(plain(200, "{}"));
+    }
+
+    void serve(const HttpRequest &request, const std::shared_ptr<Responder> &responder)
+    {
+        const std::lock_guard lock(m_mutex);
+        expireSessions();
+        const std::string kv = "/v1/kv/";
+        if (request.path == "/v1/txn")
+            return transaction(request, *responder);
+        if (request.path == "/v1/session/create")
+            return createSession(request, *responder);
+        if (request.path.rfind("/v1/session/renew/", 0) == 0)
+            return renewSession(request.path.substr(18), *responder);
+        if (request.path.rfind(kv, 0) != 0)
+            return responder->reply(plain(404, ""));
+        const std::string key = request.path.substr(kv.size());
+        if (request.method == "GET")
+            return get(key, request, responder);
+        if (request.method == "DELETE") {
+            m_values.erase(key);
+            return responder->reply(plain(200, "true"));
+        }
+        put(key, request, *responder);
+    }
+
+    void get(const std::string &key, const HttpRequest &request,
+             const std::shared_ptr<Responder> &responder)
+    {
+        std::uint64_t after = 0;
+        (void)absl::SimpleAtoi(queryValue(request.query, "index").value_or("0"), &after);
+        const auto found = m_values.find(key);
+        const std::uint64_t index = found == m_values.end() ? 0 : found->second.index;
+        if (after > 0 && index <= after)
+            return wait(key, after, request, responder);
+        responder->reply(answerFor(key));
+    }
+
+    HttpResponse answerFor(const std::string &key) const
+    {
+        const auto found = m_values.find(key);
+        if (found == m_values.end())
+            return plain(404, "");
+        const json body = json::array({{{"Key", key},
+                                        {"ModifyIndex", found->second.index},
+                                        {"Value", absl::Base64Escape(found->second.bytes)}}});
+        HttpResponse response = plain(200, body.dump());
+        response.headers.add("X-Consul-Index", std::to_string(found->second.index));
+        return response;
+    }
+
+    void wait(const std::string &key, std::uint64_t after, const HttpRequest &request,
+              const std::shared_ptr<Responder> &responder)
+    {
+        int seconds = 0;
+        std::string text = queryValue(request.query, "wait").value_or("30s");
+        text.pop_back();
+        (void)absl::SimpleAtoi(text, &seconds);
+        auto watch = std::make_shared<Watch>(Watch{key, after, responder});
+        m_watches.push_back(watch);
+        m_silent.postAfter(std::chrono::seconds(seconds), [this, watch] {
+            const std::lock_guard lock(m_mutex);
+            if (std::erase(m_watches, watch) > 0)
+                watch->responder->reply(answerFor(watch->key));
+        });
+    }
+
+    void changed(const std::string &key)
+    {
+        std::erase_if(m_watches, [&](const std::shared_ptr<Watch> &watch) {
+            if (watch->key != key)
+                return false;
+            watch->responder->reply(answerFor(key));
+            return true;
+        });
+    }
+
+    void transaction(const HttpRequest &request, Responder &responder)
+    {
+        const auto body = json::parse(request.body, nullptr, false);
+        if (!body.is_array() || body.size() != 1 || !body[0].contains("KV"))
+            return responder.reply(plain(400, "one KV operation expected"));
+        const auto &operation = body[0]["KV"];
+        const std::string key = operation.value("Key", "");
+        const auto expected = operation.value("Index", std::uint64_t(0));
+        std::string bytes;
+        absl::Base64Unescape(operation.value("Value", ""), &bytes);
+        if (bytes.size() > largestValue)
+            return responder.reply(plain(413, "value too large"));
+        const auto found = m_values.find(key);
+        const std::uint64_t index = found == m_values.end() ? 0 : found->second.index;
+        if (index != expected)
+            return responder.reply(plain(409, R"({"Results":null,"Errors":[{"OpIndex":0}]})"));
+        m_values[key] = {std::move(bytes), ++m_index, ""};
+        const json reply{{"Results", {{{"KV", {{"Key", key}, {"ModifyIndex", m_index}}}}}},
+                         {"Errors", nullptr}};
+        responder.reply(plain(200, reply.dump()));
+        changed(key);
+    }
+
+    void put(const std::string &key, const HttpRequest &request, Responder &responder)
+    {
+        const auto session = queryValue(request.query, "acquire");
+        const auto found = m_values.find(key);
+        if (session) {
+            const bool free = found == m_values.end() || found->second.session.empty()
+                || found->second.session == *session;
+            if (!free || m_sessions.count(*session) == 0)
+                return responder.reply(plain(200, "false"));
+        }
+        m_values[key] = {request.body, ++m_index, session.value_or("")};
+        responder.reply(plain(200, "true"));
+        changed(key);
+    }
+
+    void createSession(const HttpRequest &request, Responder &responder)
+    {
+        const auto body = json::parse(request.body, nullptr, false);
+        int seconds = 0;
+        std::string text = body.is_object() ? body.value("TTL", "10s") : "10s";
+        text.pop_back();
+        (void)absl::SimpleAtoi(text, &seconds);
+        const std::string id = fmt::format("{:016x}", m_random.next());
+        m_sessions[id]
+            = {std::chrono::seconds(seconds), m_clock.now() + std::chrono::seconds(seconds)};
+        responder.reply(plain(200, json{{"ID", id}}.dump()));
+    }
+
+    void renewSession(const std::string &id, Responder &responder)
+    {
+        const auto found = m_sessions.find(id);
+        if (found == m_sessions.end())
+            return responder.reply(plain(404, ""));
+        found->second.expires = m_clock.now() + found->second.life;
+        responder.reply(plain(200, json::array({{{"ID", id}}}).dump()));
+    }
+
+    void expireSessions()
+    {
+        const TimePoint now = m_clock.now();
+        std::erase_if(m_sessions, [&](const auto &session) {
+            if (session.second.expires > now)
+                return false;
+            std::erase_if(m_values,
+                          [&](const auto &value) { return value.second.session == session.first; });
+            return true;
+        });
+    }
+
+    SystemClock m_clock;
+    Random m_random{randomSeed()};
+    std::mutex m_mutex;
+    std::map<std::string, Value> m_values;
+    std::map<std::string, Session> m_sessions;
+    std::vector<std::shared_ptr<Watch>> m_watches;
+    std::vector<std::shared_ptr<Responder>> m_held;
+    std::uint64_t m_index = 10;
+    Fault m_fault = Fault::none;
+    int m_faultCount = 0;
+    std::atomic<std::uint64_t> m_calls = 0;
+    HttpClient m_silent; // its loop serves as a timer
+};
+
+} // namespace
+
+int main(int argc, const char **argv)
+{
+    int port = 0;
+    const poptOption options[]
+        = {{"port", 'p', POPT_ARG_INT, &port, 0, "port on 127.0.0.1", "PORT"},
+           POPT_AUTOHELP POPT_TABLEEND};
+    const poptContext context = poptGetContext(nullptr, argc, argv, options, 0);
+    while (poptGetNextOpt(context) > 0) { }
+    poptFreeContext(context);
+    sigset_t stops;
+    sigemptyset(&stops);
+    sigaddset(&stops, SIGINT);
+    sigaddset(&stops, SIGTERM);
+    pthread_sigmask(SIG_BLOCK, &stops, nullptr);
+    auto store = std::make_unique<StoreStandin>();
+    HttpServerSettings settings;
+    settings.port = static_cast<std::uint16_t>(port);
+    settings.threads = 2;
+    HttpServer server(settings, *store);
+    int signal = 0;
+    sigwait(&stops, &signal);
+    server.stop();
+    store.reset();
+    return 0;
+}
--- /dev/null
+++ b/support/test.sh
@@ -0,0 +1,7 @@
+#!/usr/bin/env bash
+# Builds and runs all tests.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+support/install.sh
+support/build.sh
+ctest --test-dir build --output-on-failure -j 4
--- /dev/null
+++ b/test/result-code-test.cc
@@ -0,0 +1,32 @@
+#include "ibisnotch/result-code.h"
+
+#include <catch2/catch.hpp>
+
+using namespace ibisnotch;
+
+TEST_CASE("resultTable_always_isAscendingAndUnique")
+{
+    int last = 0;
+    for (const ResultInfo &info : resultTable()) {
+        CHECK(static_cast<int>(info.code) > last);
+        last = static_cast<int>(info.code);
+    }
+}
+
+TEST_CASE("makeStatus_withCode_givesTheCodeBack")
+{
+    const absl::Status status = makeStatus(ResultCode::loopRefused, "came by here");
+    CHECK(resultCodeOf(status) == ResultCode::loopRefused);
+    CHECK(resultCodeOf(absl::InternalError("other")) == ResultCode::malformedRequest);
+}
+
+TEST_CASE("resultTable_codesFrom3000To3999_sayNotRun")
+{
+    for (const ResultInfo &info : resultTable()) {
+        const int number = static_cast<int>(info.code);
+        if (number >= 2000 && number < 4000)
+            CHECK(info.run == RunState::notRun);
+        if (number >= 4000)
+            CHECK(info.run == RunState::unknown);
+    }
+}
