Eject a server that cannot be reached at once; count what came back

Cause, first: under steady traffic a region whose only engine had died answered 3002 until three failures had been seen and the next routing table was out; a burst spent all its retries on the dead server. Second: requests sent to another region were counted until its next summary although they had come back, so a second of quick answers looked like a full region (3001). Third: an instance answered callers before its peers' port listened.

Ruled out: residency, summaries that were too old, and refusals by the other region; the traces showed one attempt, 'not connected', then no candidate.

Change: one refused connection ejects; the table is published at once (at most every 5 ms); a retry after a connection that was never made needs no budget; sends to a region are counted less what came back; the callers' port opens last.

--- a/include/ibisnotch/region-choice.h
+++ b/include/ibisnotch/region-choice.h
@@ -37,12 +37,14 @@
 RegionLoad summarize(const std::string &region, const Service &service,
                      std::span<const Candidate> candidates);
 
-// Keeps the latest summary of each other region, corrected by what was sent there since.
+// Keeps the latest summary of each other region, corrected by what was sent there and came
+// back since.
 class RegionTable
 {
 public:
     void onLoad(const RegionLoad &load, TimePoint now);
     void onSentAway(const std::string &region, const std::string &service);
+    void onBack(const std::string &region, const std::string &service);
     std::optional<RegionLoad> find(const std::string &region, const std::string &service,
                                    TimePoint now) const;
 
@@ -51,7 +53,7 @@
     {
         RegionLoad load;
         TimePoint at;
-        double sentSince = 0;
+        double underWay = 0; // sent since the summary, less those that came back
     };
     mutable std::mutex m_mutex;
     std::map<std::pair<std::string, std::string>, Entry> m_entries;
--- a/include/ibisnotch/server-table.h
+++ b/include/ibisnotch/server-table.h
@@ -52,6 +52,13 @@
 
 enum class ServerStatus { usable, trial, ejected, leaving, unreachable };
 
+// What an attempt tells about its server.
+enum class AttemptHealth {
+    good,
+    failed,
+    notConnected, // the server's process is gone; one such attempt is enough
+};
+
 std::string_view serverStatusName(ServerStatus status);
 
 // One backend server as a request sees it.
@@ -110,7 +117,7 @@
     // A server says with an answer that it is leaving.
     void onOwnWord(const std::string &server);
 
-    void onAttempt(const std::string &server, bool failed, TimePoint now);
+    void onAttempt(const std::string &server, AttemptHealth health, TimePoint now);
 
     // The state of an operator's drain.
     void setDrained(const std::string &server, bool drained);
--- a/src/decide/region-choice.cc
+++ b/src/decide/region-choice.cc
@@ -65,7 +65,15 @@
     const std::lock_guard lock(m_mutex);
     const auto found = m_entries.find({region, service});
     if (found != m_entries.end())
-        found->second.sentSince += 1;
+        found->second.underWay += 1;
+}
+
+void RegionTable::onBack(const std::string &region, const std::string &service)
+{
+    const std::lock_guard lock(m_mutex);
+    const auto found = m_entries.find({region, service});
+    if (found != m_entries.end())
+        found->second.underWay -= 1;
 }
 
 std::optional<RegionLoad> RegionTable::find(const std::string &region, const std::string &service,
@@ -76,7 +84,7 @@
     if (found == m_entries.end() || found->second.at + summaryLife <= now)
         return std::nullopt;
     RegionLoad load = found->second.load;
-    load.outstanding += found->second.sentSince;
+    load.outstanding = std::max(0.0, load.outstanding + found->second.underWay);
     return load;
 }
 
--- a/src/decide/server-table.cc
+++ b/src/decide/server-table.cc
@@ -128,7 +128,7 @@
         found->second.leaving = true;
 }
 
-void ServerTable::onAttempt(const std::string &server, bool failed, TimePoint now)
+void ServerTable::onAttempt(const std::string &server, AttemptHealth health, TimePoint now)
 {
     const std::lock_guard lock(m_mutex);
     const auto found = m_records.find(server);
@@ -136,7 +136,7 @@
         return;
     Record &record = found->second;
     record.counters->probing = false;
-    if (!failed) {
+    if (health == AttemptHealth::good) {
         // The first success after an ejection ends it and restarts the ramp: its cache is cold.
         if (record.ejections > 0)
             record.coldSince = now;
@@ -145,7 +145,10 @@
         record.ejectedUntil = {};
         return;
     }
-    ++record.failures;
+    // Nobody listens where the server was. Waiting for more failures would cost each of the next
+    // callers an attempt, and a burst of them all their retries.
+    const bool gone = health == AttemptHealth::notConnected;
+    record.failures += gone ? m_limits.failuresToEject : 1;
     const bool trialFailed = record.ejections > 0 && now >= record.ejectedUntil;
     if (record.failures < m_limits.failuresToEject && !trialFailed)
         return;
--- a/src/entry/attempt.cc
+++ b/src/entry/attempt.cc
@@ -61,7 +61,8 @@
 void Dispatch::Attempt::startStream()
 {
     Exchange &exchange = *m_dispatch->m_exchange;
-    Headers headers = answerHeaders(exchange.id, ResultCode::served, m_dispatch->servedBy());
+    Headers headers
+        = answerHeaders(exchange.id, ResultCode::served, m_dispatch->servedBy(m_answer.headers));
     headers.add("Content-Type", m_answer.headers.get("Content-Type").value_or("text/plain"));
     exchange.responder->start(m_answer.status, headers);
     m_streamed = true;
--- a/src/entry/control.cc
+++ b/src/entry/control.cc
@@ -19,6 +19,7 @@
 constexpr Duration pollPeriod = std::chrono::milliseconds(500);
 constexpr Duration watchTime = std::chrono::seconds(30);
 constexpr Duration watchPause = std::chrono::seconds(1);
+constexpr Duration publishAtMost = std::chrono::milliseconds(5);
 constexpr Duration publishAtLeast = std::chrono::milliseconds(500);
 constexpr std::size_t pollersPerServer = 2;
 constexpr std::size_t watchersPerRegion = 2;
@@ -143,7 +144,11 @@
 
 void Control::routingChanged()
 {
-    m_link.post([this] { m_routingDirty = true; });
+    m_link.post([this] {
+        m_routingDirty = true;
+        if (m_state.clock.now() - m_lastPublish >= publishAtMost)
+            publishRouting();
+    });
 }
 
 void Control::tick()
--- a/src/entry/dispatch.cc
+++ b/src/entry/dispatch.cc
@@ -68,9 +68,10 @@
     return m_exchange->deadline - m_state.clock.now();
 }
 
-std::string Dispatch::servedBy() const
+std::string Dispatch::servedBy(const Headers &answer) const
 {
-    return m_state.settings.name + "/" + m_servedBy;
+    // A peer names the way that the request took from there.
+    return m_state.settings.name + "/" + answer.get("X-Served-By").value_or(m_servedBy);
 }
 
 void Dispatch::start()
@@ -113,7 +114,7 @@
         trace("issued key, answer repeated");
         HttpResponse response{
             decision.httpStatus,
-            answerHeaders(m_exchange->id, ResultCode::bookingRepeated, servedBy()),
+            answerHeaders(m_exchange->id, ResultCode::bookingRepeated, servedBy({})),
             decision.answer};
         response.headers.add("Content-Type", "application/json");
         m_exchange->responder->reply(response);
@@ -439,13 +440,19 @@
 void Dispatch::noteAttempt(const Target &target, AttemptEnd end)
 {
     trace(fmt::format("attempt {} at {}: {}", m_attempts, target.name, endName(end)));
-    if (target.away)
+    if (target.away) {
+        if (target.region != m_state.settings.region)
+            m_state.regions.onBack(target.region, m_exchange->service->name);
         return;
+    }
     --target.counters->inFlight;
     ++target.counters->endedSinceReport;
     const bool refused = end == AttemptEnd::refusedNotRun || end == AttemptEnd::refusedForGood;
     const bool failed = end != AttemptEnd::answered && !refused;
-    m_state.servers.onAttempt(target.name, failed, m_state.clock.now());
+    AttemptHealth health = failed ? AttemptHealth::failed : AttemptHealth::good;
+    if (end == AttemptEnd::notConnected)
+        health = AttemptHealth::notConnected;
+    m_state.servers.onAttempt(target.name, health, m_state.clock.now());
     if (failed) {
         m_control.routingChanged();
         logLine(LogPart::request, LogLevel::warn, "Attempt failed.",
@@ -529,7 +536,10 @@
     // Only the issuer of a key may send its booking; there is nowhere else to try.
     if (m_toIssuer)
         return false;
-    if (!m_state.retries.take(m_exchange->customer->name, m_exchange->service->name)) {
+    // An attempt that reached nobody cost no backend server anything, so it needs no budget.
+    const bool costsNothing = end == AttemptEnd::notConnected;
+    if (!costsNothing
+        && !m_state.retries.take(m_exchange->customer->name, m_exchange->service->name)) {
         trace("no retry: budget spent");
         return false;
     }
@@ -561,9 +571,7 @@
     }
     m_firstByte = m_state.clock.now();
     HttpResponse response = attempt.answer();
-    const std::string by = response.headers.get("X-Served-By").value_or("");
-    Headers headers = answerHeaders(m_exchange->id, code,
-                                    by.empty() ? servedBy() : m_state.settings.name + "/" + by);
+    Headers headers = answerHeaders(m_exchange->id, code, servedBy(response.headers));
     for (const char *name : {"Content-Type", "Retry-After"}) {
         if (const auto value = response.headers.get(name))
             headers.add(name, *value);
@@ -579,7 +587,7 @@
     const bool late = remaining().count() <= 0;
     const ResultCode code = finalCode(end, m_exchange->service->idempotent, late);
     if (m_exchange->streaming) {
-        const HttpResponse refusal = refusalResponse(m_exchange->id, {code, "", {}}, servedBy());
+        const HttpResponse refusal = refusalResponse(m_exchange->id, {code, "", {}}, servedBy({}));
         m_exchange->responder->write("data: " + refusal.body + "\n\n");
     }
     m_exchange->responder->abort();
@@ -613,7 +621,7 @@
         refusal.code = m_exchange->service->idempotent ? ResultCode::backendFailed
                                                        : ResultCode::outcomeUnknown;
     trace("refused: " + std::string(resultInfo(refusal.code).name));
-    m_exchange->responder->reply(refusalResponse(m_exchange->id, refusal, servedBy()));
+    m_exchange->responder->reply(refusalResponse(m_exchange->id, refusal, servedBy({})));
     finish(refusal.code);
 }
 
--- a/src/entry/dispatch.h
+++ b/src/entry/dispatch.h
@@ -84,7 +84,7 @@
 
     void trace(std::string what);
     Duration remaining() const;
-    std::string servedBy() const;
+    std::string servedBy(const Headers &answer) const;
 
     EntryState &m_state;
     Control &m_control;
--- a/src/ibisnotch-entry.cc
+++ b/src/ibisnotch-entry.cc
@@ -46,11 +46,12 @@
         m_callerGateway = std::make_unique<Gateway>(services, clients, false);
         m_peerGateway = std::make_unique<Gateway>(services, clients, true);
         m_control->start();
+        // The callers' port last: whoever finds it open finds the rest open too.
+        m_peerServer = std::make_unique<HttpServer>(
+            serverSettings(settings, settings.peers, peerThreads), *m_peerGateway);
         m_callerServer = std::make_unique<HttpServer>(
             serverSettings(settings, settings.callers, static_cast<unsigned>(settings.workers)),
             *m_callerGateway);
-        m_peerServer = std::make_unique<HttpServer>(
-            serverSettings(settings, settings.peers, peerThreads), *m_peerGateway);
     }
 
     ~Instance()
--- a/test/server-table-test.cc
+++ b/test/server-table-test.cc
@@ -98,19 +98,27 @@
 TEST_CASE_METHOD(TableFixture, "server_thatFailsThreeTimes_isEjectedThenTriedOnce")
 {
     for (int i = 0; i < 3; ++i)
-        table.onAttempt("a-m", true, now);
+        table.onAttempt("a-m", AttemptHealth::failed, now);
     CHECK(status() == ServerStatus::ejected);
     now += 6s;
     CHECK(status() == ServerStatus::trial);
-    table.onAttempt("a-m", true, now);
+    table.onAttempt("a-m", AttemptHealth::failed, now);
     CHECK(status() == ServerStatus::ejected);
     now += 6s;
     CHECK(status() == ServerStatus::ejected);
     now += 5s;
-    table.onAttempt("a-m", false, now);
+    table.onAttempt("a-m", AttemptHealth::good, now);
     CHECK(status() == ServerStatus::usable);
 }
 
+// What callers see: one of them pays one attempt. In what order: a server's process dies under
+// steady traffic. Why: a refused connection ejects it at once.
+TEST_CASE_METHOD(TableFixture, "server_thatCannotBeReachedOnce_isEjected")
+{
+    table.onAttempt("a-m", AttemptHealth::notConnected, now);
+    CHECK(status() == ServerStatus::ejected);
+}
+
 TEST_CASE_METHOD(TableFixture, "correctedLoad_betweenReports_countsWhatWasSent")
 {
     LoadReport loaded = report(7);
