--- a/src/decide/region-choice.cc
+++ b/src/decide/region-choice.cc
@@ -21,12 +21,22 @@
 
 // How much the margin counts under a deployment's weights: sending away costs share and link, so a
 // deployment that weighs those more asks for a longer wait at home first.
-double marginFactor(const Weights &weights)
+double shareAgainst(const Weights &weights)
 {
     const double against = weights.sentAway + weights.cost;
     const double total = against + weights.tailLatency;
+    return total <= 0 ? 0.5 : against / total;
+}
+
+// The wait at home must exceed the way and the wait elsewhere by this. A region with free slots may
+// be used early, since nobody there waits longer for it; one that has a queue itself only late, or
+// regions that are all full hand their requests round.
+double marginSeconds(const RegionQuestion &question, bool freeSlots)
+{
     constexpr double strongest = 4;
-    return total <= 0 ? 1 : strongest * against / total;
+    const double against = shareAgainst(question.weights);
+    const double whole = seconds(question.awayMargin) * strongest * against;
+    return freeSlots ? whole * against * against * against : whole;
 }
 
 } // namespace
@@ -99,6 +109,7 @@
         = waitSeconds(question.homeLoad.slots, question.homeLoad.outstanding, expected);
     RegionAnswer best;
     double bestAway = std::numeric_limits<double>::infinity();
+    bool bestIsFree = false;
     for (const std::string &region : question.allowed) {
         const bool open = question.mayForward && region != question.home
             && contains(question.reachable, region);
@@ -114,6 +125,7 @@
         if (away < bestAway) {
             bestAway = away;
             best = {region, away, false};
+            bestIsFree = load->outstanding + 1 <= load->slots;
         }
     }
     if (!homeAllowed)
@@ -121,7 +133,7 @@
     const bool homeRuns = question.homeLoad.slots > 0;
     const std::lock_guard lock(m_mutex);
     bool &sendingAway = m_sendingAway[question.service->name];
-    const double whole = seconds(question.awayMargin) * marginFactor(question.weights);
+    const double whole = marginSeconds(question, bestIsFree);
     const double margin = sendingAway ? whole / 2 : whole;
     sendingAway = best.region && homeWait > bestAway + margin;
     if (sendingAway)
