--- a/include/ibisnotch/booking.h
+++ b/include/ibisnotch/booking.h
@@ -55,6 +55,11 @@
 // pages are dropped once no key of that hour can be accepted.
 std::string claimPageName(const CallerKey &key, std::string_view claimId, int shards);
 
+std::string claimPageOf(long long hour, int shard);
+
+// The latest hour whose pages may be removed: none of its keys is accepted any more on any clock.
+long long newestDroppedHour(WallTime now, Duration keyLife);
+
 // Names a claim; the customer is part of it, so that no customer can meet another's key.
 std::string claimId(std::string_view customer, std::string_view key);
 
--- a/include/ibisnotch/peer-link.h
+++ b/include/ibisnotch/peer-link.h
@@ -37,6 +37,9 @@
 std::string encodeGossip(const GossipMessage &message);
 std::optional<GossipMessage> decodeGossip(const std::string &bytes);
 
+// The form that messages travel in: the body's XXH3 hash, low byte first, then the body.
+std::string withChecksum(const std::string &body);
+
 struct PeerRequest
 {
     std::uint16_t protocol = peerProtocol;
--- a/src/decide/booking.cc
+++ b/src/decide/booking.cc
@@ -73,6 +73,11 @@
     return IssuedKey{std::string(text), fields[1], *incarnation};
 }
 
+long long hourOf(WallTime time)
+{
+    return std::chrono::floor<std::chrono::hours>(time.time_since_epoch()).count();
+}
+
 std::string_view stateLetter(ClaimState state)
 {
     switch (state) {
@@ -123,12 +128,21 @@
 
 std::string claimPageName(const CallerKey &key, std::string_view claimId, int shards)
 {
-    const auto hour
-        = std::chrono::duration_cast<std::chrono::hours>(key.born.time_since_epoch()).count();
     const auto shard = hash64(claimId) % static_cast<std::uint64_t>(shards);
+    return claimPageOf(hourOf(key.born), static_cast<int>(shard));
+}
+
+std::string claimPageOf(long long hour, int shard)
+{
     return fmt::format("ibisnotch/claims/{}/{}", hour, shard);
 }
 
+long long newestDroppedHour(WallTime now, Duration keyLife)
+{
+    // The last key of an hour is born at its end.
+    return hourOf(now - keyLife - 2 * clockTolerance) - 1;
+}
+
 std::string claimId(std::string_view customer, std::string_view key)
 {
     return hash128Hex(customer, key);
--- a/src/entry/control.cc
+++ b/src/entry/control.cc
@@ -21,6 +21,7 @@
 constexpr Duration watchPause = std::chrono::seconds(1);
 constexpr Duration publishAtMost = std::chrono::milliseconds(5);
 constexpr Duration publishAtLeast = std::chrono::milliseconds(500);
+constexpr Duration sweepPeriod = std::chrono::minutes(30);
 constexpr std::size_t pollersPerServer = 2;
 constexpr std::size_t watchersPerRegion = 2;
 constexpr std::size_t loadsPerMessage = 24;
@@ -167,6 +168,10 @@
     }
     watchConfig();
     watchList();
+    if (now >= m_nextSweep) {
+        m_nextSweep = now + sweepPeriod;
+        sweepClaims();
+    }
     if (m_routingDirty || now - m_lastPublish > publishAtLeast)
         publishRouting();
     m_link.postAfter(tickPeriod, [this] { tick(); });
@@ -425,6 +430,23 @@
     m_link.postAfter(good ? Duration(0) : watchPause, [this] { m_watchingConfig = false; });
 }
 
+// Removes the claim pages of hours whose keys nobody accepts any more. Each hour is swept several
+// times, so that a store outage or a change of the sweeper leaves nothing behind.
+void Control::sweepClaims()
+{
+    const auto config = m_state.gate.config();
+    if (!config || m_state.settings.region != config->regions.front().name
+        || !amongFirst("sweep", 1))
+        return;
+    constexpr long long sweptHours = 3;
+    const long long newest
+        = newestDroppedHour(m_state.clock.wallNow(), config->limits.bookingKeyLife);
+    for (long long hour = newest; hour > newest - sweptHours; --hour) {
+        for (int shard = 0; shard < config->limits.bookingShards; ++shard)
+            m_store.remove(claimPageOf(hour, shard), [](const StoreWrite &) {});
+    }
+}
+
 void Control::watchList()
 {
     if (m_watchingList || !amongFirst("list", watchersPerRegion))
--- a/src/entry/control.h
+++ b/src/entry/control.h
@@ -55,6 +55,7 @@
     void offer(const ConfigDocument &document, const std::string &source);
     void pullFrom(const std::string &gossipAddress);
     void announceConfig();
+    void sweepClaims();
 
     EntryState &m_state;
     HttpClient &m_client;
@@ -69,6 +70,7 @@
     bool m_routingDirty = true;
     TimePoint m_lastPublish{};
     TimePoint m_nextPoll{};
+    TimePoint m_nextSweep{};
     std::vector<LeavingNotice> m_leavingList;
     PeerLink m_link; // last: its thread uses the others
 };
--- a/src/net/peer-link.cc
+++ b/src/net/peer-link.cc
@@ -22,6 +22,8 @@
 #include <cereal/types/utility.hpp>
 #include <cereal/types/vector.hpp>
 
+#include "ibisnotch/hash.h"
+
 namespace ibisnotch {
 
 namespace {
@@ -46,20 +48,39 @@
     archive(reply.protocol, reply.delta, reply.members);
 }
 
+constexpr std::size_t checksumBytes = 8;
+
+std::string checksumOf(std::string_view body)
+{
+    std::uint64_t hash = hash64(body);
+    std::string bytes(checksumBytes, '\0');
+    for (char &byte : bytes) {
+        byte = static_cast<char>(hash & 0xffU);
+        hash >>= 8;
+    }
+    return bytes;
+}
+
 template <typename Message> std::string encode(Message message)
 {
     std::ostringstream out(std::ios::binary);
     cereal::PortableBinaryOutputArchive archive(out);
     serializeFields(archive, message);
-    return out.str();
+    const std::string body = out.str();
+    return checksumOf(body) + body;
 }
 
 template <typename Message> std::optional<Message> decode(const std::string &bytes)
 {
-    // A damaged length field would make cereal reserve memory for it before it notices that the
-    // bytes are missing; std::length_error and std::bad_alloc are caught with its own exceptions.
+    // A damaged length field would make cereal reserve gigabytes for it before it notices that the
+    // bytes are missing, so damage is found before anything is decoded.
+    if (bytes.size() < checksumBytes)
+        return std::nullopt;
+    const std::string body = bytes.substr(checksumBytes);
+    if (checksumOf(body) != bytes.substr(0, checksumBytes))
+        return std::nullopt;
     try {
-        std::istringstream in(bytes, std::ios::binary);
+        std::istringstream in(body, std::ios::binary);
         cereal::PortableBinaryInputArchive archive(in);
         Message message;
         serializeFields(archive, message);
@@ -146,6 +167,11 @@
     return decode<GossipMessage>(bytes);
 }
 
+std::string withChecksum(const std::string &body)
+{
+    return checksumOf(body) + body;
+}
+
 class PeerLink::Private
 {
 public:
--- a/test/booking-test.cc
+++ b/test/booking-test.cc
@@ -321,8 +321,11 @@
         const auto skew = std::chrono::milliseconds(
             *rc::gen::inRange<long>(-clockTolerance / 1ms, clockTolerance / 1ms + 1));
         const CallerKey key{"k", born};
-        // The sweeper drops the pages of an hour one hour and twice the tolerance after its end.
-        const WallTime dropped = born + life + 2 * clockTolerance;
+        // The moment at which the sweeper, by its clock, first removes the page of this hour.
+        const auto hour = std::chrono::floor<std::chrono::hours>(born.time_since_epoch()).count();
+        const auto dropped = WallTime(std::chrono::hours(hour + 1)) + life + 2 * clockTolerance;
+        RC_ASSERT(newestDroppedHour(dropped - 1us, life) < hour);
+        RC_ASSERT(newestDroppedHour(dropped, life) == hour);
         RC_ASSERT(!keyAccepted(key, dropped + skew, life));
     });
 }
--- /dev/null
+++ b/test/entry-list-test.cc
@@ -0,0 +1,59 @@
+#include "ibisnotch/entry-list.h"
+
+#include <map>
+
+#include <catch2/catch.hpp>
+#include <rapidcheck/catch.h>
+
+using namespace ibisnotch;
+
+namespace {
+
+std::vector<Member> fleet()
+{
+    std::vector<Member> members;
+    for (const char *name : {"a1", "a2", "a3", "b1", "b2", "c1"}) {
+        Member member;
+        member.name = name;
+        member.region = std::string(1, name[0]);
+        members.push_back(member);
+    }
+    return members;
+}
+
+} // namespace
+
+TEST_CASE("makeEntryList_ofAnyFleet_namesUsableInstancesHomeFirst")
+{
+    rc::prop("alive, allowed, home first", [](std::uint64_t seed) {
+        std::vector<Member> members = fleet();
+        for (Member &member : members)
+            member.state = static_cast<MemberState>(*rc::gen::inRange(0, 5));
+        Random random(seed);
+        const EntryList list = makeEntryList(members, "a", {"a", "b"}, random);
+        bool away = false;
+        for (const Member &member : list.instances) {
+            RC_ASSERT(member.state == MemberState::alive);
+            RC_ASSERT(member.region != "c");
+            RC_ASSERT(!(away && member.region == "a"));
+            away = away || member.region != "a";
+        }
+        RC_ASSERT(list.lifetime.count() > 0);
+    });
+}
+
+// What callers see: different orders. In what order: many ask at the same time, then all connect.
+// Why: the order is drawn for each call, weighted by what is free.
+TEST_CASE("makeEntryList_askedTogether_spreadsCallersByLoad")
+{
+    std::vector<Member> members = fleet();
+    members[1].loadPercent = 80;
+    Random random(1);
+    std::map<std::string, int> first;
+    for (int i = 0; i < 3000; ++i)
+        ++first[makeEntryList(members, "a", {"a"}, random).instances.front().name];
+    CHECK(first["a1"] > 900);
+    CHECK(first["a3"] > 900);
+    CHECK(first["a2"] < 600);
+    CHECK(first["a2"] > 50);
+}
--- /dev/null
+++ b/test/pick-test.cc
@@ -0,0 +1,98 @@
+#include "ibisnotch/pick.h"
+
+#include <map>
+
+#include <catch2/catch.hpp>
+#include <rapidcheck/catch.h>
+
+#include "routing-test.h"
+
+using namespace ibisnotch;
+using namespace std::chrono_literals;
+
+TEST_CASE("pickers_ofAnyCandidates_chooseOneOfThem")
+{
+    rc::prop("index in range", [](std::uint64_t seed) {
+        RoutingFixture routing;
+        const int count = *rc::gen::inRange(1, 6);
+        for (int i = 0; i < count; ++i)
+            routing.add("s" + std::to_string(i), *rc::gen::inRange(0, 30), 8);
+        routing.finish();
+        Random random(seed);
+        PickQuestion question;
+        question.candidates = routing.candidates;
+        question.prefix = *rc::gen::inRange<std::uint64_t>(0, 3);
+        RandomPicker one;
+        RoundRobinPicker two;
+        LeastReportedPicker three;
+        TwoChoicesPicker four;
+        AffinityPicker five;
+        for (Picker *picker : std::initializer_list<Picker *>{&one, &two, &three, &four, &five})
+            RC_ASSERT(picker->pick(question, random) < routing.candidates.size());
+    });
+}
+
+TEST_CASE("affinityPicker_samePrefix_staysOnItsServersWhileTheyHaveRoom")
+{
+    RoutingFixture routing;
+    for (int i = 0; i < 8; ++i)
+        routing.add("s" + std::to_string(i), 1, 8);
+    routing.finish();
+    Random random(1);
+    PickQuestion question;
+    question.candidates = routing.candidates;
+    question.prefix = 42;
+    AffinityPicker picker;
+    const std::size_t first = picker.pick(question, random);
+    for (int i = 0; i < 50; ++i)
+        CHECK(picker.pick(question, random) == first);
+    // Its first home is full: the second takes over, and only that.
+    routing.candidates[first].load = 8;
+    question.candidates = routing.candidates;
+    const std::size_t second = picker.pick(question, random);
+    CHECK(second != first);
+    for (int i = 0; i < 50; ++i)
+        CHECK(picker.pick(question, random) == second);
+}
+
+TEST_CASE("prefixOf_twoCustomers_differsForTheSamePrompt")
+{
+    CHECK(prefixOf("a", "s", "prompt") != prefixOf("b", "s", "prompt"));
+    CHECK(prefixOf("a", "s", std::string(600, 'x') + "1")
+          == prefixOf("a", "s", std::string(600, 'x') + "2"));
+}
+
+TEST_CASE("twoChoicesPicker_freeServers_takesTheCheaper")
+{
+    RoutingFixture routing;
+    routing.add("dear", 0, 8, 4);
+    routing.add("cheap", 2, 8, 1);
+    routing.finish();
+    Random random(1);
+    PickQuestion question;
+    question.candidates = routing.candidates;
+    TwoChoicesPicker picker;
+    for (int i = 0; i < 20; ++i)
+        CHECK(picker.pick(question, random) == 1);
+}
+
+TEST_CASE("candidatesFor_leavingEjectedAndTried_leavesThemOut")
+{
+    RoutingFixture routing;
+    for (const char *name : {"usable", "leaving", "ejected", "unreachable", "tried", "trial"})
+        routing.add(name, 0, 8);
+    RoutingTable table;
+    table.servers = routing.views;
+    table.servers[1].status = ServerStatus::leaving;
+    table.servers[2].status = ServerStatus::ejected;
+    table.servers[3].status = ServerStatus::unreachable;
+    table.servers[5].status = ServerStatus::trial;
+    Service service;
+    service.model = "m";
+    auto found = candidatesFor(table, service, {"tried"}, TimePoint(1h));
+    REQUIRE(found.size() == 2);
+    CHECK(found[0].view->server.name == "usable");
+    CHECK(found[1].view->server.name == "trial");
+    table.servers[5].counters->probing = true;
+    CHECK(candidatesFor(table, service, {"tried"}, TimePoint(1h)).size() == 1);
+}
--- /dev/null
+++ b/test/region-choice-test.cc
@@ -0,0 +1,119 @@
+#include "ibisnotch/region-choice.h"
+
+#include <algorithm>
+
+#include <catch2/catch.hpp>
+#include <rapidcheck/catch.h>
+
+using namespace ibisnotch;
+using namespace std::chrono_literals;
+
+namespace {
+
+struct RegionFixture
+{
+    Service service;
+    RegionTable table;
+    RegionChooser chooser;
+    Random random{1};
+    RegionQuestion question;
+    TimePoint now{1h};
+
+    RegionFixture()
+    {
+        service.name = "s";
+        service.expected = 400ms;
+        question.home = "a";
+        question.allowed = {"a", "b", "c"};
+        question.reachable = {"b", "c"};
+        question.service = &service;
+        question.homeLoad = {"a", "s", 8, 0, 0};
+        question.oneWay = 80ms;
+        question.awayMargin = 200ms;
+        table.onLoad({"b", "s", 8, 0, 0}, now);
+        table.onLoad({"c", "s", 8, 6, 0}, now);
+    }
+
+    RegionAnswer choose() { return chooser.choose(question, table, now, random); }
+};
+
+} // namespace
+
+// What the caller sees: its data stays where it may be. In what order: any load anywhere, any part
+// of the fleet reachable. Why: only allowed regions are looked at, before any load is.
+TEST_CASE("regionChooser_underAnyLoad_staysWithinTheAllowedRegions")
+{
+    rc::prop("allowed or nothing", [](std::uint64_t seed) {
+        RegionFixture fixture;
+        const auto regions = rc::gen::container<std::vector<std::string>>(
+            rc::gen::element<std::string>("a", "b", "c"));
+        fixture.question.allowed = *regions;
+        fixture.question.reachable = *regions;
+        fixture.question.mayForward = *rc::gen::arbitrary<bool>();
+        fixture.question.homeLoad.slots = *rc::gen::inRange(0, 9);
+        fixture.question.homeLoad.outstanding = *rc::gen::inRange(0, 100);
+        for (const char *region : {"b", "c"})
+            fixture.table.onLoad({region, "s", double(*rc::gen::inRange(0, 9)),
+                                  double(*rc::gen::inRange(0, 100)), 0},
+                                 fixture.now + 1s);
+        Random random(seed);
+        const RegionAnswer answer
+            = fixture.chooser.choose(fixture.question, fixture.table, fixture.now + 1s, random);
+        if (!answer.region)
+            return;
+        const auto &allowed = fixture.question.allowed;
+        RC_ASSERT(std::find(allowed.begin(), allowed.end(), *answer.region) != allowed.end());
+        if (!fixture.question.mayForward)
+            RC_ASSERT(*answer.region == "a");
+    });
+}
+
+TEST_CASE_METHOD(RegionFixture, "regionChooser_freeHome_staysHome")
+{
+    CHECK(choose().region == "a");
+}
+
+TEST_CASE_METHOD(RegionFixture, "regionChooser_longQueueAtHome_goesToTheFreestRegion")
+{
+    question.homeLoad.outstanding = 60;
+    CHECK(choose().region == "b");
+    question.mayForward = false;
+    CHECK(choose().region == "a");
+}
+
+TEST_CASE_METHOD(RegionFixture, "regionChooser_deploymentThatWeighsSentAway_waitsLonger")
+{
+    question.homeLoad.outstanding = 15; // a wait of 0.4 s at home, 0.16 s of way
+    question.weights = {2, 1, 1, false};
+    CHECK(choose().region == "b");
+    RegionChooser other;
+    question.weights = {1, 2, 2, true};
+    CHECK(other.choose(question, table, now, random).region == "a");
+}
+
+TEST_CASE_METHOD(RegionFixture, "regionChooser_isolatedRegion_servesItsCallers")
+{
+    question.reachable.clear();
+    question.homeLoad.outstanding = 200;
+    CHECK(choose().region == "a");
+}
+
+TEST_CASE_METHOD(RegionFixture, "regionChooser_homeWithoutServers_sendsAwayOrSaysSo")
+{
+    question.homeLoad.slots = 0;
+    CHECK(choose().region == "b");
+    question.reachable.clear();
+    const RegionAnswer answer = choose();
+    CHECK_FALSE(answer.region);
+    CHECK_FALSE(answer.residencyForbids);
+    question.allowed.clear();
+    CHECK(choose().residencyForbids);
+}
+
+TEST_CASE_METHOD(RegionFixture, "regionTable_oldSummary_isNotUsed")
+{
+    CHECK(table.find("b", "s", now + 10s));
+    CHECK_FALSE(table.find("b", "s", now + 20s));
+    table.onLoad({"b", "s", 8, 50, 30000}, now + 10s);
+    CHECK(table.find("b", "s", now + 10s)->outstanding == 0);
+}
--- /dev/null
+++ b/test/routing-test.h
@@ -0,0 +1,36 @@
+// Servers and candidates for tests of routing decisions.
+#pragma once
+
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "ibisnotch/pick.h"
+
+namespace ibisnotch {
+
+struct RoutingFixture
+{
+    std::vector<ServerView> views;
+    std::vector<Candidate> candidates;
+
+    void add(const std::string &name, double load, double slots, double cost = 1)
+    {
+        ServerView view;
+        view.server.name = name;
+        view.server.models = {"m"};
+        view.server.slots = static_cast<int>(slots);
+        view.server.cost = cost;
+        view.reported = load;
+        view.counters = std::make_shared<ServerCounters>();
+        views.push_back(view);
+    }
+
+    void finish()
+    {
+        for (const ServerView &view : views)
+            candidates.push_back({&view, view.reported, static_cast<double>(view.server.slots)});
+    }
+};
+
+} // namespace ibisnotch
