--- a/include/ibisnotch/metrics.h
+++ b/include/ibisnotch/metrics.h
@@ -19,6 +19,8 @@
     Duration firstByte{};
     int attempts = 0;
     bool sentAway = false;
+    // Handed on by another instance, which counts the request; only its cost is counted here.
+    bool forwarded = false;
     double cost = 0;
     double worthDelivered = 0;
     bool operator==(const RequestRecord &) const = default;
--- a/src/entry/dispatch.cc
+++ b/src/entry/dispatch.cc
@@ -168,6 +168,7 @@
         return refuse({ResultCode::heldForTrial, "", spreadRetryAfter(2, m_state.random)});
     }
     ++m_attempts;
+    m_attemptStarted = m_state.clock.now();
     m_tried.insert(target.name);
     m_servedBy = target.name;
     if (target.away && target.region != m_state.settings.region) {
@@ -195,6 +196,8 @@
             m_state.regions.onBack(target.region, m_exchange->service->name);
         return;
     }
+    const Duration taken = m_state.clock.now() - m_attemptStarted;
+    m_cost += target.cost * std::chrono::duration<double>(taken).count();
     --target.counters->inFlight;
     ++target.counters->endedSinceReport;
     const bool refused = end == AttemptEnd::refusedNotRun || end == AttemptEnd::refusedForGood;
@@ -390,6 +393,8 @@
     record.firstByte = m_firstByte.value_or(now) - exchange.arrived;
     record.attempts = m_attempts;
     record.sentAway = m_sentAway;
+    record.forwarded = exchange.fromPeer;
+    record.cost = m_cost;
     const bool inTime = now <= exchange.deadline;
     const bool good = resultInfo(code).run == RunState::run && inTime;
     record.worthDelivered = good ? exchange.service->worth : 0;
--- a/src/entry/dispatch.h
+++ b/src/entry/dispatch.h
@@ -107,6 +107,7 @@
     int m_attempts = 0;
     std::set<std::string> m_tried;
     std::string m_servedBy;
+    TimePoint m_attemptStarted{};
     double m_cost = 0;
     std::optional<TimePoint> m_firstByte;
 };
--- a/src/ibisnotch-experiment.cc
+++ b/src/ibisnotch-experiment.cc
@@ -72,7 +72,7 @@
     {"regions: no margin", Pick::affinity, Spreading::eager, true},
     {"admission: no worth", Pick::affinity, Spreading::margin, true, false},
     {"no admission", Pick::affinity, Spreading::margin, false},
-    {"first version", Pick::leastReported, Spreading::eager, false},
+    {"simplest", Pick::leastReported, Spreading::eager, false},
 };
 
 struct Setup
--- a/src/net/metrics.cc
+++ b/src/net/metrics.cc
@@ -67,9 +67,11 @@
 {
     const std::lock_guard lock(m_d->m_mutex);
     Series &series = m_d->m_series[{record.service, record.customer}];
+    series.cost += record.cost;
+    if (record.forwarded)
+        return;
     ++series.codes[record.code];
     series.sentAway += record.sentAway ? 1 : 0;
-    series.cost += record.cost;
     series.worthDelivered += record.worthDelivered;
     if (record.code != ResultCode::served)
         return;
--- a/test/answers-fleet-test.cc
+++ b/test/answers-fleet-test.cc
@@ -93,6 +93,14 @@
         CHECK_FALSE(reply.id.empty());
         CHECK(reply.whole);
     }
+    OutgoingRequest request;
+    request.url = "http://" + fleet.peers("a1") + "/metrics";
+    const std::string metrics = fleet.send(request).body;
+    const std::string labels = "{service=\"digest\",customer=\"free\"";
+    CHECK(metrics.find("ibisnotch_requests_total" + labels + ",code=\"1000\"} 1\n")
+          != std::string::npos);
+    CHECK(metrics.find("ibisnotch_cost_total" + labels + "} ") != std::string::npos);
+    CHECK(metrics.find("ibisnotch_cost_total" + labels + "} 0.000000") == std::string::npos);
 }
 
 // What the caller sees: its whole answer. In what order: one engine hangs, crosses answers, cuts
