Do not pull a version again that could not be taken

Cause: an instance of an older release cannot take a version with keys it does not know; it pulled it again with every probe and logged the refusal each time.

Ruled out: taking what it understands of such a version (half a rule is worse than the old rules).

Change: the highest version turned down is remembered; only higher ones are pulled.

--- a/src/entry/control.cc
+++ b/src/entry/control.cc
@@ -346,7 +346,8 @@
         for (const CrashMark &mark : message.marks)
             m_state.quarantine.onMark(mark, now);
     }
-    if (message.configVersion > m_state.gate.version())
+    // A version that this instance cannot take would otherwise be pulled again with every probe.
+    if (message.configVersion > std::max(m_state.gate.version(), m_turnedDown))
         pullFrom(from);
 }
 
@@ -388,10 +389,12 @@
 void Control::offer(const ConfigDocument &document, const std::string &source)
 {
     const OfferAnswer answer = m_state.gate.offer(document);
-    if (answer == OfferAnswer::invalid)
+    if (answer == OfferAnswer::invalid) {
+        m_turnedDown = std::max(m_turnedDown, document.version);
         logLine(
             LogPart::config, LogLevel::error, "Version turned down.",
             {{"version", std::to_string(document.version)}, {"reason", m_state.gate.lastError()}});
+    }
     if (answer != OfferAnswer::accepted)
         return;
     logLine(LogPart::config, LogLevel::info, "Version in force.",
@@ -441,8 +444,8 @@
     m_link.postAfter(good ? Duration(0) : watchPause, [this] { m_watchingConfig = false; });
 }
 
-// Removes the claim pages of hours whose keys nobody accepts any more. Each hour is swept several
-// times, so that a store outage or a change of the sweeper leaves nothing behind.
+// Removes the claim pages of hours whose keys nobody accepts any more. Each hour is swept
+// several times, so that a store outage or a change of the sweeper leaves nothing behind.
 void Control::sweepClaims()
 {
     const auto config = m_state.gate.config();
--- a/src/entry/control.h
+++ b/src/entry/control.h
@@ -68,6 +68,7 @@
     bool m_watchingConfig = false;
     bool m_watchingList = false;
     bool m_pulling = false;
+    std::uint64_t m_turnedDown = 0; // the latest version that was not valid here
     bool m_routingDirty = true;
     TimePoint m_lastPublish{};
     TimePoint m_nextPoll{};
--- a/test/config-fleet-test.cc
+++ b/test/config-fleet-test.cc
@@ -237,3 +237,31 @@
     CHECK(held()["fence"].get<std::uint64_t>() > fence);
     fleet.signal("a1", SIGCONT);
 }
+
+// What operators see: the fleet goes on with the version that each instance can take. In what
+// order: a version reaches the store that no instance of this release can read (a newer tool wrote
+// it). Why: it is turned down, said so in the status, and not asked for again.
+TEST_CASE_METHOD(ConfigFleetFixture, "config_versionOfANewerRelease_isTurnedDownAndServingGoesOn")
+{
+    ConfigAdmin admin(fleet.store());
+    const StoredConfig inForce = *admin.current();
+    ConfigDocument newer = *inForce.document;
+    newer.version = 2;
+    newer.base.text += "keyOfALaterRelease: 1\n";
+    std::promise<StoreWrite> written;
+    fleet.store().compareAndSet("ibisnotch/config/current", inForce.index, serializeDocument(newer),
+                                [&](const StoreWrite &write) { written.set_value(write); });
+    REQUIRE(written.get_future().get().end == StoreEnd::ok);
+    eventually("a watcher has seen it", [&] {
+        return fleet.status("a1").find("keyOfALaterRelease") != std::string::npos
+            || fleet.status("a2").find("keyOfALaterRelease") != std::string::npos;
+    });
+    for (const char *entry : {"a1", "a2", "b1", "b2"}) {
+        CHECK(fleet.configVersion(entry) == 1);
+        CHECK(fleet.chat(entry, false).code == code(ResultCode::served));
+    }
+    const auto mended = change("understood by all");
+    REQUIRE(mended.ok());
+    CHECK(mended->version == 3);
+    eventuallyInForce(3);
+}
