Clear a request only by the same run of a server; pass on no peer's 'not run' after an attempt

Cause, both found by reading the dispatch as a newcomer: a server that was lost and restarted at once answered the check that takes a crash mark back, so the request that kills it was cleared and went on killing; a peer's refusal was relayed as it was, also when an attempt at home may have run before.

Ruled out: leaving the mark until its time is over (one broken connection would then hold a sound request for twenty seconds at the other instances).

Change: the check compares the start of the server's process with the one that the load report gave; a relayed 'not run' after an attempt that may have run becomes 'unknown'. A trial is one attempt at one server; after a refused connection the next attempt waits 10 ms for crash marks.

--- a/src/entry/control.cc
+++ b/src/entry/control.cc
@@ -2,11 +2,10 @@
 
 #include <algorithm>
 
-#include <absl/strings/numbers.h>
-#include <absl/strings/str_split.h>
 #include <nlohmann/json.hpp>
 
 #include "ibisnotch/hash.h"
+#include "ibisnotch/load-metrics.h"
 #include "ibisnotch/log.h"
 
 namespace ibisnotch {
@@ -46,37 +45,14 @@
     return self;
 }
 
-// One value of the Prometheus text form; labels are ignored and equal names added up.
-double metricValue(const std::string &text, std::string_view name)
-{
-    double sum = 0;
-    for (const absl::string_view line : absl::StrSplit(text, '\n')) {
-        const bool named
-            = line.substr(0, name.size()) == absl::string_view(name.data(), name.size())
-            && line.size() > name.size() && (line[name.size()] == ' ' || line[name.size()] == '{');
-        double value = 0;
-        if (named && absl::SimpleAtod(line.substr(line.rfind(' ') + 1), &value))
-            sum += value;
-    }
-    return sum;
-}
-
-LoadReport parseLoad(const std::string &server, const WholeAnswer &answer)
+LoadReport reportOf(const std::string &server, const WholeAnswer &answer)
 {
     constexpr int statusOk = 200;
-    constexpr double milliseconds = 1000;
+    if (answer.result.end == TransferEnd::complete && answer.response.status == statusOk)
+        return parseLoadMetrics(server, answer.response.body);
     LoadReport report;
     report.server = server;
-    report.reachable
-        = answer.result.end == TransferEnd::complete && answer.response.status == statusOk;
-    if (!report.reachable)
-        return report;
-    const std::string &text = answer.response.body;
-    report.running = static_cast<std::uint32_t>(metricValue(text, "vllm:num_requests_running"));
-    report.waiting = static_cast<std::uint32_t>(metricValue(text, "vllm:num_requests_waiting"));
-    report.leaving = metricValue(text, "engine_draining") > 0;
-    report.incarnation = static_cast<std::uint64_t>(metricValue(text, "process_start_time_seconds")
-                                                    * milliseconds);
+    report.reachable = false;
     return report;
 }
 
@@ -318,7 +294,7 @@
 
 void Control::onPolled(const std::string &server, const WholeAnswer &answer)
 {
-    const LoadReport report = parseLoad(server, answer);
+    const LoadReport report = reportOf(server, answer);
     if (!m_state.servers.onReport(report, m_state.clock.now()))
         return;
     m_routingDirty = true;
--- a/src/entry/dispatch-plan.cc
+++ b/src/entry/dispatch-plan.cc
@@ -99,7 +99,7 @@
         return Refusal{ResultCode::noBackendServer, "",
                        spreadRetryAfter(noServerPause, m_state.random)};
     const Member &member = list.instances.front();
-    return Target{true, member.name, member.region, member.peerAddress, 0, nullptr, false};
+    return Target{true, member.name, member.region, member.peerAddress, 0, nullptr, false, 0};
 }
 
 std::variant<Dispatch::Target, Refusal> Dispatch::pickServer(const RoutingTable &table)
@@ -123,7 +123,8 @@
                   server.address,
                   server.cost,
                   chosen.view->counters,
-                  chosen.view->status == ServerStatus::trial};
+                  chosen.view->status == ServerStatus::trial,
+                  chosen.view->incarnation};
 }
 
 } // namespace ibisnotch
--- a/src/entry/dispatch.cc
+++ b/src/entry/dispatch.cc
@@ -5,6 +5,7 @@
 #include <fmt/format.h>
 
 #include "attempt.h"
+#include "ibisnotch/load-metrics.h"
 #include "ibisnotch/log.h"
 
 namespace ibisnotch {
@@ -15,6 +16,7 @@
 constexpr Duration leastPatience = std::chrono::seconds(2);
 constexpr Duration longestSilence = std::chrono::seconds(3);
 constexpr Duration connectTime = std::chrono::milliseconds(500);
+constexpr Duration markArrival = std::chrono::milliseconds(10);
 constexpr Duration aliveCheckAfter = std::chrono::milliseconds(300);
 
 std::string_view endName(AttemptEnd end)
@@ -229,12 +231,22 @@
     if (end == AttemptEnd::answered)
         return deliver(attempt);
     if (tryAgain(end, attempt.streamed()))
-        return route();
+        return routeAgain(end);
     if (attempt.streamed())
         return breakOff(end);
     giveUp(end);
 }
 
+// A server that cannot be reached may just have been killed by a copy of this very request, sent
+// through another instance. The pause lets the crash mark arrive, which a next attempt asks for;
+// without it the copy would go on to kill a third server.
+void Dispatch::routeAgain(AttemptEnd end)
+{
+    if (end != AttemptEnd::notConnected)
+        return route();
+    m_client.postAfter(markArrival, [self = shared_from_this()] { self->route(); });
+}
+
 void Dispatch::onServerLost(const Target &target)
 {
     CrashMark mark;
@@ -248,17 +260,20 @@
     checkServerAlive(target);
 }
 
-// A connection can break without the server being lost. If the server still answers, the request is
-// not to blame and the mark is taken back.
+// A connection can break without the server being lost. If the same run of the server still
+// answers, the request is not to blame and the mark is taken back. Another run under the same name,
+// started by whatever looks after the server, would look as sound and clear a request that kills it
+// each time.
 void Dispatch::checkServerAlive(const Target &target)
 {
     m_client.postAfter(aliveCheckAfter, [self = shared_from_this(), target] {
         OutgoingRequest request;
-        request.url = "http://" + target.address + "/health";
+        request.url = "http://" + target.address + "/metrics";
         request.limits.total = std::chrono::seconds(1);
         request.freshConnection = true;
-        sendWhole(self->m_client, std::move(request), [self](const WholeAnswer &answer) {
-            if (!answer.result.answered)
+        sendWhole(self->m_client, std::move(request), [self, target](const WholeAnswer &answer) {
+            const LoadReport report = parseLoadMetrics(target.name, answer.response.body);
+            if (report.incarnation == 0 || report.incarnation != target.incarnation)
                 return;
             std::vector<CrashMark> cleared;
             {
@@ -286,6 +301,9 @@
     const bool forwarded = m_sentAway;
     if (forwarded && !certainlyNotRun(end))
         return false;
+    // The trial of a suspect request is one attempt at one server, even if that is gone already.
+    if (m_trial)
+        return false;
     // Only the issuer of a key may send its booking; there is nowhere else to try.
     if (m_toIssuer)
         return false;
@@ -312,6 +330,11 @@
         m_control.shareMarks(std::move(cleared));
     const ResultCode code = attempt.code();
     const RunState run = resultInfo(code).run;
+    // A peer's refusal is true of its own part; an earlier attempt here may have run.
+    if (run == RunState::notRun && m_mayHaveRun) {
+        settleUnknown();
+        return refuse({code, "", spreadRetryAfter(1, m_state.random)});
+    }
     if (run == RunState::run)
         settleDone(attempt.answer().status, attempt.answer().body);
     else if (run == RunState::notRun)
--- a/src/entry/dispatch.h
+++ b/src/entry/dispatch.h
@@ -43,6 +43,7 @@
         double cost = 0;
         std::shared_ptr<ServerCounters> counters; // backend servers only
         bool trial = false; // of an ejected server
+        std::uint64_t incarnation = 0; // of a backend server, as last reported
     };
 
     // How the right to send a booking was taken.
@@ -71,6 +72,7 @@
     OutgoingRequest makeRequest(const Target &target) const;
     TransferLimits limitsFor(const Target &target) const;
     void onAttemptEnd(const Target &target, AttemptEnd end, Attempt &attempt);
+    void routeAgain(AttemptEnd end);
     void noteAttempt(const Target &target, AttemptEnd end);
     void onServerLost(const Target &target);
     void checkServerAlive(const Target &target);
--- a/src/standin-engine.cc
+++ b/src/standin-engine.cc
@@ -28,6 +28,7 @@
 #include "ibisnotch/hash.h"
 #include "ibisnotch/http-client.h"
 #include "ibisnotch/http-server.h"
+#include "standin-fault.h"
 
 using namespace ibisnotch;
 using nlohmann::json;
@@ -116,7 +117,7 @@
     {
         if (job->request.body.find(m_settings.poison) != std::string::npos)
             _exit(134);
-        job->fault = takeFault();
+        job->fault = m_faults.take();
         if (job->fault == Fault::cross)
             job->requestId = "some-other-request";
         if (job->fault == Fault::hang)
@@ -269,31 +270,15 @@
                          [this, job] { nextToken(job); });
     }
 
-    Fault takeFault()
-    {
-        const std::lock_guard lock(m_mutex);
-        const Fault fault = m_fault;
-        if (m_faultCount > 0 && --m_faultCount == 0)
-            m_fault = Fault::none;
-        return fault;
-    }
-
     void control(const HttpRequest &request, Responder &responder)
     {
-        static const std::map<std::string, Fault> modes{
-            {"none", Fault::none},         {"hang", Fault::hang},   {"silent", Fault::silent},
-            {"truncate", Fault::truncate}, {"cross", Fault::cross}, {"drop", Fault::drop},
-            {"refuse", Fault::refuse},     {"error", Fault::error}, {"leaving", Fault::leaving}};
         const std::lock_guard lock(m_mutex);
         if (request.path == "/standin/runs")
             return responder.reply({200, {}, json(m_runs).dump()});
-        const auto mode = modes.find(queryValue(request.query, "mode").value_or("none"));
-        if (mode == modes.end())
+        const auto fault = m_faults.set(request);
+        if (!fault)
             return responder.reply({400, {}, "unknown mode"});
-        m_leaving = mode->second == Fault::leaving;
-        m_fault = m_leaving ? Fault::none : mode->second;
-        m_faultCount = 0;
-        (void)absl::SimpleAtoi(queryValue(request.query, "count").value_or("0"), &m_faultCount);
+        m_leaving = *fault == Fault::leaving;
         responder.reply({200, {}, "{}"});
     }
 
@@ -349,8 +334,15 @@
 
     EngineSettings m_settings;
     std::mutex m_mutex;
-    Fault m_fault = Fault::none;
-    int m_faultCount = 0;
+    FaultSwitch<Fault> m_faults{{{"none", Fault::none},
+                                 {"hang", Fault::hang},
+                                 {"silent", Fault::silent},
+                                 {"truncate", Fault::truncate},
+                                 {"cross", Fault::cross},
+                                 {"drop", Fault::drop},
+                                 {"refuse", Fault::refuse},
+                                 {"error", Fault::error},
+                                 {"leaving", Fault::leaving}}};
     std::atomic<bool> m_leaving = false;
     std::map<std::string, int> m_runs;
     std::uint64_t m_fence = 0;
--- a/src/standin-store.cc
+++ b/src/standin-store.cc
@@ -19,6 +19,7 @@
 #include "ibisnotch/http-client.h"
 #include "ibisnotch/http-server.h"
 #include "ibisnotch/random.h"
+#include "standin-fault.h"
 
 using namespace ibisnotch;
 using nlohmann::json;
@@ -61,7 +62,7 @@
     {
         if (request.path.rfind("/standin/", 0) == 0)
             return control(request, *responder);
-        const Fault fault = takeFault();
+        const Fault fault = m_faults.take();
         ++m_calls;
         const bool write = request.method != "GET";
         switch (fault) {
@@ -114,30 +115,14 @@
         m_held.push_back(std::move(responder));
     }
 
-    Fault takeFault()
-    {
-        const std::lock_guard lock(m_mutex);
-        const Fault fault = m_fault;
-        if (m_faultCount > 0 && --m_faultCount == 0)
-            m_fault = Fault::none;
-        return fault;
-    }
-
     void control(const HttpRequest &request, Responder &responder)
     {
-        static const std::map<std::string, Fault> modes{
-            {"none", Fault::none},     {"down", Fault::down},
-            {"refuse", Fault::refuse}, {"loseAnswers", Fault::loseAnswers},
-            {"late", Fault::late},     {"slow", Fault::slow}};
         if (request.path == "/standin/calls")
             return responder.reply(plain(200, std::to_string(m_calls.load())));
-        const auto mode = modes.find(queryValue(request.query, "mode").value_or("none"));
-        if (mode == modes.end())
+        const auto fault = m_faults.set(request);
+        if (!fault)
             return responder.reply(plain(400, "unknown mode"));
         const std::lock_guard lock(m_mutex);
-        m_fault = mode->second;
-        m_faultCount = 0;
-        (void)absl::SimpleAtoi(queryValue(request.query, "count").value_or("0"), &m_faultCount);
         // Callers that were left without an answer see their connections close.
         for (const auto &held : m_held)
             held->abort();
@@ -299,8 +284,12 @@
     std::vector<std::shared_ptr<Watch>> m_watches;
     std::vector<std::shared_ptr<Responder>> m_held;
     std::uint64_t m_index = 10;
-    Fault m_fault = Fault::none;
-    int m_faultCount = 0;
+    FaultSwitch<Fault> m_faults{{{"none", Fault::none},
+                                 {"down", Fault::down},
+                                 {"refuse", Fault::refuse},
+                                 {"loseAnswers", Fault::loseAnswers},
+                                 {"late", Fault::late},
+                                 {"slow", Fault::slow}}};
     std::atomic<std::uint64_t> m_calls = 0;
     HttpClient m_silent; // its loop serves as a timer
 };
--- a/test/answers-fleet-test.cc
+++ b/test/answers-fleet-test.cc
@@ -258,6 +258,44 @@
     CHECK(fleet.chat("a2", false, 6, "crash-this-engine").code == code(ResultCode::quarantined));
 }
 
+// What the caller sees: as above. In what order: the same, but each engine that was lost is running
+// again at once, so that it looks as if it had never gone. Why: an engine that answers again clears
+// the request only if it is the same run of it.
+TEST_CASE_METHOD(AnswersFixture, "poison_enginesRestartAtOnce_costsAtMostTwoCrashes")
+{
+    int crashes = 0;
+    for (int i = 0; i < 5; ++i) {
+        fleet.chat(i % 2 == 0 ? "a1" : "a2", false, 6, "crash-this-engine");
+        for (const char *name : {"a-m1", "a-m2", "a-m3"}) {
+            if (fleet.running(name))
+                continue;
+            ++crashes;
+            fleet.start(name);
+        }
+        std::this_thread::sleep_for(700ms);
+    }
+    CHECK(crashes >= 1);
+    CHECK(crashes <= 2);
+}
+
+// What callers see: errors for the copies, answers for all else. In what order: copies of one such
+// request arrive at both instances at the same moment. Why: copies share a prefix, so they meet on
+// the same engine; then the marks of both instances name it.
+TEST_CASE_METHOD(AnswersFixture, "poison_copiesAtTheSameMoment_costAtMostTwoEngines")
+{
+    std::vector<std::future<Reply>> copies;
+    for (int i = 0; i < 6; ++i)
+        copies.push_back(std::async(std::launch::async, [this, i] {
+            return fleet.chat(i % 2 == 0 ? "a1" : "a2", false, 6, "crash-this-engine");
+        }));
+    for (auto &copy : copies)
+        CHECK(copy.get().code != code(ResultCode::served));
+    int left = 0;
+    for (const char *name : {"a-m1", "a-m2", "a-m3"})
+        left += fleet.running(name) ? 1 : 0;
+    CHECK(left >= 1);
+}
+
 // What the caller sees: its stream to the end. In what order: an instance is told to stop while it
 // serves streams. Why: it takes nothing new, finishes what it has, then exits.
 TEST_CASE_METHOD(AnswersFixture, "plannedStop_underLoad_cutsNoStream")
--- a/test/config-fleet-test.cc
+++ b/test/config-fleet-test.cc
@@ -187,6 +187,18 @@
     CHECK(fleet.send(away).code == code(ResultCode::loopRefused));
 }
 
+// What the caller sees: "unknown", not "not run". In what order: the engine at home takes the
+// request and breaks off, the retry goes to another region, which refuses it. Why: a peer's refusal
+// speaks of its own part only.
+TEST_CASE_METHOD(ConfigFleetFixture, "refusal_ofAPeerAfterAnAttemptAtHome_neverSaysNotRun")
+{
+    fleet.fault("a-m1", "drop");
+    fleet.fault("b-m1", "refuse");
+    const Reply reply = fleet.chat("a1", false);
+    CHECK(reply.code != code(ResultCode::served));
+    CHECK(reply.run == "unknown");
+}
+
 // What the caller sees: answers, also under steady traffic. In what order: a region without engines
 // sends every request away, many more between two summaries than the other region has slots. Why:
 // what came back is no longer counted as under way.
