--- a/src/ibisnotch-experiment.cc
+++ b/src/ibisnotch-experiment.cc
@@ -175,7 +175,7 @@
 class Experiment
 {
 public:
-    explicit Experiment(Setup setup) : m_setup(std::move(setup)), m_random(m_setup.seed)
+    explicit Experiment(const Setup &setup) : m_setup(setup), m_random(m_setup.seed)
     {
         for (Service *service : {&m_plain, &m_valuable}) {
             service->model = "m";
--- a/test/server-table-test.cc
+++ b/test/server-table-test.cc
@@ -46,7 +46,7 @@
 // kept for the run of the server, whatever any later report of that run says.
 TEST_CASE_METHOD(TableFixture, "leavingServer_anyLaterReportOfTheSameRun_staysLeaving")
 {
-    rc::prop("no report brings it back", [this] {
+    rc::prop("no report brings it back", [] {
         TableFixture fixture;
         fixture.table.onReport(report(7), fixture.now);
         const int way = *rc::gen::inRange(0, 3);
