--- /dev/null
+++ b/test/metrics-test.cc
@@ -0,0 +1,37 @@
+#include "ibisnotch/metrics.h"
+
+#include <catch2/catch.hpp>
+
+using namespace ibisnotch;
+using namespace std::chrono_literals;
+
+TEST_CASE("metrics_ofRequests_arePrintedBySeries")
+{
+    Metrics metrics;
+    RequestRecord record{"s", "c", ResultCode::served, 20ms, 10ms, 1, true, false, 0.5, 3};
+    metrics.onRequest(record);
+    record.code = ResultCode::overloaded;
+    metrics.onRequest(record);
+    metrics.onRetry();
+    metrics.setGauge("g", 4);
+    const std::string text = metrics.prometheusText();
+    const std::string labels = "{service=\"s\",customer=\"c\"";
+    CHECK(text.find("ibisnotch_requests_total" + labels + ",code=\"1000\"} 1\n")
+          != std::string::npos);
+    CHECK(text.find("ibisnotch_requests_total" + labels + ",code=\"3001\"} 1\n")
+          != std::string::npos);
+    CHECK(text.find("ibisnotch_cost_total" + labels + "} 1.000000\n") != std::string::npos);
+    CHECK(text.find("ibisnotch_request_seconds_count" + labels + "} 1\n") != std::string::npos);
+    CHECK(text.find("ibisnotch_retries_total 1\n") != std::string::npos);
+    CHECK(text.find("g 4\n") != std::string::npos);
+}
+
+TEST_CASE("metrics_ofAForwardedRequest_countItsCostOnly")
+{
+    Metrics metrics;
+    metrics.onRequest({"s", "c", ResultCode::served, 20ms, 10ms, 1, false, true, 0.5, 3});
+    const std::string text = metrics.prometheusText();
+    CHECK(text.find("ibisnotch_requests_total") == std::string::npos);
+    CHECK(text.find("ibisnotch_cost_total{service=\"s\",customer=\"c\"} 0.500000\n")
+          != std::string::npos);
+}
