--- a/test/pick-test.cc
+++ b/test/pick-test.cc
@@ -5,7 +5,7 @@
 #include <catch2/catch.hpp>
 #include <rapidcheck/catch.h>
 
-#include "routing-test.h"
+#include "routing-fixture.h"
 
 using namespace ibisnotch;
 using namespace std::chrono_literals;
