Free open connections before what they count themselves out of

Cause: under AddressSanitizer an entry instance that stopped with idle connections open read freed memory: RESTinio's connections, freed with the loop, use the server's limiter, which was freed before. Without the sanitizer it went unseen; the exit code of a planned stop could have been a crash.

Ruled out: the other order (the server's acceptor would use a freed loop); running without the limiter (no bound on connections).

The whole suite was not run again under the sanitizer.

--- a/src/net/http-server.cc
+++ b/src/net/http-server.cc
@@ -134,10 +134,11 @@
 {
 public:
     Private(const HttpServerSettings &settings, RequestHandler &handler)
-        : m_server(restinio::external_io_context(m_io),
-                   [&](restinio::server_settings_t<ServerTraits> &to) {
-                       configure(to, settings, handler);
-                   })
+        : m_server(*new restinio::http_server_t<ServerTraits>(
+            restinio::external_io_context(m_io),
+            [&](restinio::server_settings_t<ServerTraits> &to) {
+                configure(to, settings, handler);
+            }))
     {
         for (unsigned i = 0; i < settings.threads; ++i)
             m_threads.emplace_back([this] { m_io.run(); });
@@ -189,7 +190,11 @@
     asio::io_context m_io;
     asio::executor_work_guard<asio::io_context::executor_type> m_guard
         = asio::make_work_guard(m_io);
-    restinio::http_server_t<ServerTraits> m_server;
+    // Never destroyed. Connections that are still open are freed with the loop and count themselves
+    // out of the server's limiter then; a server that went first left them a freed limiter. The
+    // other order would leave the server's acceptor a freed loop. Few servers live in a process,
+    // and only until it ends.
+    restinio::http_server_t<ServerTraits> &m_server;
     std::vector<std::thread> m_threads;
 };
 
