--- a/test/answers-fleet-test.cc
+++ b/test/answers-fleet-test.cc
@@ -172,6 +172,24 @@
     CHECK(reply.run == "unknown");
 }
 
+// The same with an engine that fails without being lost, so that the retry is no trial.
+TEST_CASE_METHOD(AnswersFixture, "refusal_ofARetryAfterAServerError_neverSaysNotRun")
+{
+    allModels("refuse");
+    fleet.fault("a-m1", "error");
+    int tried = 0;
+    for (int i = 0; i < 12; ++i) {
+        const Reply reply = fleet.chat("a1", false, 6, "prompt " + std::to_string(i));
+        OutgoingRequest request;
+        request.url = "http://" + fleet.peers("a1") + "/admin/explain?id=" + reply.id;
+        const bool mayHaveRun
+            = fleet.send(request).body.find("a-m1: server error") != std::string::npos;
+        tried += mayHaveRun ? 1 : 0;
+        CHECK(reply.run == (mayHaveRun ? "unknown" : "not run"));
+    }
+    CHECK(tried > 0);
+}
+
 // What the caller sees: an answer at its deadline at the latest. Why: a request that is given up on
 // is answered at once.
 TEST_CASE_METHOD(AnswersFixture, "refusal_atTheDeadline_comesAtOnce")
