--- a/include/ibisnotch/config-gate.h
+++ b/include/ibisnotch/config-gate.h
@@ -59,6 +59,23 @@
 // whole document must then be asked for.
 absl::StatusOr<ConfigDocument> applyDelta(const ConfigDocument *from, const ConfigDelta &delta);
 
+// How a document's text becomes the configuration of one site.
+class ConfigFormat
+{
+public:
+    virtual ~ConfigFormat() = default;
+    virtual absl::StatusOr<FleetConfig> parse(const ConfigDocument &document,
+                                              const std::string &site) const = 0;
+};
+
+// The product's own format: a base file and an overlay for each site, in YAML.
+class OverlayFormat final : public ConfigFormat
+{
+public:
+    absl::StatusOr<FleetConfig> parse(const ConfigDocument &document,
+                                      const std::string &site) const override;
+};
+
 enum class OfferAnswer { accepted, notNewer, invalid };
 
 // Holds the document in force. Versions only ever rise: a document that took long on its way, was
@@ -67,7 +84,11 @@
 class ConfigGate
 {
 public:
-    explicit ConfigGate(std::string site) : m_site(std::move(site)) { }
+    explicit ConfigGate(std::string site, std::unique_ptr<ConfigFormat> format
+                        = std::make_unique<OverlayFormat>())
+        : m_site(std::move(site)), m_format(std::move(format))
+    {
+    }
 
     OfferAnswer offer(const ConfigDocument &document);
 
@@ -83,6 +104,7 @@
     static constexpr std::size_t kept = 16;
 
     std::string m_site;
+    std::unique_ptr<ConfigFormat> m_format;
     mutable std::mutex m_mutex;
     std::shared_ptr<const ConfigDocument> m_document;
     std::shared_ptr<const FleetConfig> m_config;
--- a/include/ibisnotch/config.h
+++ b/include/ibisnotch/config.h
@@ -43,6 +43,22 @@
     bool operator==(const Customer &) const = default;
 };
 
+// Requests of this host whose path begins with the prefix; the longest prefix of a host wins.
+struct PathRule
+{
+    std::string host;
+    std::string prefix; // begins and ends with a slash
+    bool operator==(const PathRule &) const = default;
+};
+
+// A pool that runs a service's requests, and its part of them.
+struct PoolShare
+{
+    std::string pool;
+    double weight = 1;
+    bool operator==(const PoolShare &) const = default;
+};
+
 struct Service
 {
     std::string name;
@@ -57,9 +73,30 @@
     int priority = 1; // 0 is most urgent
     std::vector<std::string> regions; // empty: all
     double objective = 0.99; // share of requests to be served in time
+    // The rest serves deployments that route by host and path. Without a rule, the service is asked
+    // for by its name or model.
+    std::optional<PathRule> rule;
+    std::vector<PoolShare> pools; // empty: servers name the services or models they offer
+    Duration target{}; // in which an answer, or the first event of a stream, is worth most
+    int attempts = 3; // backend servers that may run one request
+    bool streams = false; // answered by a stream of numbered events
+    bool resumable = false; // a stream may go on at another server after its last event
+    Duration longestPause{}; // between two events of a stream that is still in time; 0: any
     bool operator==(const Service &) const = default;
 };
 
+// Backend servers that stand in for each other, listed by the platform while they live.
+struct Pool
+{
+    std::string name;
+    ServiceKind kind = ServiceKind::application;
+    std::string healthPath;
+    int maxConnections = 0; // of one server, from all instances together
+    double warmupRate = 0; // requests a second that a cold server bears; 0: it is never cold
+    std::int64_t cacheTokens = 0; // of one model engine, for running requests and kept prompts
+    bool operator==(const Pool &) const = default;
+};
+
 // What a model engine should hold.
 struct Placement
 {
@@ -76,6 +113,7 @@
     ServiceKind kind = ServiceKind::model;
     std::string dataCentre;
     std::string address; // IP:port
+    std::string pool; // empty: see models and services
     int slots = 8; // requests it runs at once
     std::vector<std::string> models; // model engines
     std::vector<std::string> services; // application engines
@@ -88,6 +126,9 @@
 struct Limits
 {
     int maxBodyBytes = 1 << 20;
+    int maxHeaderBytes = 1 << 16;
+    Duration headerTimeout = std::chrono::seconds(60);
+    Duration idleTimeout = std::chrono::seconds(60);
     double retryShare = 0.1; // retries per request
     double queueFactor = 2; // outstanding requests per slot before a refusal
     Duration awayMargin = std::chrono::milliseconds(200);
@@ -109,6 +150,7 @@
     Duration regionOneWay = std::chrono::milliseconds(80);
     std::map<std::string, Customer> customers;
     std::map<std::string, Service> services;
+    std::map<std::string, Pool> pools;
     std::map<std::string, BackendServer> servers; // of this site only
     bool operator==(const FleetConfig &) const = default;
 };
@@ -151,6 +193,16 @@
 std::vector<std::string> allowedRegions(const FleetConfig &config, const Customer &customer,
                                         const Service &service);
 
+// Fills in what a format leaves open: the usual time of one run, taken as half of the time in which
+// an answer is expected.
+void completeServices(FleetConfig &config);
+
+// The service whose rule fits best, or null.
+const Service *findByPath(const FleetConfig &config, std::string_view host, std::string_view path);
+
+// The pool of a service that a number in [0, 1) falls to; empty for a service without pools.
+std::string drawPool(const Service &service, double uniform);
+
 bool servesService(const BackendServer &server, const Service &service);
 
 std::string sha256Hex(std::string_view text);
--- a/include/ibisnotch/entry-list.h
+++ b/include/ibisnotch/entry-list.h
@@ -24,4 +24,9 @@
 EntryList makeEntryList(const std::vector<Member> &members, const std::string &callerRegion,
                         const std::vector<std::string> &allowedRegions, Random &random);
 
+// For callers that pick any of the named instances: all that are alive in the caller's region, or,
+// if none is, in all others. In random order.
+EntryList makeLocalEntryList(const std::vector<Member> &members, const std::string &callerRegion,
+                             Duration lifetime, Random &random);
+
 } // namespace ibisnotch
--- a/include/ibisnotch/http-client.h
+++ b/include/ibisnotch/http-client.h
@@ -31,10 +31,13 @@
     Headers headers;
     std::string body;
     TransferLimits limits;
-    // libcurl sends a request again by itself when a kept connection turns out to be closed, even
-    // a POST that the other end may have acted on. A booking would run twice and nobody would see
-    // why. On a connection of its own that case cannot arise.
+    // Goes into the request line as it is, in place of the URL's path and query.
+    std::string target;
+    // On a connection of its own, which is closed afterwards.
     bool freshConnection = false;
+    // The longest time that a kept connection may have been idle to be used; 0: any. In whole
+    // seconds, as libcurl counts it.
+    std::chrono::seconds longestIdle{0};
 
     bool operator==(const OutgoingRequest &) const = default;
 };
@@ -79,9 +82,14 @@
     HttpClient(const HttpClient &) = delete;
     HttpClient &operator=(const HttpClient &) = delete;
 
-    // May be called from any thread.
+    // Sends each request once: libcurl would send it again by itself when a kept connection turns out
+    // to be closed, even a POST that the other end may have acted on. Such a transfer ends as broken
+    // off instead. May be called from any thread.
     void send(OutgoingRequest request, std::shared_ptr<AnswerSink> sink);
 
+    // Ends the transfer that the sink waits for, if it is still under way. From the loop only.
+    void cancel(const AnswerSink *sink);
+
     // Runs a function on the client's loop, at once or after a delay.
     void post(std::function<void()> task);
     void postAfter(Duration delay, std::function<void()> task);
--- a/include/ibisnotch/http-server.h
+++ b/include/ibisnotch/http-server.h
@@ -32,6 +32,10 @@
     // True once the other end has gone; further writes are lost.
     virtual bool closed() const = 0;
 
+    // Runs the task once when the other end goes before the answer is complete; at once if it has
+    // gone already. From any thread. A task set later replaces an earlier one.
+    virtual void onClosed(std::function<void()> task) = 0;
+
     // Bytes written but not yet taken by the other end.
     virtual std::size_t pendingBytes() const = 0;
 };
@@ -47,7 +51,6 @@
 {
     std::string address = "127.0.0.1";
     std::uint16_t port = 0;
-    unsigned threads = 2;
     // Larger bodies close the connection unanswered; the handler refuses smaller ones by its own
     // limit with a result code.
     std::uint64_t maxBodyBytes = 16U << 20;
@@ -58,11 +61,31 @@
     bool operator==(const HttpServerSettings &) const = default;
 };
 
+// The threads that servers share.
+class HttpLoop
+{
+public:
+    explicit HttpLoop(unsigned threads);
+    ~HttpLoop();
+    HttpLoop(const HttpLoop &) = delete;
+    HttpLoop &operator=(const HttpLoop &) = delete;
+
+    // Ends the threads; no handler runs after this returns. Responders must be released between
+    // this and the loop's destruction, whose connections they refer to.
+    void stop();
+
+private:
+    friend class HttpServer;
+    class Private;
+    std::unique_ptr<Private> m_d;
+};
+
+// Outlived by its loop's threads: stop the loop before a server goes.
 class HttpServer
 {
 public:
     // Listens at once. Throws std::exception if the address cannot be bound.
-    HttpServer(const HttpServerSettings &settings, RequestHandler &handler);
+    HttpServer(const HttpServerSettings &settings, RequestHandler &handler, HttpLoop &loop);
     ~HttpServer();
     HttpServer(const HttpServer &) = delete;
     HttpServer &operator=(const HttpServer &) = delete;
@@ -70,9 +93,8 @@
     // Takes no new connections; those that are open go on.
     void stopAccepting();
 
-    // Ends the server's threads; no handler runs after this returns. Responders must be released
-    // between this and the destruction of the server, whose connections they refer to.
-    void stop();
+    // From now on each connection is told to close after its next answer.
+    void closeAfterAnswers();
 
 private:
     class Private;
--- a/include/ibisnotch/pick.h
+++ b/include/ibisnotch/pick.h
@@ -21,9 +21,14 @@
     double slots = 1;
 };
 
-// The servers that may run a request for a service, without those tried already.
+// The servers that may run a request for a service, without those tried already. A pool, if named,
+// leaves out the servers of the service's other pools.
 std::vector<Candidate> candidatesFor(const RoutingTable &table, const Service &service,
-                                     const std::set<std::string> &tried);
+                                     const std::set<std::string> &tried,
+                                     const std::string &pool = {});
+
+// The servers of a pool that may run requests.
+std::vector<Candidate> candidatesOf(const RoutingTable &table, const std::string &pool);
 
 struct PickQuestion
 {
--- /dev/null
+++ b/include/ibisnotch/prefix-follower.h
@@ -0,0 +1,80 @@
+// Follows a range of keys of the store: reads it page by page, then watches it, and starts over
+// when the store no longer has the history in between.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "ibisnotch/clock.h"
+#include "ibisnotch/store.h"
+
+namespace ibisnotch {
+
+struct ListCall
+{
+    std::string after; // the last key of the page before; empty at first
+    bool operator==(const ListCall &) const = default;
+};
+
+struct WatchCall
+{
+    std::uint64_t afterRevision = 0;
+    Duration longest{};
+    bool operator==(const WatchCall &) const = default;
+};
+
+using FollowCall = std::variant<ListCall, WatchCall>;
+
+// Decides calls and reports changes. No I/O; not thread safe.
+class PrefixFollower
+{
+public:
+    struct Limits
+    {
+        // A watch that hangs on a connection gone silent is noticed only when its time is over, so
+        // this is how late news can be; each watch is a call that the platform counts.
+        Duration watchTime = std::chrono::seconds(4);
+        // Changes that come close together are fetched by one call.
+        Duration gather = std::chrono::milliseconds(100);
+        Duration firstPause = std::chrono::milliseconds(250);
+        Duration longestPause = std::chrono::milliseconds(1000);
+    };
+
+    PrefixFollower() : PrefixFollower(Limits{}) { }
+    explicit PrefixFollower(Limits limits) : m_limits(limits) { }
+
+    // The call to make now; none while one is under way or a pause lasts.
+    std::optional<FollowCall> next(TimePoint now);
+
+    // The answer to the call under way. Returns what changed, each key once, oldest first.
+    std::vector<StoreItem> onAnswer(const StorePage &page, TimePoint now);
+
+    // Once the whole range has been read.
+    bool complete() const { return m_complete; }
+    // False from the first call that failed until the next that succeeds.
+    bool reachable() const { return m_failures == 0; }
+
+private:
+    std::vector<StoreItem> onList(const StorePage &page);
+    std::vector<StoreItem> apply(const std::vector<StoreItem> &items);
+    void startOver();
+
+    Limits m_limits;
+    std::map<std::string, std::uint64_t> m_revisions; // of the keys that exist
+    bool m_underWay = false;
+    bool m_watching = false;
+    bool m_complete = false;
+    std::string m_after;
+    std::set<std::string> m_listed; // keys of this pass over the pages
+    std::uint64_t m_listAsOf = 0; // of its first page
+    std::uint64_t m_asOf = 0;
+    int m_failures = 0;
+    TimePoint m_notBefore{};
+};
+
+} // namespace ibisnotch
--- a/include/ibisnotch/process-settings.h
+++ b/include/ibisnotch/process-settings.h
@@ -8,6 +8,7 @@
 #include <absl/status/statusor.h>
 
 #include "ibisnotch/clock.h"
+#include "ibisnotch/config.h"
 
 namespace ibisnotch {
 
@@ -21,6 +22,9 @@
 
 absl::StatusOr<Address> parseAddress(const std::string &text);
 
+// Whose interfaces an instance speaks.
+enum class Interfaces { own, platform };
+
 struct ProcessSettings
 {
     std::string name;
@@ -31,6 +35,20 @@
     Address gossip;
     std::string store; // IP:port of the platform's key-value service
     std::vector<std::string> seeds; // gossip addresses of some other instances
+    Interfaces interfaces = Interfaces::own;
+    // Only with the platform's interfaces, which know no admin port and no list of regions.
+    Address ready;
+    Address directory;
+    Address metrics;
+    std::vector<Region> regions;
+    Duration entryListLife = std::chrono::seconds(2);
+    // Retries of one pool, of all instances together in a window: a share of its requests, and
+    // some more.
+    double retryShare = 0.1;
+    double retrySlack = 45;
+    Duration retryWindow = std::chrono::seconds(10);
+    // A stopping instance goes on serving: its callers are told elsewhere to leave it.
+    bool serveWhileStopping = false;
     int workers = 2;
     int maxConnections = 20000;
     Duration idleTimeout = std::chrono::seconds(60);
--- a/include/ibisnotch/region-choice.h
+++ b/include/ibisnotch/region-choice.h
@@ -19,7 +19,7 @@
 struct RegionLoad
 {
     std::string region;
-    std::string service;
+    std::string service; // or pool
     double slots = 0;
     double outstanding = 0;
     std::uint32_t ageMs = 0; // when sent
@@ -34,7 +34,7 @@
 // The time that a request would wait for a slot.
 double waitSeconds(double slots, double outstanding, double expectedSeconds);
 
-RegionLoad summarize(const std::string &region, const Service &service,
+RegionLoad summarize(const std::string &region, const std::string &loadName,
                      std::span<const Candidate> candidates);
 
 // Keeps the latest summary of each other region, corrected by what was sent there and came
@@ -65,6 +65,7 @@
     std::vector<std::string> allowed; // by residency; may lack the home region
     std::vector<std::string> reachable; // regions with an entry instance that is alive
     const Service *service = nullptr;
+    std::string loadName; // under which the regions' loads are kept
     RegionLoad homeLoad;
     Weights weights;
     Duration oneWay{};
--- a/include/ibisnotch/result-code.h
+++ b/include/ibisnotch/result-code.h
@@ -38,6 +38,7 @@
     outcomeUnknown = 4001,
     issuerGone = 4002,
     bookingInProgress = 4003,
+    callerLeft = 4004,
     answerCutShort = 5001,
     answerNotOurs = 5002,
     backendFailed = 5003,
--- a/include/ibisnotch/retry.h
+++ b/include/ibisnotch/retry.h
@@ -15,12 +15,14 @@
     answered,
     notConnected, // certain: nothing was sent
     refusedNotRun, // certain: the other end says that it did not run the request
+    otherServer, // certain: another server has the address now
     refusedForGood, // a refusal that any other server would repeat
     brokenOff, // the connection ended after the request was sent
     silent, // no progress in time
     cutShort, // the answer began and did not end as it should
     notOurs, // the answer belongs to another request
     serverError, // an answer of status 500 or above
+    callerLeft, // nobody waits for the answer any more
 };
 
 // True where it is certain that the other end did not act on the request.
@@ -45,20 +47,22 @@
     std::map<std::pair<std::string, std::string>, double> m_tokens;
 };
 
+constexpr int mostAttempts = 3;
+
 struct RetryQuestion
 {
     AttemptEnd end = AttemptEnd::answered;
     bool idempotent = true;
     bool callerHasSeenBytes = false;
     int attemptsMade = 1;
+    int runsMade = 0; // attempts that may have run
+    int mostRuns = mostAttempts; // the service's limit
     Duration remaining{}; // until the caller's deadline
     Duration expected{}; // usual time of one run
 };
 
 enum class RetryAnswer { retry, giveUp };
 
-constexpr int mostAttempts = 3;
-
 // The rules that need no budget. Ask the budget only after RetryAnswer::retry.
 RetryAnswer mayRetry(const RetryQuestion &question);
 
--- a/include/ibisnotch/server-table.h
+++ b/include/ibisnotch/server-table.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -68,6 +69,18 @@
     bool operator==(const LeavingNotice &) const = default;
 };
 
+// A backend server as the platform's list of live servers has it.
+struct ListedServer
+{
+    BackendServer server;
+    bool leaving = false;
+    // What is left of the time in which it bears only its pool's warm-up rate, at the time of the
+    // entry's last change.
+    Duration warmup{};
+    std::uint64_t revision = 0; // of the entry; rises with each change
+    bool operator==(const ListedServer &) const = default;
+};
+
 enum class ServerStatus { usable, trial, ejected, leaving, unreachable };
 
 // What an attempt tells about its server.
@@ -87,6 +100,7 @@
     double reported = 0; // running and waiting, by the last report
     TimePoint reportedAt{};
     std::uint64_t incarnation = 0;
+    TimePoint coldUntil{};
     std::shared_ptr<ServerCounters> counters;
 };
 
@@ -119,8 +133,16 @@
     explicit ServerTable(Limits limits) : m_limits(limits) { }
 
     void setConfig(std::shared_ptr<const FleetConfig> config);
+    // Replaces the servers of the platform's list; those that stay keep what is known of them.
+    void setListed(std::map<std::string, ListedServer> listed, TimePoint now);
+    // Data centres whose servers get nothing for now.
+    void setEvacuated(std::set<std::string> dataCentres);
     void setSenders(int senders);
 
+    // What a server says with an answer about its load.
+    void onAnswerLoad(const std::string &server, std::uint32_t running, std::uint32_t waiting,
+                      TimePoint now);
+
     // Returns true if the report changed whether the server may get work.
     bool onReport(const LoadReport &report, TimePoint now);
     // The same for a report that came from another instance; unknown servers are ignored.
@@ -151,6 +173,8 @@
         int failures = 0;
         int ejections = 0;
         TimePoint ejectedUntil{};
+        std::uint64_t revision = 0; // of the platform's list
+        TimePoint coldUntil{};
         std::shared_ptr<ServerCounters> counters;
     };
 
@@ -160,7 +184,11 @@
 
     Limits m_limits;
     mutable std::mutex m_mutex;
+    void rebuild(TimePoint now);
+
     std::shared_ptr<const FleetConfig> m_config;
+    std::map<std::string, ListedServer> m_listed;
+    std::set<std::string> m_evacuated;
     std::map<std::string, Record> m_records;
     std::map<std::uint32_t, std::string> m_names;
     int m_senders = 1;
--- a/include/ibisnotch/store.h
+++ b/include/ibisnotch/store.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <vector>
 
 #include "ibisnotch/clock.h"
 
@@ -18,6 +19,7 @@
     conflict, // certain: the value was not written
     notApplied, // certain: refused, or never sent
     unknown, // the call may have taken effect
+    historyLost, // of a watch: the store has forgotten what happened since
 };
 
 struct StoreRead
@@ -42,6 +44,41 @@
     bool operator==(const StoreLease &) const = default;
 };
 
+struct StoreItem
+{
+    std::string key;
+    std::string value;
+    std::uint64_t revision = 0; // of the last change
+    bool deleted = false;
+    bool operator==(const StoreItem &) const = default;
+};
+
+struct StorePage
+{
+    StoreEnd end = StoreEnd::unknown;
+    std::vector<StoreItem> items; // of a watch: what changed, in the order of the changes
+    bool more = false; // of a list: another page follows
+    std::uint64_t asOf = 0; // the store's revision
+    bool operator==(const StorePage &) const = default;
+};
+
+// Ranges of keys. Every call counts against the store's rate, a waiting watch as one.
+class RangeStore
+{
+public:
+    virtual ~RangeStore() = default;
+
+    // The keys that begin with the prefix, from the one behind `after` on. Pages are no snapshot.
+    virtual void list(const std::string &prefix, const std::string &after,
+                      std::function<void(const StorePage &)> done)
+        = 0;
+
+    // Returns once a key of the prefix has changed since the revision, or the time is over.
+    virtual void watchRange(const std::string &prefix, std::uint64_t afterRevision,
+                            Duration longest, std::function<void(const StorePage &)> done)
+        = 0;
+};
+
 // Every call counts against the store's rate, a waiting watch as one.
 class Store
 {
--- a/src/decide/config-gate.cc
+++ b/src/decide/config-gate.cc
@@ -100,6 +100,12 @@
     return document;
 }
 
+absl::StatusOr<FleetConfig> OverlayFormat::parse(const ConfigDocument &document,
+                                                 const std::string &site) const
+{
+    return parseFleetConfig(document, site);
+}
+
 OfferAnswer ConfigGate::offer(const ConfigDocument &document)
 {
     {
@@ -107,7 +113,7 @@
         if (m_document && document.version <= m_document->version)
             return OfferAnswer::notNewer;
     }
-    auto config = parseFleetConfig(document, m_site);
+    auto config = m_format->parse(document, m_site);
     const std::lock_guard lock(m_mutex);
     if (!config.ok()) {
         m_lastError = std::string(config.status().message());
@@ -116,6 +122,7 @@
     // Checked again: another thread may have moved on while this one parsed.
     if (m_document && document.version <= m_document->version)
         return OfferAnswer::notNewer;
+    completeServices(*config);
     m_document = std::make_shared<const ConfigDocument>(document);
     m_config = std::make_shared<const FleetConfig>(*std::move(config));
     m_history.push_back(m_document);
--- a/src/decide/config.cc
+++ b/src/decide/config.cc
@@ -417,8 +417,45 @@
     return result;
 }
 
+void completeServices(FleetConfig &config)
+{
+    for (auto &[name, service] : config.services) {
+        if (service.expected.count() == 0)
+            service.expected = service.target / 2;
+    }
+}
+
+const Service *findByPath(const FleetConfig &config, std::string_view host, std::string_view path)
+{
+    const Service *best = nullptr;
+    for (const auto &[name, service] : config.services) {
+        if (!service.rule || service.rule->host != host || !path.starts_with(service.rule->prefix))
+            continue;
+        if (best == nullptr || service.rule->prefix.size() > best->rule->prefix.size())
+            best = &service;
+    }
+    return best;
+}
+
+std::string drawPool(const Service &service, double uniform)
+{
+    double total = 0;
+    for (const PoolShare &share : service.pools)
+        total += share.weight;
+    double left = uniform * total;
+    for (const PoolShare &share : service.pools) {
+        if (left < share.weight)
+            return share.pool;
+        left -= share.weight;
+    }
+    return service.pools.empty() ? "" : service.pools.back().pool;
+}
+
 bool servesService(const BackendServer &server, const Service &service)
 {
+    if (!service.pools.empty())
+        return std::any_of(service.pools.begin(), service.pools.end(),
+                           [&server](const PoolShare &share) { return share.pool == server.pool; });
     if (server.kind != service.kind)
         return false;
     if (service.kind == ServiceKind::model)
--- a/src/decide/entry-list.cc
+++ b/src/decide/entry-list.cc
@@ -48,4 +48,25 @@
     return list;
 }
 
+EntryList makeLocalEntryList(const std::vector<Member> &members, const std::string &callerRegion,
+                             Duration lifetime, Random &random)
+{
+    constexpr std::size_t mostNamed = 64;
+    std::vector<Member> local;
+    std::vector<Member> others;
+    for (const Member &member : members) {
+        if (member.state != MemberState::alive)
+            continue;
+        (member.region == callerRegion ? local : others).push_back(member);
+    }
+    EntryList list;
+    list.instances = local.empty() ? std::move(others) : std::move(local);
+    for (std::size_t i = list.instances.size(); i > 1; --i)
+        std::swap(list.instances[i - 1], list.instances[random.below(i)]);
+    if (list.instances.size() > mostNamed)
+        list.instances.resize(mostNamed);
+    list.lifetime = lifetime;
+    return list;
+}
+
 } // namespace ibisnotch
--- /dev/null
+++ b/src/decide/event-stream.cc
@@ -0,0 +1,74 @@
+#include "ibisnotch/event-stream.h"
+
+#include <optional>
+
+#include <absl/strings/ascii.h>
+#include <absl/strings/match.h>
+#include <absl/strings/numbers.h>
+#include <absl/strings/str_split.h>
+
+namespace ibisnotch {
+
+namespace {
+
+constexpr std::string_view eventEnd = "\n\n";
+constexpr std::size_t largestEvent = 1U << 20;
+
+// The value of the field "id" of an event; empty if it has none.
+std::string_view numberOf(std::string_view event)
+{
+    for (const absl::string_view line :
+         absl::StrSplit(absl::string_view(event.data(), event.size()), '\n')) {
+        if (!absl::StartsWithIgnoreCase(line, "id:"))
+            continue;
+        const absl::string_view value = absl::StripAsciiWhitespace(line.substr(3));
+        return {value.data(), value.size()};
+    }
+    return {};
+}
+
+std::optional<std::int64_t> parseNumber(std::string_view text)
+{
+    std::int64_t number = 0;
+    if (!absl::SimpleAtoi(absl::string_view(text.data(), text.size()), &number))
+        return std::nullopt;
+    return number;
+}
+
+} // namespace
+
+EventStream::EventStream(const std::string &lastEvent) : m_lastEvent(lastEvent)
+{
+    m_number = parseNumber(lastEvent).value_or(-1);
+}
+
+bool EventStream::checkEvent(std::string_view event)
+{
+    const std::string_view text = numberOf(event);
+    const auto number = parseNumber(text);
+    if (!number || *number <= m_number)
+        return false;
+    m_number = *number;
+    m_lastEvent = std::string(text);
+    return true;
+}
+
+bool EventStream::take(std::string_view data, std::string &out)
+{
+    m_partial.append(data);
+    std::size_t begin = 0;
+    for (;;) {
+        const std::size_t end = m_partial.find(eventEnd, begin);
+        if (end == std::string::npos)
+            break;
+        if (!checkEvent(std::string_view(m_partial).substr(begin, end - begin)))
+            return false;
+        const std::size_t next = end + eventEnd.size();
+        out.append(m_partial, begin, next - begin);
+        begin = next;
+    }
+    m_partial.erase(0, begin);
+    return m_partial.size() <= largestEvent;
+}
+
+} // namespace ibisnotch
--- a/src/decide/pick.cc
+++ b/src/decide/pick.cc
@@ -28,13 +28,15 @@
 
 } // namespace
 
-std::vector<Candidate> candidatesFor(const RoutingTable &table, const Service &service,
-                                     const std::set<std::string> &tried)
+namespace {
+
+template <typename Wanted>
+std::vector<Candidate> candidatesWhere(const RoutingTable &table, const Wanted &wanted)
 {
     std::vector<Candidate> usable;
     std::vector<Candidate> trials;
     for (const ServerView &view : table.servers) {
-        if (!servesService(view.server, service) || tried.count(view.server.name) > 0)
+        if (!wanted(view.server))
             continue;
         const Candidate candidate{&view, correctedLoad(view, table.trafficFactor),
                                   static_cast<double>(view.server.slots)};
@@ -49,6 +51,23 @@
     return usable;
 }
 
+} // namespace
+
+std::vector<Candidate> candidatesFor(const RoutingTable &table, const Service &service,
+                                     const std::set<std::string> &tried, const std::string &pool)
+{
+    return candidatesWhere(table, [&](const BackendServer &server) {
+        return servesService(server, service) && tried.count(server.name) == 0
+            && (pool.empty() || server.pool == pool);
+    });
+}
+
+std::vector<Candidate> candidatesOf(const RoutingTable &table, const std::string &pool)
+{
+    return candidatesWhere(table,
+                           [&](const BackendServer &server) { return server.pool == pool; });
+}
+
 std::size_t RandomPicker::pick(const PickQuestion &question, Random &random)
 {
     return random.below(question.candidates.size());
--- /dev/null
+++ b/src/decide/prefix-follower.cc
@@ -0,0 +1,102 @@
+#include "ibisnotch/prefix-follower.h"
+
+#include <algorithm>
+
+namespace ibisnotch {
+
+std::optional<FollowCall> PrefixFollower::next(TimePoint now)
+{
+    if (m_underWay || now < m_notBefore)
+        return std::nullopt;
+    m_underWay = true;
+    if (m_watching)
+        return WatchCall{m_asOf, m_limits.watchTime};
+    return ListCall{m_after};
+}
+
+void PrefixFollower::startOver()
+{
+    m_watching = false;
+    m_after.clear();
+    m_listed.clear();
+    m_listAsOf = 0;
+}
+
+std::vector<StoreItem> PrefixFollower::onAnswer(const StorePage &page, TimePoint now)
+{
+    m_underWay = false;
+    if (page.end == StoreEnd::historyLost) {
+        startOver();
+        return {};
+    }
+    if (page.end != StoreEnd::ok) {
+        const Duration pause = m_limits.firstPause * (1 << std::min(m_failures, 4));
+        m_notBefore = now + std::min(pause, m_limits.longestPause);
+        ++m_failures;
+        // A page that was lost on the way is asked for again; the pass goes on.
+        return {};
+    }
+    m_failures = 0;
+    if (!m_watching)
+        return onList(page);
+    m_notBefore = page.items.empty() ? now : now + m_limits.gather;
+    m_asOf = std::max(m_asOf, page.asOf);
+    return apply(page.items);
+}
+
+std::vector<StoreItem> PrefixFollower::onList(const StorePage &page)
+{
+    // Pages are read one after the other while keys change. Watching from the first page's revision
+    // repeats what changed since, so nothing is missed between two pages.
+    if (m_listAsOf == 0)
+        m_listAsOf = page.asOf;
+    for (const StoreItem &item : page.items)
+        m_listed.insert(item.key);
+    std::vector<StoreItem> changes = apply(page.items);
+    if (page.more && !page.items.empty()) {
+        m_after = page.items.back().key;
+        return changes;
+    }
+    for (const auto &[key, revision] : m_revisions) {
+        // A key that is newer than the first page was written while the pages were read.
+        if (m_listed.count(key) == 0 && revision <= m_listAsOf)
+            changes.push_back({key, "", revision, true});
+    }
+    for (const StoreItem &item : changes) {
+        if (item.deleted)
+            m_revisions.erase(item.key);
+    }
+    m_asOf = m_listAsOf;
+    m_complete = true;
+    startOver();
+    m_watching = true;
+    return changes;
+}
+
+std::vector<StoreItem> PrefixFollower::apply(const std::vector<StoreItem> &items)
+{
+    std::map<std::string, StoreItem> latest;
+    for (const StoreItem &item : items) {
+        const auto known = m_revisions.find(item.key);
+        // An answer that took long on its way must not bring back an older value.
+        const bool old = known != m_revisions.end() && item.revision <= known->second;
+        if (old || (item.deleted && known == m_revisions.end() && latest.count(item.key) == 0))
+            continue;
+        auto &kept = latest[item.key];
+        if (kept.revision <= item.revision)
+            kept = item;
+    }
+    std::vector<StoreItem> changes;
+    for (auto &[key, item] : latest) {
+        if (item.deleted)
+            m_revisions.erase(key);
+        else
+            m_revisions[key] = item.revision;
+        changes.push_back(std::move(item));
+    }
+    std::sort(changes.begin(), changes.end(),
+              [](const StoreItem &a, const StoreItem &b) { return a.revision < b.revision; });
+    return changes;
+}
+
+} // namespace ibisnotch
--- a/src/decide/process-settings.cc
+++ b/src/decide/process-settings.cc
@@ -1,6 +1,7 @@
 #include "ibisnotch/process-settings.h"
 
 #include <fstream>
+#include <map>
 #include <sstream>
 
 #include <absl/strings/numbers.h>
@@ -24,6 +25,47 @@
 
 } // namespace
 
+namespace {
+
+// Data centres with their regions, for deployments whose configuration does not name them.
+std::vector<Region> readRegions(SettingReader &reader)
+{
+    std::map<std::string, std::vector<std::string>> dataCentres;
+    for (auto &[name, place] : reader.children("dataCentres")) {
+        dataCentres[place.requiredText("region")].push_back(name);
+        place.finish();
+    }
+    std::vector<Region> regions;
+    for (auto &[name, names] : dataCentres)
+        regions.push_back({name, std::move(names)});
+    return regions;
+}
+
+void readPlatform(SettingReader &reader, ProcessSettings &settings)
+{
+    const std::string interfaces = reader.choice("interfaces", "own", {"own", "platform"});
+    if (interfaces == "own")
+        return;
+    constexpr double mostSlack = 1e6;
+    settings.interfaces = Interfaces::platform;
+    settings.ready = readAddress(reader, "ready");
+    settings.directory = readAddress(reader, "directory");
+    settings.metrics = readAddress(reader, "metrics");
+    settings.regions = readRegions(reader);
+    settings.entryListLife = reader.duration("entryListLife", settings.entryListLife);
+    settings.serveWhileStopping = reader.flag("serveWhileStopping", true);
+    // Time for the process to end by itself before it is killed.
+    constexpr Duration endMargin = std::chrono::milliseconds(700);
+    settings.drainTime = reader.duration("killedAfter", settings.drainTime) - endMargin;
+    SettingReader retries = reader.child("retries");
+    settings.retryShare = retries.number("share", settings.retryShare, 0, 1);
+    settings.retrySlack = retries.number("slack", settings.retrySlack, 0, mostSlack);
+    settings.retryWindow = retries.duration("window", settings.retryWindow);
+    retries.finish();
+}
+
+} // namespace
+
 absl::StatusOr<Address> parseAddress(const std::string &text)
 {
     constexpr int highestPort = 65535;
@@ -62,6 +104,7 @@
         = reader.integer("maxConnections", settings.maxConnections, 1, mostConnections);
     settings.idleTimeout = reader.duration("idleTimeout", settings.idleTimeout);
     settings.drainTime = reader.duration("drainTime", settings.drainTime);
+    readPlatform(reader, settings);
     settings.logLevel = reader.choice("logLevel", "info", {"debug", "info", "warn", "error"});
     reader.finish();
     if (!errors.empty())
--- a/src/decide/region-choice.cc
+++ b/src/decide/region-choice.cc
@@ -49,10 +49,10 @@
     return waiting / slots * expectedSeconds;
 }
 
-RegionLoad summarize(const std::string &region, const Service &service,
+RegionLoad summarize(const std::string &region, const std::string &loadName,
                      std::span<const Candidate> candidates)
 {
-    RegionLoad load{region, service.name, 0, 0, 0};
+    RegionLoad load{region, loadName, 0, 0, 0};
     for (const Candidate &candidate : candidates) {
         load.slots += candidate.slots;
         load.outstanding += candidate.load;
@@ -115,7 +115,7 @@
             && contains(question.reachable, region);
         if (!open)
             continue;
-        const auto load = table.find(region, question.service->name, now);
+        const auto load = table.find(region, question.loadName, now);
         if (!load || load->slots <= 0)
             continue;
         // A little noise spreads senders over regions that look alike.
@@ -132,7 +132,7 @@
         return best;
     const bool homeRuns = question.homeLoad.slots > 0;
     const std::lock_guard lock(m_mutex);
-    bool &sendingAway = m_sendingAway[question.service->name];
+    bool &sendingAway = m_sendingAway[question.loadName];
     const double whole = marginSeconds(question, bestIsFree);
     const double margin = sendingAway ? whole / 2 : whole;
     sendingAway = best.region && homeWait > bestAway + margin;
--- a/src/decide/result-code.cc
+++ b/src/decide/result-code.cc
@@ -59,6 +59,8 @@
                "The instance that issued the key is gone; check by a status read."},
     ResultInfo{bookingInProgress, "bookingInProgress", 409, unknown,
                "The same booking is being sent; ask again with the same key."},
+    ResultInfo{callerLeft, "callerLeft", 499, unknown,
+               "The caller closed the connection before its answer was complete."},
     ResultInfo{answerCutShort, "answerCutShort", 502, unknown,
                "The answer is not whole; an idempotent request may be sent again."},
     ResultInfo{answerNotOurs, "answerNotOurs", 502, unknown,
--- a/src/decide/retry.cc
+++ b/src/decide/retry.cc
@@ -7,6 +7,7 @@
 bool certainlyNotRun(AttemptEnd end)
 {
     return end == AttemptEnd::notConnected || end == AttemptEnd::refusedNotRun
+        || end == AttemptEnd::otherServer
         || end == AttemptEnd::refusedForGood;
 }
 
@@ -35,7 +36,9 @@
 
 RetryAnswer mayRetry(const RetryQuestion &question)
 {
-    if (question.end == AttemptEnd::answered || question.end == AttemptEnd::refusedForGood)
+    const bool final = question.end == AttemptEnd::answered
+        || question.end == AttemptEnd::refusedForGood || question.end == AttemptEnd::callerLeft;
+    if (final || question.runsMade >= question.mostRuns)
         return RetryAnswer::giveUp;
     if (question.callerHasSeenBytes || question.attemptsMade >= mostAttempts)
         return RetryAnswer::giveUp;
@@ -52,6 +55,8 @@
 {
     if (certainlyNotRun(end))
         return idempotent ? ResultCode::noBackendServer : ResultCode::bookingNotRun;
+    if (end == AttemptEnd::callerLeft)
+        return ResultCode::callerLeft;
     if (!idempotent)
         return ResultCode::outcomeUnknown;
     if (deadlineOver)
--- a/src/decide/server-table.cc
+++ b/src/decide/server-table.cc
@@ -64,9 +64,28 @@
 void ServerTable::setConfig(std::shared_ptr<const FleetConfig> config)
 {
     const std::lock_guard lock(m_mutex);
+    m_config = std::move(config);
+    rebuild({});
+}
+
+void ServerTable::setListed(std::map<std::string, ListedServer> listed, TimePoint now)
+{
+    const std::lock_guard lock(m_mutex);
+    m_listed = std::move(listed);
+    rebuild(now);
+}
+
+void ServerTable::setEvacuated(std::set<std::string> dataCentres)
+{
+    const std::lock_guard lock(m_mutex);
+    m_evacuated = std::move(dataCentres);
+}
+
+void ServerTable::rebuild(TimePoint now)
+{
     std::map<std::string, Record> records;
-    for (const auto &[name, server] : config->servers) {
-        const auto old = m_records.find(name);
+    const auto add = [&](const BackendServer &server) -> Record & {
+        const auto old = m_records.find(server.name);
         Record record;
         const bool same = old != m_records.end() && old->second.server.address == server.address;
         if (same)
@@ -74,13 +93,36 @@
         else
             record.counters = std::make_shared<ServerCounters>();
         record.server = server;
-        records.emplace(name, std::move(record));
+        return records.insert_or_assign(server.name, std::move(record)).first->second;
+    };
+    if (m_config) {
+        for (const auto &[name, server] : m_config->servers)
+            add(server);
+    }
+    for (const auto &[name, listed] : m_listed) {
+        Record &record = add(listed.server);
+        if (listed.revision <= record.revision)
+            continue;
+        // The newer entry decides, also where it says that a server that was leaving is back: it
+        // was started again under its name.
+        record.revision = listed.revision;
+        record.leaving = listed.leaving;
+        record.coldUntil = listed.warmup.count() > 0 ? now + listed.warmup : TimePoint{};
     }
     m_records = std::move(records);
     m_names.clear();
     for (const auto &[name, record] : m_records)
         m_names[serverId(name)] = name;
-    m_config = std::move(config);
+}
+
+void ServerTable::onAnswerLoad(const std::string &server, std::uint32_t running,
+                               std::uint32_t waiting, TimePoint now)
+{
+    LoadReport report;
+    report.server = server;
+    report.running = running;
+    report.waiting = waiting;
+    onReport(report, now);
 }
 
 void ServerTable::setSenders(int senders)
@@ -218,7 +260,8 @@
 
 ServerStatus ServerTable::statusOf(const Record &record, TimePoint now) const
 {
-    if (record.leaving || record.drained)
+    const bool evacuated = m_evacuated.count(record.server.dataCentre) > 0;
+    if (record.leaving || record.drained || evacuated)
         return ServerStatus::leaving;
     if (record.everReported && !record.report.reachable)
         return ServerStatus::unreachable;
@@ -243,6 +286,7 @@
         view.reported = record.report.running + record.report.waiting;
         view.reportedAt = record.reportedAt;
         view.incarnation = record.report.incarnation;
+        view.coldUntil = record.coldUntil;
         view.counters = record.counters;
         result.servers.push_back(std::move(view));
     }
--- a/src/entry/attempt.h
+++ b/src/entry/attempt.h
@@ -13,7 +13,8 @@
 class Dispatch::Attempt final : public AnswerSink
 {
 public:
-    Attempt(std::shared_ptr<Dispatch> dispatch, Target target, AnswerForm form);
+    Attempt(std::shared_ptr<Dispatch> dispatch, Target target,
+            std::unique_ptr<AnswerReader> reader);
 
     bool onHead(int status, const Headers &headers) override;
     bool onData(std::string_view data) override;
@@ -21,24 +22,17 @@
     void onEnd(const TransferResult &result) override;
 
     const HttpResponse &answer() const { return m_answer; }
-    // What a peer said about the request; served for a backend server.
-    ResultCode code() const { return m_code; }
-    bool streamed() const { return m_streamed; }
+    const AnswerReader &reader() const { return *m_reader; }
 
 private:
-    std::optional<AttemptEnd> judgeServerStatus(int status, const Headers &headers) const;
     bool stop(AttemptEnd end);
-    void startStream();
     AttemptEnd endOf(const TransferResult &result) const;
 
     std::shared_ptr<Dispatch> m_dispatch;
     Target m_target;
-    AnswerCheck m_check;
-    AnswerForm m_form;
+    std::unique_ptr<AnswerReader> m_reader;
     HttpResponse m_answer; // kept until it is whole
-    ResultCode m_code = ResultCode::served;
-    bool m_eventStream = false;
-    bool m_streamed = false;
+    bool m_tooLong = false; // to be kept whole
     std::optional<AttemptEnd> m_stoppedAs;
 };
 
--- /dev/null
+++ b/src/entry/chat-protocol.cc
@@ -0,0 +1,191 @@
+#include "chat-protocol.h"
+
+#include <absl/strings/numbers.h>
+
+#include "ibisnotch/answer-check.h"
+#include "ibisnotch/load-metrics.h"
+
+namespace ibisnotch {
+
+namespace {
+
+constexpr int firstServerError = 500;
+
+class ChatReader final : public AnswerReader
+{
+public:
+    ChatReader(const std::string &requestId, AnswerForm form, bool fromPeer)
+        : m_check(requestId, form), m_form(form), m_fromPeer(fromPeer)
+    {
+    }
+
+    std::optional<AttemptEnd> onHead(int status, const Headers &headers) override
+    {
+        m_leaving = !m_fromPeer && headers.get("X-Engine-Draining").has_value();
+        if (m_check.onHead(status, headers) != AnswerVerdict::good)
+            return AttemptEnd::notOurs;
+        const std::string type = headers.get("Content-Type").value_or("");
+        m_streams = m_form == AnswerForm::eventStream && type.rfind("text/event-stream", 0) == 0;
+        if (!m_fromPeer)
+            return judgeStatus(status, headers);
+        int code = 0;
+        if (absl::SimpleAtoi(headers.get("X-Result-Code").value_or(""), &code))
+            m_code = static_cast<ResultCode>(code);
+        return std::nullopt;
+    }
+
+    std::optional<AttemptEnd> onData(std::string_view data, std::string &out) override
+    {
+        switch (m_check.onData(data, out)) {
+        case AnswerVerdict::good:
+            return std::nullopt;
+        case AnswerVerdict::notOurs:
+            return AttemptEnd::notOurs;
+        case AnswerVerdict::broken:
+            break;
+        }
+        return AttemptEnd::cutShort;
+    }
+
+    AttemptEnd end() const override
+    {
+        return m_check.whole() ? AttemptEnd::answered : AttemptEnd::cutShort;
+    }
+
+    bool streams() const override { return m_streams; }
+    ResultCode code() const override { return m_code; }
+    bool leaving() const override { return m_leaving; }
+
+private:
+    static std::optional<AttemptEnd> judgeStatus(int status, const Headers &headers)
+    {
+        if (headers.get("X-Not-Run"))
+            return AttemptEnd::refusedNotRun;
+        if (status >= firstServerError)
+            return AttemptEnd::serverError;
+        return std::nullopt;
+    }
+
+    AnswerCheck m_check;
+    AnswerForm m_form;
+    bool m_fromPeer;
+    bool m_streams = false;
+    bool m_leaving = false;
+    ResultCode m_code = ResultCode::served;
+};
+
+class ChatProtocol final : public Protocol
+{
+public:
+    std::vector<std::unique_ptr<Filter>> filters(EntryState &state) const override
+    {
+        return makeFilters(state);
+    }
+
+    bool isRequest(const HttpRequest &request, bool) const override
+    {
+        return request.path == chatPath || request.path.rfind(servicesPath, 0) == 0;
+    }
+
+    std::string requestId(const HttpRequest &request, bool fromPeer) const override
+    {
+        return fromPeer ? request.headers.get(requestIdHeader).value_or("") : "";
+    }
+
+    HttpResponse refusal(const Exchange &exchange, const Refusal &refusal,
+                         const std::string &servedBy) const override
+    {
+        return refusalResponse(exchange.id, refusal, servedBy);
+    }
+
+    Headers answerHead(const Exchange &exchange, ResultCode code, const Headers &given,
+                       const std::string &servedBy) const override
+    {
+        Headers headers = answerHeaders(exchange.id, code, servedBy);
+        for (const char *name : {"Content-Type", "Retry-After"}) {
+            if (const auto value = given.get(name))
+                headers.add(name, *value);
+        }
+        return headers;
+    }
+
+    std::string streamFailure(const Exchange &exchange, ResultCode code,
+                              const std::string &servedBy) const override
+    {
+        return "data: " + refusalResponse(exchange.id, {code, "", {}}, servedBy).body + "\n\n";
+    }
+
+    OutgoingRequest toServer(const Exchange &exchange, const Target &target,
+                             Duration) const override
+    {
+        const bool application = exchange.service->kind == ServiceKind::application;
+        return request(exchange, target,
+                       application ? exchange.service->path : exchange.request.path);
+    }
+
+    OutgoingRequest toPeer(const Exchange &exchange, const Target &target,
+                           Duration remaining) const override
+    {
+        OutgoingRequest result = request(exchange, target, exchange.request.path);
+        result.headers.add("Authorization",
+                           exchange.request.headers.get("Authorization").value_or(""));
+        if (const auto service = exchange.request.headers.get("X-Service"))
+            result.headers.add("X-Service", *service);
+        const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(remaining);
+        result.headers.add("X-Request-Timeout-Ms", std::to_string(left.count()));
+        return result;
+    }
+
+    std::unique_ptr<AnswerReader> reader(const Exchange &exchange, bool fromPeer) const override
+    {
+        const bool chat = exchange.service->kind == ServiceKind::model;
+        AnswerForm form = chat ? AnswerForm::json : AnswerForm::plain;
+        if (exchange.streaming)
+            form = AnswerForm::eventStream;
+        return std::make_unique<ChatReader>(exchange.id, form, fromPeer);
+    }
+
+    OutgoingRequest healthCheck(const Exchange &, const Target &target) const override
+    {
+        OutgoingRequest request;
+        request.url = "http://" + target.address + "/metrics";
+        return request;
+    }
+
+    bool showsSameRun(const Target &target, const WholeAnswer &answer) const override
+    {
+        const LoadReport report = parseLoadMetrics(target.name, answer.response.body);
+        return report.incarnation != 0 && report.incarnation == target.incarnation;
+    }
+
+    bool passesFailures() const override { return false; }
+
+private:
+    static OutgoingRequest request(const Exchange &exchange, const Target &target,
+                                   const std::string &path)
+    {
+        OutgoingRequest request;
+        request.method = exchange.request.method;
+        request.url = "http://" + target.address + path;
+        if (!exchange.request.query.empty())
+            request.url += "?" + exchange.request.query;
+        request.body = exchange.request.body;
+        request.freshConnection = exchange.isBooking();
+        request.headers.add(std::string(requestIdHeader), exchange.id);
+        request.headers.add(
+            "Content-Type",
+            exchange.request.headers.get("Content-Type").value_or("application/json"));
+        if (exchange.isBooking())
+            request.headers.add("Idempotency-Key", exchange.bookingKeyText);
+        return request;
+    }
+};
+
+} // namespace
+
+std::unique_ptr<Protocol> makeChatProtocol()
+{
+    return std::make_unique<ChatProtocol>();
+}
+
+} // namespace ibisnotch
--- /dev/null
+++ b/src/entry/chat-protocol.h
@@ -0,0 +1,12 @@
+// The product's own interface: OpenAI-style chat completions and plain services.
+#pragma once
+
+#include <memory>
+
+#include "protocol.h"
+
+namespace ibisnotch {
+
+std::unique_ptr<Protocol> makeChatProtocol();
+
+} // namespace ibisnotch
--- a/src/entry/control.cc
+++ b/src/entry/control.cc
@@ -12,20 +12,14 @@
 
 namespace {
 
-constexpr std::string_view configKey = "ibisnotch/config/current";
-constexpr std::string_view listKey = "platform/instances";
 constexpr Duration tickPeriod = std::chrono::milliseconds(100);
 constexpr Duration pollPeriod = std::chrono::milliseconds(500);
 // However many servers a region has for each of its instances, one instance asks no more of them
 // than this at once; with more, each is asked less often.
 constexpr std::size_t pollsPerPeriod = 2;
-constexpr Duration watchTime = std::chrono::seconds(30);
-constexpr Duration watchPause = std::chrono::seconds(1);
 constexpr Duration publishAtMost = std::chrono::milliseconds(5);
 constexpr Duration publishAtLeast = std::chrono::milliseconds(500);
-constexpr Duration sweepPeriod = std::chrono::minutes(30);
 constexpr std::size_t pollersPerServer = 2;
-constexpr std::size_t watchersPerRegion = 2;
 constexpr std::size_t loadsPerMessage = 48;
 constexpr std::size_t regionLoadsPerMessage = 16;
 constexpr std::size_t marksPerMessage = 8;
@@ -56,21 +50,10 @@
     return report;
 }
 
-// {"leaving": [{"name": "bp-m1", "sinceMs": 1760000000000}]}
-std::vector<LeavingNotice> parseNotices(const nlohmann::json &list)
-{
-    std::vector<LeavingNotice> notices;
-    for (const auto &item : list.value("leaving", nlohmann::json::array())) {
-        if (item.is_object())
-            notices.push_back({item.value("name", ""), item.value("sinceMs", std::uint64_t(0))});
-    }
-    return notices;
-}
-
 } // namespace
 
-Control::Control(EntryState &state, HttpClient &client, Store &store)
-    : m_state(state), m_client(client), m_store(store),
+Control::Control(EntryState &state, HttpClient &client)
+    : m_state(state), m_client(client),
       m_membership(selfMember(state), state.settings.seeds, MembershipSettings{}),
       m_link(state.settings.gossip, *this)
 {
@@ -81,6 +64,17 @@
     stop();
 }
 
+void Control::setSource(std::unique_ptr<StateSource> source)
+{
+    m_source = std::move(source);
+}
+
+void Control::spreadNews()
+{
+    publishRouting();
+    send(m_membership.spread(newsFanout, m_state.random));
+}
+
 void Control::start()
 {
     m_link.post([this] { tick(); });
@@ -145,12 +139,7 @@
         pollServers();
         updateOwnLoad();
     }
-    watchConfig();
-    watchList();
-    if (now >= m_nextSweep) {
-        m_nextSweep = now + sweepPeriod;
-        sweepClaims();
-    }
+    m_source->tick();
     if (m_routingDirty || now - m_lastPublish > publishAtLeast)
         publishRouting();
     m_link.postAfter(tickPeriod, [this] { tick(); });
@@ -182,11 +171,17 @@
     const auto table = m_state.routing.read();
     if (!table || !table->config)
         return message;
-    for (const auto &[name, service] : table->config->services) {
-        if (message.regionLoads.size() >= regionLoadsPerMessage)
-            break;
-        const auto candidates = candidatesFor(*table, service, {});
-        message.regionLoads.push_back(summarize(m_state.settings.region, service, candidates));
+    const FleetConfig &config = *table->config;
+    const auto add = [&](const std::string &loadName, const std::vector<Candidate> &candidates) {
+        if (message.regionLoads.size() < regionLoadsPerMessage)
+            message.regionLoads.push_back(
+                summarize(m_state.settings.region, loadName, candidates));
+    };
+    for (const auto &[name, pool] : config.pools)
+        add(name, candidatesOf(*table, name));
+    for (const auto &[name, service] : config.services) {
+        if (service.pools.empty())
+            add(name, candidatesFor(*table, service, {}));
     }
     return message;
 }
@@ -303,8 +298,7 @@
              {"reachable", report.reachable ? "yes" : "no"},
              {"leaving", report.leaving ? "yes" : "no"}});
     // The rest of the region hears of it at once rather than when the next probe comes by.
-    publishRouting();
-    send(m_membership.spread(newsFanout, m_state.random));
+    spreadNews();
 }
 
 void Control::onGossip(const GossipMessage &message, const std::string &from)
@@ -376,7 +370,7 @@
     logLine(LogPart::config, LogLevel::info, "Version in force.",
             {{"version", std::to_string(document.version)}, {"source", source}});
     m_state.servers.setConfig(m_state.gate.config());
-    m_state.servers.onLeavingList(m_leavingList);
+    m_source->onConfig();
     publishRouting();
     announceConfig();
 }
@@ -392,77 +386,4 @@
     }
 }
 
-void Control::watchConfig()
-{
-    if (m_watchingConfig
-        || !(m_state.gate.version() == 0 || amongFirst("config", watchersPerRegion)))
-        return;
-    m_watchingConfig = true;
-    const auto done
-        = [this](const StoreRead &read) { m_link.post([this, read] { onStoreConfig(read); }); };
-    if (m_configIndex == 0)
-        m_store.read(std::string(configKey), done);
-    else
-        m_store.watch(std::string(configKey), m_configIndex, watchTime, done);
-}
-
-void Control::onStoreConfig(const StoreRead &read)
-{
-    const bool good = read.end == StoreEnd::ok;
-    if (good) {
-        m_configIndex = read.index;
-        const auto document = parseDocument(read.value);
-        if (document.ok())
-            offer(*document, "store");
-        else
-            logLine(LogPart::config, LogLevel::error, "Document not readable.");
-    }
-    m_link.postAfter(good ? Duration(0) : watchPause, [this] { m_watchingConfig = false; });
-}
-
-// Removes the claim pages of hours whose keys nobody accepts any more. Each hour is swept
-// several times, so that a store outage or a change of the sweeper leaves nothing behind.
-void Control::sweepClaims()
-{
-    const auto config = m_state.gate.config();
-    if (!config || m_state.settings.region != config->regions.front().name
-        || !amongFirst("sweep", 1))
-        return;
-    constexpr long long sweptHours = 3;
-    const long long newest
-        = newestDroppedHour(m_state.clock.wallNow(), config->limits.bookingKeyLife);
-    for (long long hour = newest; hour > newest - sweptHours; --hour) {
-        for (int shard = 0; shard < config->limits.bookingShards; ++shard)
-            m_store.remove(claimPageOf(hour, shard), [](const StoreWrite &) {});
-    }
-}
-
-void Control::watchList()
-{
-    if (m_watchingList || !amongFirst("list", watchersPerRegion))
-        return;
-    m_watchingList = true;
-    const auto done
-        = [this](const StoreRead &read) { m_link.post([this, read] { onList(read); }); };
-    if (m_listIndex == 0)
-        m_store.read(std::string(listKey), done);
-    else
-        m_store.watch(std::string(listKey), m_listIndex, watchTime, done);
-}
-
-void Control::onList(const StoreRead &read)
-{
-    const bool good = read.end == StoreEnd::ok;
-    const auto list = nlohmann::json::parse(good ? read.value : "", nullptr, false);
-    if (good)
-        m_listIndex = read.index;
-    if (list.is_object()) {
-        m_leavingList = parseNotices(list);
-        m_state.servers.onLeavingList(m_leavingList);
-        publishRouting();
-        send(m_membership.spread(newsFanout, m_state.random));
-    }
-    m_link.postAfter(good ? Duration(0) : watchPause, [this] { m_watchingList = false; });
-}
-
 } // namespace ibisnotch
--- a/src/entry/control.h
+++ b/src/entry/control.h
@@ -7,7 +7,7 @@
 #include "ibisnotch/http-client.h"
 #include "ibisnotch/membership.h"
 #include "ibisnotch/peer-link.h"
-#include "ibisnotch/store.h"
+#include "state-source.h"
 #include "state.h"
 
 namespace ibisnotch {
@@ -15,12 +15,27 @@
 class Control final : public PeerHandler
 {
 public:
-    Control(EntryState &state, HttpClient &client, Store &store);
+    Control(EntryState &state, HttpClient &client);
     ~Control() override;
 
+    // Before start().
+    void setSource(std::unique_ptr<StateSource> source);
     void start();
     void stop();
 
+    // For sources, on the loop.
+    void post(std::function<void()> task) { m_link.post(std::move(task)); }
+    void postAfter(Duration delay, std::function<void()> task)
+    {
+        m_link.postAfter(delay, std::move(task));
+    }
+    void offer(const ConfigDocument &document, const std::string &source);
+    // Whether this instance is among the first of its region for a task.
+    bool amongFirst(const std::string &key, std::size_t count) const;
+    // Publishes the routing table and tells a few members at once.
+    void spreadNews();
+    void publishRouting();
+
     // Tells peers at once that this instance is leaving.
     void leave();
     // Shares marks with all members of the region and some others, at once.
@@ -40,40 +55,25 @@
     GossipMessage message(Probe probe, const std::string &toRegion);
     std::string regionOf(const std::string &gossipAddress) const;
     void publishMembers();
-    void publishRouting();
     void updateOwnLoad();
 
     void pollServers();
     void pollServer(const BackendServer &server);
     void onPolled(const std::string &server, const WholeAnswer &answer);
-    bool amongFirst(const std::string &key, std::size_t count) const;
-
-    void watchConfig();
-    void onStoreConfig(const StoreRead &read);
-    void watchList();
-    void onList(const StoreRead &read);
-    void offer(const ConfigDocument &document, const std::string &source);
     void pullFrom(const std::string &gossipAddress);
     void announceConfig();
-    void sweepClaims();
 
     EntryState &m_state;
     HttpClient &m_client;
-    Store &m_store;
     Membership m_membership;
     std::size_t m_loadCursor = 0;
     std::size_t m_pollCursor = 0;
-    std::uint64_t m_configIndex = 0;
-    std::uint64_t m_listIndex = 0;
-    bool m_watchingConfig = false;
-    bool m_watchingList = false;
     bool m_pulling = false;
     std::uint64_t m_turnedDown = 0; // the latest version that was not valid here
     bool m_routingDirty = true;
     TimePoint m_lastPublish{};
     TimePoint m_nextPoll{};
-    TimePoint m_nextSweep{};
-    std::vector<LeavingNotice> m_leavingList;
+    std::unique_ptr<StateSource> m_source;
     PeerLink m_link; // last: its thread uses the others
 };
 
--- a/src/entry/dispatch-booking.cc
+++ b/src/entry/dispatch-booking.cc
@@ -86,7 +86,7 @@
     order.page = m_claimPage;
     order.request = {m_claimAttempt, m_claimId, m_exchange->bodyHash,
                      m_state.clock.now() + std::min(claimTime, remaining())};
-    m_desk.claim(std::move(order), [self = shared_from_this()](const ClaimResult &result) {
+    m_desk->claim(std::move(order), [self = shared_from_this()](const ClaimResult &result) {
         self->m_client.post([self, result] { self->onClaim(result); });
     });
 }
@@ -126,7 +126,7 @@
 void Dispatch::settleDone(int status, const std::string &answer)
 {
     if (m_right == Right::claim)
-        m_desk.settle(m_claimPage, m_claimAttempt, m_claimId, ClaimState::done, status);
+        m_desk->settle(m_claimPage, m_claimAttempt, m_claimId, ClaimState::done, status);
     if (m_right == Right::issuedKey) {
         const std::lock_guard lock(m_state.keysMutex);
         m_state.issuedKeys.finishDone(m_exchange->bookingKeyText, status, answer);
@@ -137,7 +137,7 @@
 void Dispatch::settleNotRun()
 {
     if (m_right == Right::claim)
-        m_desk.settle(m_claimPage, m_claimAttempt, m_claimId, ClaimState::notRun, 0);
+        m_desk->settle(m_claimPage, m_claimAttempt, m_claimId, ClaimState::notRun, 0);
     if (m_right == Right::issuedKey) {
         const std::lock_guard lock(m_state.keysMutex);
         m_state.issuedKeys.finishNotRun(m_exchange->bookingKeyText);
--- a/src/entry/dispatch-plan.cc
+++ b/src/entry/dispatch-plan.cc
@@ -19,14 +19,24 @@
 
 } // namespace
 
-std::variant<Dispatch::Target, Refusal> Dispatch::plan(bool admit)
+std::vector<Candidate> Dispatch::candidatesIn(const RoutingTable &table) const
+{
+    auto candidates = candidatesFor(table, *m_exchange->service, m_tried, m_exchange->pool);
+    // A pool may have one server in the region. One that answers, if with a failure, is better than
+    // the way to another region.
+    if (candidates.empty() && m_failure)
+        candidates = candidatesFor(table, *m_exchange->service, {}, m_exchange->pool);
+    return candidates;
+}
+
+std::variant<Target, Refusal> Dispatch::plan(bool admit)
 {
     const TimePoint now = m_state.clock.now();
     const auto table = m_state.routing.read();
     const auto members = m_state.members.read();
     const Service &service = *m_exchange->service;
     const FleetConfig &config = m_exchange->config();
-    const auto candidates = candidatesFor(*table, service, m_tried);
+    const auto candidates = candidatesIn(*table);
 
     RegionQuestion question;
     question.home = m_state.settings.region;
@@ -38,7 +48,8 @@
             question.reachable.push_back(member.region);
     }
     question.service = &service;
-    question.homeLoad = summarize(question.home, service, candidates);
+    question.loadName = loadName(*m_exchange);
+    question.homeLoad = summarize(question.home, loadName(*m_exchange), candidates);
     question.weights = config.weights;
     question.oneWay = config.regionOneWay;
     question.awayMargin = config.limits.awayMargin;
@@ -56,7 +67,7 @@
     const bool away = *answer.region != question.home;
     if (admit && !m_admitted) {
         const auto load = away
-            ? m_state.regions.find(*answer.region, service.name, now).value_or(RegionLoad{})
+            ? m_state.regions.find(*answer.region, loadName(*m_exchange), now).value_or(RegionLoad{})
             : question.homeLoad;
         const AdmissionAnswer admission
             = m_state.admission.ask(admissionQuestion(load, away), m_state.random);
@@ -88,7 +99,7 @@
     return question;
 }
 
-std::variant<Dispatch::Target, Refusal> Dispatch::planAway(const std::string &region)
+std::variant<Target, Refusal> Dispatch::planAway(const std::string &region)
 {
     std::vector<Member> members = *m_state.members.read();
     std::erase_if(members, [&](const Member &member) {
@@ -102,9 +113,9 @@
     return Target{true, member.name, member.region, member.peerAddress, 0, nullptr, false, 0};
 }
 
-std::variant<Dispatch::Target, Refusal> Dispatch::pickServer(const RoutingTable &table)
+std::variant<Target, Refusal> Dispatch::pickServer(const RoutingTable &table)
 {
-    const auto candidates = candidatesFor(table, *m_exchange->service, m_tried);
+    const auto candidates = candidatesIn(table);
     if (candidates.empty())
         return Refusal{ResultCode::noBackendServer, "",
                        spreadRetryAfter(noServerPause, m_state.random)};
--- a/src/entry/dispatch.cc
+++ b/src/entry/dispatch.cc
@@ -5,7 +5,6 @@
 #include <fmt/format.h>
 
 #include "attempt.h"
-#include "ibisnotch/load-metrics.h"
 #include "ibisnotch/log.h"
 
 namespace ibisnotch {
@@ -28,6 +27,8 @@
         return "not connected";
     case AttemptEnd::refusedNotRun:
         return "refused, not run";
+    case AttemptEnd::otherServer:
+        return "another server";
     case AttemptEnd::refusedForGood:
         return "refused for good";
     case AttemptEnd::brokenOff:
@@ -40,6 +41,8 @@
         return "answer of another request";
     case AttemptEnd::serverError:
         return "server error";
+    case AttemptEnd::callerLeft:
+        return "caller left";
     }
     return "";
 }
@@ -47,8 +50,8 @@
 } // namespace
 
 Dispatch::Dispatch(DispatchServices services, ExchangePtr exchange, HttpClient &client)
-    : m_state(services.state), m_control(services.control), m_desk(services.desk),
-      m_exchange(std::move(exchange)), m_client(client)
+    : m_state(services.state), m_control(services.control), m_protocol(services.protocol),
+      m_desk(services.desk), m_exchange(std::move(exchange)), m_client(client)
 {
 }
 
@@ -71,8 +74,12 @@
 void Dispatch::start()
 {
     const Exchange &exchange = *m_exchange;
-    m_state.retries.onRequest(exchange.customer->name, exchange.service->name,
-                              exchange.config().limits.retryShare);
+    exchange.responder->onClosed([weak = weak_from_this(), &client = m_client] {
+        client.post([weak] {
+            if (const auto self = weak.lock())
+                self->onCallerLeft();
+        });
+    });
     if (!exchange.isBooking() || exchange.cleared) {
         m_right = Right::notNeeded;
         return route();
@@ -82,8 +89,21 @@
 
 // ---- Attempts -----------------------------------------------------------------------------------
 
+// Work for a caller that has left keeps a slot from others, so the transfer under way is ended; the
+// backend server sees its connection close and stops.
+void Dispatch::onCallerLeft()
+{
+    m_callerLeft = true;
+    if (const auto attempt = m_current.lock())
+        m_client.cancel(attempt.get());
+}
+
 void Dispatch::route()
 {
+    if (m_callerLeft) {
+        settleNotRun();
+        return finish(ResultCode::callerLeft);
+    }
     const auto planned = plan(true);
     if (const auto *refusal = std::get_if<Refusal>(&planned)) {
         settleNotRun();
@@ -126,39 +146,45 @@
 OutgoingRequest Dispatch::makeRequest(const Target &target) const
 {
     const Exchange &exchange = *m_exchange;
-    OutgoingRequest request;
-    request.method = exchange.request.method;
-    std::string path = exchange.request.path;
-    if (!target.away && exchange.service->kind == ServiceKind::application)
-        path = exchange.service->path;
-    request.url = "http://" + target.address + path;
-    if (!exchange.request.query.empty())
-        request.url += "?" + exchange.request.query;
-    request.body = exchange.request.body;
+    OutgoingRequest request = target.away ? m_protocol.toPeer(exchange, target, remaining())
+                                          : m_protocol.toServer(exchange, target, remaining());
     request.limits = limitsFor(target);
-    request.freshConnection = exchange.isBooking() || m_attempts > 1;
-    request.headers.add(std::string(requestIdHeader), exchange.id);
-    request.headers.add("Content-Type",
-                        exchange.request.headers.get("Content-Type").value_or("application/json"));
-    if (exchange.isBooking())
-        request.headers.add("Idempotency-Key", exchange.bookingKeyText);
+    request.freshConnection = request.freshConnection || m_attempts > 1;
     if (!target.away)
         return request;
-    ForwardPath path2 = exchange.path;
-    path2.push_back(m_state.hop());
-    request.headers.add(std::string(forwardPathHeader), printForwardPath(path2));
-    request.headers.add("Authorization",
-                        exchange.request.headers.get("Authorization").value_or(""));
-    if (const auto service = exchange.request.headers.get("X-Service"))
-        request.headers.add("X-Service", *service);
-    const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(remaining()).count();
-    request.headers.add("X-Request-Timeout-Ms", std::to_string(left));
+    ForwardPath path = exchange.path;
+    path.push_back(m_state.hop());
+    request.headers.add(std::string(forwardPathHeader), printForwardPath(path));
     const bool holdsRight = m_right == Right::claim || m_right == Right::issuedKey;
     if (holdsRight || exchange.cleared)
         request.headers.add("X-Ibisnotch-Cleared-By", m_state.settings.name);
     return request;
 }
 
+void Dispatch::onServerWord(const Target &target, const AnswerReader &reader)
+{
+    if (target.away)
+        return;
+    if (reader.leaving())
+        m_state.servers.onOwnWord(target.name);
+    if (const auto load = reader.load())
+        m_state.servers.onAnswerLoad(target.name, load->running, load->waiting,
+                                     m_state.clock.now());
+}
+
+void Dispatch::passOn(const HttpResponse &answer, std::string data)
+{
+    if (!m_streamed) {
+        m_streamed = true;
+        m_firstByte = m_state.clock.now();
+        m_exchange->responder->start(answer.status,
+                                     m_protocol.answerHead(*m_exchange, ResultCode::served,
+                                                           answer.headers,
+                                                           servedBy(answer.headers)));
+    }
+    m_exchange->responder->write(std::move(data));
+}
+
 void Dispatch::send(const Target &target)
 {
     if (remaining().count() <= 0) {
@@ -175,18 +201,19 @@
     m_servedBy = target.name;
     if (target.away && target.region != m_state.settings.region) {
         m_sentAway = true;
-        m_state.regions.onSentAway(target.region, m_exchange->service->name);
+        m_state.regions.onSentAway(target.region, loadName(*m_exchange));
     }
     if (target.counters) {
+        if (m_attempts == 1)
+            m_state.retries.onRequest(m_exchange->customer->name, loadName(*m_exchange),
+                                      m_exchange->config().limits.retryShare);
         target.counters->probing = target.trial;
         ++target.counters->inFlight;
         ++target.counters->sentSinceReport;
     }
-    const bool chat = m_exchange->service->kind == ServiceKind::model;
-    AnswerForm form = chat ? AnswerForm::json : AnswerForm::plain;
-    if (m_exchange->streaming)
-        form = AnswerForm::eventStream;
-    auto attempt = std::make_shared<Attempt>(shared_from_this(), target, form);
+    auto attempt = std::make_shared<Attempt>(shared_from_this(), target,
+                                             m_protocol.reader(*m_exchange, target.away));
+    m_current = attempt;
     m_client.send(makeRequest(target), std::move(attempt));
 }
 
@@ -195,7 +222,7 @@
     trace(fmt::format("attempt {} at {}: {}", m_attempts, target.name, endName(end)));
     if (target.away) {
         if (target.region != m_state.settings.region)
-            m_state.regions.onBack(target.region, m_exchange->service->name);
+            m_state.regions.onBack(target.region, loadName(*m_exchange));
         return;
     }
     const Duration taken = m_state.clock.now() - m_attemptStarted;
@@ -204,9 +231,14 @@
     ++target.counters->endedSinceReport;
     const bool refused = end == AttemptEnd::refusedNotRun || end == AttemptEnd::refusedForGood;
     const bool failed = end != AttemptEnd::answered && !refused;
+    if (end == AttemptEnd::callerLeft)
+        return;
     AttemptHealth health = failed ? AttemptHealth::failed : AttemptHealth::good;
-    if (end == AttemptEnd::notConnected)
+    if (end == AttemptEnd::notConnected || end == AttemptEnd::otherServer)
         health = AttemptHealth::notConnected;
+    // A whole failure answer shows a server that runs; what it says of the request is its own.
+    if (end == AttemptEnd::serverError && m_protocol.passesFailures())
+        health = AttemptHealth::good;
     m_state.servers.onAttempt(target.name, health, m_state.clock.now());
     if (failed) {
         m_control.routingChanged();
@@ -220,7 +252,15 @@
 
 void Dispatch::onAttemptEnd(const Target &target, AttemptEnd end, Attempt &attempt)
 {
+    // The caller already has part of a stream, so an answer that is none cannot follow it.
+    if (end == AttemptEnd::answered && m_streamed && !attempt.reader().streams())
+        end = AttemptEnd::serverError;
     noteAttempt(target, end);
+    m_runs += certainlyNotRun(end) ? 0 : 1;
+    if (const std::string last = attempt.reader().lastEvent(); !last.empty())
+        m_exchange->lastEvent = last;
+    if (end == AttemptEnd::serverError && m_protocol.passesFailures() && !m_streamed)
+        m_failure = attempt.answer();
     m_mayHaveRun = m_mayHaveRun || (!certainlyNotRun(end) && end != AttemptEnd::answered);
     if (m_trial) {
         const std::lock_guard lock(m_state.quarantineMutex);
@@ -230,9 +270,10 @@
         onServerLost(target);
     if (end == AttemptEnd::answered)
         return deliver(attempt);
-    if (tryAgain(end, attempt.streamed()))
+    const bool mayResume = m_exchange->service->resumable && !m_exchange->lastEvent.empty();
+    if (tryAgain(end, m_streamed && !mayResume))
         return routeAgain(end);
-    if (attempt.streamed())
+    if (m_streamed)
         return breakOff(end);
     giveUp(end);
 }
@@ -267,13 +308,11 @@
 void Dispatch::checkServerAlive(const Target &target)
 {
     m_client.postAfter(aliveCheckAfter, [self = shared_from_this(), target] {
-        OutgoingRequest request;
-        request.url = "http://" + target.address + "/metrics";
+        OutgoingRequest request = self->m_protocol.healthCheck(*self->m_exchange, target);
         request.limits.total = std::chrono::seconds(1);
         request.freshConnection = true;
         sendWhole(self->m_client, std::move(request), [self, target](const WholeAnswer &answer) {
-            const LoadReport report = parseLoadMetrics(target.name, answer.response.body);
-            if (report.incarnation == 0 || report.incarnation != target.incarnation)
+            if (!self->m_protocol.showsSameRun(target, answer))
                 return;
             std::vector<CrashMark> cleared;
             {
@@ -292,6 +331,8 @@
     question.idempotent = m_exchange->service->idempotent;
     question.callerHasSeenBytes = callerHasSeenBytes;
     question.attemptsMade = m_attempts;
+    question.runsMade = m_runs;
+    question.mostRuns = m_exchange->service->attempts;
     question.remaining = remaining();
     question.expected = m_exchange->service->expected;
     if (mayRetry(question) != RetryAnswer::retry || m_exchange->responder->closed())
@@ -310,7 +351,7 @@
     // An attempt that reached nobody cost no backend server anything, so it needs no budget.
     const bool costsNothing = end == AttemptEnd::notConnected;
     if (!costsNothing
-        && !m_state.retries.take(m_exchange->customer->name, m_exchange->service->name)) {
+        && !m_state.retries.take(m_exchange->customer->name, loadName(*m_exchange))) {
         trace("no retry: budget spent");
         return false;
     }
@@ -328,7 +369,7 @@
     }
     if (!cleared.empty())
         m_control.shareMarks(std::move(cleared));
-    const ResultCode code = attempt.code();
+    const ResultCode code = attempt.reader().code();
     const RunState run = resultInfo(code).run;
     // A peer's refusal is true of its own part; an earlier attempt here may have run.
     if (run == RunState::notRun && m_mayHaveRun) {
@@ -341,19 +382,19 @@
         settleNotRun();
     else
         settleUnknown();
-    if (attempt.streamed()) {
+    if (m_streamed) {
         m_exchange->responder->finish();
         return finish(code);
     }
+    reply(attempt.answer(), code);
+}
+
+void Dispatch::reply(HttpResponse answer, ResultCode code)
+{
     m_firstByte = m_state.clock.now();
-    HttpResponse response = attempt.answer();
-    Headers headers = answerHeaders(m_exchange->id, code, servedBy(response.headers));
-    for (const char *name : {"Content-Type", "Retry-After"}) {
-        if (const auto value = response.headers.get(name))
-            headers.add(name, *value);
-    }
-    response.headers = std::move(headers);
-    m_exchange->responder->reply(std::move(response));
+    answer.headers
+        = m_protocol.answerHead(*m_exchange, code, answer.headers, servedBy(answer.headers));
+    m_exchange->responder->reply(std::move(answer));
     finish(code);
 }
 
@@ -362,10 +403,7 @@
 {
     const bool late = remaining().count() <= 0;
     const ResultCode code = finalCode(end, m_exchange->service->idempotent, late);
-    if (m_exchange->streaming) {
-        const HttpResponse refusal = refusalResponse(m_exchange->id, {code, "", {}}, servedBy({}));
-        m_exchange->responder->write("data: " + refusal.body + "\n\n");
-    }
+    m_exchange->responder->write(m_protocol.streamFailure(*m_exchange, code, servedBy({})));
     m_exchange->responder->abort();
     settleUnknown();
     finish(code);
@@ -374,6 +412,10 @@
 void Dispatch::giveUp(AttemptEnd end)
 {
     const bool late = remaining().count() <= 0;
+    if (end == AttemptEnd::callerLeft) {
+        settleUnknown();
+        return finish(ResultCode::callerLeft);
+    }
     // The issuer may have run this key before and is not there to say so.
     if (m_toIssuer && certainlyNotRun(end))
         return refuse({ResultCode::issuerGone, "", {}});
@@ -396,8 +438,13 @@
     if (m_mayHaveRun && resultInfo(refusal.code).run == RunState::notRun)
         refusal.code = m_exchange->service->idempotent ? ResultCode::backendFailed
                                                        : ResultCode::outcomeUnknown;
+    // A server's own failure tells the caller more than that there is no better answer.
+    if (m_failure) {
+        settleUnknown();
+        return reply(*std::exchange(m_failure, std::nullopt), ResultCode::backendFailed);
+    }
     trace("refused: " + std::string(resultInfo(refusal.code).name));
-    m_exchange->responder->reply(refusalResponse(m_exchange->id, refusal, servedBy({})));
+    m_exchange->responder->reply(m_protocol.refusal(*m_exchange, refusal, servedBy({})));
     finish(refusal.code);
 }
 
--- a/src/entry/dispatch.h
+++ b/src/entry/dispatch.h
@@ -9,8 +9,8 @@
 #include "claim-desk.h"
 #include "control.h"
 #include "exchange.h"
-#include "ibisnotch/answer-check.h"
 #include "ibisnotch/http-client.h"
+#include "protocol.h"
 #include "state.h"
 
 namespace ibisnotch {
@@ -19,7 +19,8 @@
 {
     EntryState &state;
     Control &control;
-    ClaimDesk &desk;
+    const Protocol &protocol;
+    ClaimDesk *desk = nullptr; // null where the protocol knows no booking keys
 };
 
 // Lives until the request is over, on the loop of one HTTP client.
@@ -33,19 +34,6 @@
 private:
     class Attempt;
 
-    // Where one attempt goes.
-    struct Target
-    {
-        bool away = false; // to an entry instance, in this region or another
-        std::string name; // of the backend server or the entry instance
-        std::string region;
-        std::string address;
-        double cost = 0;
-        std::shared_ptr<ServerCounters> counters; // backend servers only
-        bool trial = false; // of an ejected server
-        std::uint64_t incarnation = 0; // of a backend server, as last reported
-    };
-
     // How the right to send a booking was taken.
     enum class Right { none, notNeeded, issuedKey, claim };
 
@@ -61,6 +49,7 @@
 
     // Choice of a target.
     std::variant<Target, Refusal> plan(bool admit);
+    std::vector<Candidate> candidatesIn(const RoutingTable &table) const;
     AdmissionQuestion admissionQuestion(const RegionLoad &load, bool away) const;
     std::variant<Target, Refusal> planAway(const std::string &region);
     std::variant<Target, Refusal> pickServer(const RoutingTable &table);
@@ -70,6 +59,10 @@
     void send(const Target &target);
     bool passQuarantine();
     OutgoingRequest makeRequest(const Target &target) const;
+    // What the attempt under way reports.
+    void onServerWord(const Target &target, const AnswerReader &reader);
+    void passOn(const HttpResponse &answer, std::string data);
+    void onCallerLeft();
     TransferLimits limitsFor(const Target &target) const;
     void onAttemptEnd(const Target &target, AttemptEnd end, Attempt &attempt);
     void routeAgain(AttemptEnd end);
@@ -78,6 +71,7 @@
     void checkServerAlive(const Target &target);
     bool tryAgain(AttemptEnd end, bool callerHasSeenBytes);
     void deliver(Attempt &attempt);
+    void reply(HttpResponse answer, ResultCode code);
     void breakOff(AttemptEnd end);
 
     // The end.
@@ -91,7 +85,8 @@
 
     EntryState &m_state;
     Control &m_control;
-    ClaimDesk &m_desk;
+    const Protocol &m_protocol;
+    ClaimDesk *m_desk;
     ExchangePtr m_exchange;
     HttpClient &m_client;
 
@@ -107,6 +102,12 @@
     bool m_trial = false;
     bool m_sentAway = false;
     int m_attempts = 0;
+    int m_runs = 0; // attempts that may have run
+    std::weak_ptr<Attempt> m_current;
+    bool m_callerLeft = false;
+    bool m_streamed = false; // the caller has the head of a stream
+    // A whole failure answer of a backend server, for the caller if nothing better comes.
+    std::optional<HttpResponse> m_failure;
     std::set<std::string> m_tried;
     std::string m_servedBy;
     TimePoint m_attemptStarted{};
--- /dev/null
+++ b/src/entry/document-source.h
@@ -0,0 +1,40 @@
+// The product's own sources: one document with base file and overlays, and a list of leaving
+// servers, each under a key of the store.
+#pragma once
+
+#include <cstdint>
+#include <vector>
+
+#include "control.h"
+#include "ibisnotch/store.h"
+#include "state-source.h"
+
+namespace ibisnotch {
+
+class DocumentSource final : public StateSource
+{
+public:
+    DocumentSource(EntryState &state, Control &control, Store &store);
+
+    void tick() override;
+    void onConfig() override;
+
+private:
+    void watchConfig();
+    void onStoreConfig(const StoreRead &read);
+    void watchList();
+    void onList(const StoreRead &read);
+    void sweepClaims();
+
+    EntryState &m_state;
+    Control &m_control;
+    Store &m_store;
+    std::uint64_t m_configIndex = 0;
+    std::uint64_t m_listIndex = 0;
+    bool m_watchingConfig = false;
+    bool m_watchingList = false;
+    TimePoint m_nextSweep{};
+    std::vector<LeavingNotice> m_leavingList;
+};
+
+} // namespace ibisnotch
--- a/src/entry/exchange.h
+++ b/src/entry/exchange.h
@@ -15,6 +15,22 @@
 
 namespace ibisnotch {
 
+// A part of a prompt that other requests may share. The last part of a prompt is its own.
+struct PromptPart
+{
+    std::uint64_t name = 0;
+    std::int64_t tokens = 0;
+    bool operator==(const PromptPart &) const = default;
+};
+
+struct Prompt
+{
+    std::vector<PromptPart> parts; // in the order in which a server reads them
+    std::int64_t tokens = 0;
+    std::int64_t answerTokens = 0; // at most
+    bool operator==(const Prompt &) const = default;
+};
+
 struct Exchange
 {
     HttpRequest request;
@@ -31,7 +47,13 @@
     std::shared_ptr<const RoutingTable> table;
     const Customer *customer = nullptr; // of the table's configuration
     const Service *service = nullptr;
+    std::string host; // for services chosen by host and path
+    std::optional<Duration> callerWait; // as the caller gave it
+    Prompt prompt;
+    std::optional<int> urgency; // for servers that order their queue; 0 is most urgent
+    std::string pool; // of the service's pools, drawn once for all attempts
     bool streaming = false;
+    std::string lastEvent; // of a resumed stream: the last one that its caller has
     std::vector<std::string> allowedRegions;
     std::optional<BookingKey> bookingKey;
     std::string bookingKeyText;
@@ -47,6 +69,12 @@
 
 using ExchangePtr = std::shared_ptr<Exchange>;
 
+// What load counts and retry budgets go by: the pool, or the service where there are no pools.
+inline const std::string &loadName(const Exchange &exchange)
+{
+    return exchange.pool.empty() ? exchange.service->name : exchange.pool;
+}
+
 // What a caller is told in place of an answer.
 struct Refusal
 {
--- a/src/entry/filters.cc
+++ b/src/entry/filters.cc
@@ -13,9 +13,6 @@
 
 namespace {
 
-constexpr std::string_view chatPath = "/v1/chat/completions";
-constexpr std::string_view servicesPath = "/v1/services/";
-
 // Loops between gateways, and forged paths: callers may not send one.
 class PathFilter final : public Filter
 {
@@ -203,11 +200,12 @@
 
     std::optional<Refusal> apply(Exchange &exchange) override
     {
-        exchange.fingerprint = requestFingerprint(exchange.customer->name, exchange.service->name,
-                                                  exchange.request.body);
-        exchange.prefix = exchange.service->kind == ServiceKind::model
-            ? prefixOf(exchange.customer->name, exchange.service->name, exchange.request.body)
-            : 0;
+        if (exchange.fingerprint.empty())
+            exchange.fingerprint = requestFingerprint(
+                exchange.customer->name, exchange.service->name, exchange.request.body);
+        if (exchange.prefix == 0 && exchange.service->kind == ServiceKind::model)
+            exchange.prefix
+                = prefixOf(exchange.customer->name, exchange.service->name, exchange.request.body);
         // A booking is asked for after its key, which may have an outcome; see Dispatch::send().
         if (exchange.isBooking())
             return std::nullopt;
@@ -270,6 +268,21 @@
 
 } // namespace
 
+std::unique_ptr<Filter> makePathFilter(EntryState &state)
+{
+    return std::make_unique<PathFilter>(state);
+}
+
+std::unique_ptr<Filter> makeResidencyFilter(EntryState &state)
+{
+    return std::make_unique<ResidencyFilter>(state);
+}
+
+std::unique_ptr<Filter> makeQuarantineFilter(EntryState &state)
+{
+    return std::make_unique<QuarantineFilter>(state);
+}
+
 std::vector<std::unique_ptr<Filter>> makeFilters(EntryState &state)
 {
     std::vector<std::unique_ptr<Filter>> filters;
--- a/src/entry/filters.h
+++ b/src/entry/filters.h
@@ -3,6 +3,7 @@
 
 #include <memory>
 #include <optional>
+#include <string_view>
 #include <vector>
 
 #include "exchange.h"
@@ -18,6 +19,18 @@
     virtual std::optional<Refusal> apply(Exchange &exchange) = 0;
 };
 
+constexpr std::string_view chatPath = "/v1/chat/completions";
+constexpr std::string_view servicesPath = "/v1/services/";
+
+// Checks that hold for every interface, made for other chains than the one below.
+std::unique_ptr<Filter> makePathFilter(EntryState &state);
+// Service by host and path, with pool, customer, fingerprint and what the prompt shares.
+std::unique_ptr<Filter> makeRuleFilter(EntryState &state);
+// Deadline from the caller's wait and the service's time limit.
+std::unique_ptr<Filter> makeWaitFilter();
+std::unique_ptr<Filter> makeResidencyFilter(EntryState &state);
+std::unique_ptr<Filter> makeQuarantineFilter(EntryState &state);
+
 // Path, customer, service and body, deadline, residency, quarantine, booking key.
 std::vector<std::unique_ptr<Filter>> makeFilters(EntryState &state);
 
--- a/src/entry/gateway.h
+++ b/src/entry/gateway.h
@@ -13,26 +13,33 @@
 
 namespace ibisnotch {
 
+// Answers what needs no backend server.
+class PageHandler
+{
+public:
+    virtual ~PageHandler() = default;
+    virtual HttpResponse answer(const HttpRequest &request) = 0;
+};
+
 // One for the callers' port and one for the peers' port, which operators use too.
 class Gateway final : public RequestHandler
 {
 public:
-    Gateway(DispatchServices services, std::vector<HttpClient *> clients, bool forPeers);
+    Gateway(DispatchServices services, std::vector<HttpClient *> clients, PageHandler &pages,
+            bool forPeers);
 
     void handle(HttpRequest request, std::shared_ptr<Responder> responder) override;
 
 private:
-    bool answerDirectly(const HttpRequest &request, Responder &responder);
     void serve(HttpRequest request, std::shared_ptr<Responder> responder);
-    HttpResponse entries(const HttpRequest &request);
-    HttpResponse ready();
+    std::string requestId(const HttpRequest &request);
     std::string otherInstances();
-    std::string newRequestId();
     void refuse(Exchange &exchange, const Refusal &refusal);
 
     EntryState &m_state;
     DispatchServices m_services;
     std::vector<HttpClient *> m_clients;
+    PageHandler &m_pages;
     bool m_forPeers;
     std::vector<std::unique_ptr<Filter>> m_filters;
     std::atomic<std::size_t> m_nextClient = 0;
--- /dev/null
+++ b/src/entry/instance.cc
@@ -0,0 +1,117 @@
+#include "instance.h"
+
+#include <thread>
+
+#include "ibisnotch/log.h"
+
+namespace ibisnotch {
+
+namespace {
+
+constexpr auto drainPoll = std::chrono::milliseconds(20);
+// Callers that hold our address for a moment longer are refused with a list of the others.
+constexpr auto goodbyeTime = std::chrono::milliseconds(500);
+// Callers that were told of this instance before it began to stop come until their list is over;
+// some keep it three times as long.
+constexpr int listLives = 3;
+
+} // namespace
+
+class Instance::PageServer final : public RequestHandler
+{
+public:
+    explicit PageServer(std::unique_ptr<PageHandler> pages) : m_pages(std::move(pages)) { }
+
+    void handle(HttpRequest request, std::shared_ptr<Responder> responder) override
+    {
+        responder->reply(m_pages->answer(request));
+    }
+
+private:
+    std::unique_ptr<PageHandler> m_pages;
+};
+
+Instance::Instance(const ProcessSettings &settings, std::unique_ptr<InterfaceFactory> interfaces)
+    : m_interfaces(std::move(interfaces)), m_state(settings, m_interfaces->configFormat()),
+      m_protocol(m_interfaces->protocol())
+{
+    for (int i = 0; i < settings.workers; ++i)
+        m_clients.push_back(std::make_unique<HttpClient>());
+    m_controlClient = std::make_unique<HttpClient>();
+    m_desk = m_interfaces->claimDesk(m_state, *m_controlClient);
+    m_control = std::make_unique<Control>(m_state, *m_controlClient);
+    m_control->setSource(m_interfaces->source(m_state, *m_control, *m_controlClient));
+    std::vector<HttpClient *> clients;
+    for (const auto &client : m_clients)
+        clients.push_back(client.get());
+    const DispatchServices services{m_state, *m_control, *m_protocol, m_desk.get()};
+    m_callerPages = m_interfaces->pages(services, false);
+    m_peerPages = m_interfaces->pages(services, true);
+    m_callerGateway = std::make_unique<Gateway>(services, clients, *m_callerPages, false);
+    m_peerGateway = std::make_unique<Gateway>(services, clients, *m_peerPages, true);
+    m_control->start();
+    m_placement = m_interfaces->placementDesk(m_state, *m_controlClient);
+    m_loop = std::make_unique<HttpLoop>(static_cast<unsigned>(settings.workers));
+    listen(settings.peers, *m_peerGateway);
+    for (PagePort &port : m_interfaces->pagePorts(services)) {
+        m_pageServers.push_back(std::make_unique<PageServer>(std::move(port.pages)));
+        listen(port.address, *m_pageServers.back());
+    }
+    // The callers' port last: whoever finds it open finds the rest open too.
+    listen(settings.callers, *m_callerGateway);
+}
+
+Instance::~Instance()
+{
+    // First everything that runs, then whatever holds on to an answer under way, and the loop whose
+    // connections those answers refer to last.
+    m_loop->stop();
+    m_control->stop();
+    m_clients.clear();
+    m_controlClient.reset();
+    m_desk.reset();
+}
+
+void Instance::listen(const Address &address, RequestHandler &handler)
+{
+    const ProcessSettings &from = m_state.settings;
+    HttpServerSettings settings;
+    settings.address = address.host;
+    settings.port = address.port;
+    settings.maxConnections = static_cast<std::size_t>(from.maxConnections);
+    settings.idleTimeout = std::chrono::duration_cast<std::chrono::seconds>(from.idleTimeout);
+    m_servers.push_back(std::make_unique<HttpServer>(settings, handler, *m_loop));
+}
+
+bool Instance::busy()
+{
+    return m_state.inFlight > 0 || (m_desk && m_desk->busy());
+}
+
+bool Instance::drain()
+{
+    logLine(LogPart::entry, LogLevel::info, "Stopping.",
+            {{"inFlight", std::to_string(m_state.inFlight)}});
+    const TimePoint began = m_state.clock.now();
+    const TimePoint until = began + m_state.settings.drainTime;
+    m_state.stopping = true;
+    m_control->leave();
+    HttpServer &callers = *m_servers.back();
+    callers.closeAfterAnswers();
+    if (m_state.settings.serveWhileStopping) {
+        const TimePoint told = began + listLives * m_state.settings.entryListLife;
+        std::this_thread::sleep_for(std::min(told, until) - began - goodbyeTime);
+    }
+    std::this_thread::sleep_for(goodbyeTime);
+    callers.stopAccepting();
+    while (busy()) {
+        if (m_state.clock.now() >= until)
+            return false;
+        std::this_thread::sleep_for(drainPoll);
+    }
+    // The last bytes of the last answers are still on their way out of this process.
+    std::this_thread::sleep_for(drainPoll * 5);
+    return true;
+}
+
+} // namespace ibisnotch
--- /dev/null
+++ b/src/entry/instance.h
@@ -0,0 +1,52 @@
+// All parts of an entry instance, in the order in which they are built.
+#pragma once
+
+#include <memory>
+#include <vector>
+
+#include "claim-desk.h"
+#include "control.h"
+#include "gateway.h"
+#include "ibisnotch/http-server.h"
+#include "interfaces.h"
+#include "placement-desk.h"
+#include "state.h"
+
+namespace ibisnotch {
+
+class Instance
+{
+public:
+    // Throws std::exception if an address cannot be bound.
+    Instance(const ProcessSettings &settings, std::unique_ptr<InterfaceFactory> interfaces);
+    ~Instance();
+    Instance(const Instance &) = delete;
+    Instance &operator=(const Instance &) = delete;
+
+    // Finishes what is in flight. Returns false if the drain time ran out first.
+    bool drain();
+
+private:
+    class PageServer;
+
+    void listen(const Address &address, RequestHandler &handler);
+    bool busy();
+
+    std::unique_ptr<InterfaceFactory> m_interfaces;
+    EntryState m_state;
+    std::unique_ptr<Protocol> m_protocol;
+    std::vector<std::unique_ptr<HttpClient>> m_clients;
+    std::unique_ptr<HttpClient> m_controlClient;
+    std::unique_ptr<ClaimDesk> m_desk;
+    std::unique_ptr<Control> m_control;
+    std::unique_ptr<PlacementDesk> m_placement;
+    std::unique_ptr<PageHandler> m_callerPages;
+    std::unique_ptr<PageHandler> m_peerPages;
+    std::unique_ptr<Gateway> m_callerGateway;
+    std::unique_ptr<Gateway> m_peerGateway;
+    std::vector<std::unique_ptr<PageServer>> m_pageServers;
+    std::unique_ptr<HttpLoop> m_loop;
+    std::vector<std::unique_ptr<HttpServer>> m_servers;
+};
+
+} // namespace ibisnotch
--- /dev/null
+++ b/src/entry/range-source.cc
@@ -0,0 +1,132 @@
+#include "range-source.h"
+
+#include <algorithm>
+
+#include "ibisnotch/log.h"
+
+namespace ibisnotch {
+
+RangeSource::RangeSource(EntryState &state, Control &control, std::unique_ptr<RangeStore> store,
+                         std::unique_ptr<RecordFormat> format)
+    : m_state(state), m_control(control), m_store(std::move(store)), m_format(std::move(format))
+{
+    for (const std::string &prefix : m_format->prefixes()) {
+        m_ranges.push_back(std::make_unique<Range>());
+        m_ranges.back()->prefix = prefix;
+    }
+}
+
+void RangeSource::tick()
+{
+    for (const auto &range : m_ranges)
+        advance(*range);
+    m_changed |= m_servers.expire(m_state.clock.now());
+    publish();
+}
+
+void RangeSource::advance(Range &range)
+{
+    const auto call = range.follower.next(m_state.clock.now());
+    if (!call)
+        return;
+    const auto done = [this, &range](const StorePage &page) {
+        m_control.post([this, &range, page] { onPage(range, page); });
+    };
+    if (const auto *list = std::get_if<ListCall>(&*call))
+        return m_store->list(range.prefix, list->after, done);
+    const auto &watch = std::get<WatchCall>(*call);
+    m_store->watchRange(range.prefix, watch.afterRevision, watch.longest, done);
+}
+
+void RangeSource::onPage(Range &range, const StorePage &page)
+{
+    for (const StoreItem &item : range.follower.onAnswer(page, m_state.clock.now()))
+        apply(item);
+    noteReach(range);
+    publish();
+    advance(range);
+}
+
+void RangeSource::noteReach(Range &range)
+{
+    const bool reachable = range.follower.reachable();
+    if (reachable == range.wasReachable)
+        return;
+    range.wasReachable = reachable;
+    logLine(LogPart::store, reachable ? LogLevel::info : LogLevel::warn,
+            reachable ? "Store back." : "Store lost.", {{"range", range.prefix}});
+}
+
+void RangeSource::apply(const StoreItem &item)
+{
+    if (item.deleted)
+        return remove(item);
+    Record record = m_format->read(item);
+    if (const auto *document = std::get_if<ConfigDocument>(&record))
+        return m_control.offer(*document, "store");
+    if (auto *server = std::get_if<ListedServer>(&record))
+        return applyServer(item, std::move(*server));
+    if (const auto *evacuated = std::get_if<EvacuatedDataCentre>(&record)) {
+        m_changed |= m_evacuated.insert(evacuated->name).second;
+        logLine(LogPart::load, LogLevel::info, "Data centre evacuated.",
+                {{"dataCentre", evacuated->name}, {"revision", std::to_string(item.revision)}});
+        return;
+    }
+    if (const auto *bad = std::get_if<BadRecord>(&record)) {
+        logLine(LogPart::store, LogLevel::warn, "Record not readable.",
+                {{"key", item.key},
+                 {"revision", std::to_string(item.revision)},
+                 {"reason", bad->reason}});
+        // Whoever wrote it, it names no server to use any more.
+        remove(item);
+    }
+}
+
+void RangeSource::applyServer(const StoreItem &item, ListedServer server)
+{
+    if (!isLocal(server.server.dataCentre))
+        return;
+    logLine(LogPart::load, LogLevel::info, "Backend server listed.",
+            {{"server", server.server.name},
+             {"pool", server.server.pool},
+             {"address", server.server.address},
+             {"leaving", server.leaving ? "yes" : "no"},
+             {"warmupMs", std::to_string(server.warmup.count() / 1000)},
+             {"revision", std::to_string(item.revision)}});
+    server.revision = item.revision;
+    m_servers.put(std::move(server));
+    m_changed = true;
+}
+
+void RangeSource::remove(const StoreItem &item)
+{
+    const std::string subject = m_format->subject(item.key);
+    m_servers.remove(subject, m_state.clock.now());
+    m_evacuated.erase(subject);
+    m_changed = true;
+    logLine(LogPart::load, LogLevel::info, "Record removed.",
+            {{"key", item.key}, {"revision", std::to_string(item.revision)}});
+}
+
+bool RangeSource::isLocal(const std::string &dataCentre) const
+{
+    const auto &regions = m_state.settings.regions;
+    const auto own = std::find_if(regions.begin(), regions.end(), [&](const Region &region) {
+        return region.name == m_state.settings.region;
+    });
+    return own != regions.end()
+        && std::find(own->dataCentres.begin(), own->dataCentres.end(), dataCentre)
+        != own->dataCentres.end();
+}
+
+void RangeSource::publish()
+{
+    if (!m_changed)
+        return;
+    m_changed = false;
+    m_state.servers.setListed(m_servers.servers(), m_state.clock.now());
+    m_state.servers.setEvacuated(m_evacuated);
+    m_control.publishRouting();
+}
+
+} // namespace ibisnotch
--- /dev/null
+++ b/src/entry/range-source.h
@@ -0,0 +1,89 @@
+// Configuration, live backend servers and evacuated data centres from ranges of the platform's
+// store.
+#pragma once
+
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "control.h"
+#include "ibisnotch/prefix-follower.h"
+#include "ibisnotch/server-list.h"
+#include "ibisnotch/store.h"
+#include "state-source.h"
+
+namespace ibisnotch {
+
+struct EvacuatedDataCentre
+{
+    std::string name;
+    bool operator==(const EvacuatedDataCentre &) const = default;
+};
+
+// A record that cannot be read, with the reason.
+struct BadRecord
+{
+    std::string reason;
+    bool operator==(const BadRecord &) const = default;
+};
+
+// A key that this version does not know.
+struct OtherRecord
+{
+    bool operator==(const OtherRecord &) const = default;
+};
+
+using Record
+    = std::variant<ConfigDocument, ListedServer, EvacuatedDataCentre, BadRecord, OtherRecord>;
+
+// How the platform writes its records.
+class RecordFormat
+{
+public:
+    virtual ~RecordFormat() = default;
+    // The ranges to follow.
+    virtual std::vector<std::string> prefixes() const = 0;
+    virtual Record read(const StoreItem &item) const = 0;
+    // The server or data centre that a key is about.
+    virtual std::string subject(const std::string &key) const = 0;
+};
+
+class RangeSource final : public StateSource
+{
+public:
+    RangeSource(EntryState &state, Control &control, std::unique_ptr<RangeStore> store,
+                std::unique_ptr<RecordFormat> format);
+
+    void tick() override;
+
+private:
+    struct Range
+    {
+        std::string prefix;
+        PrefixFollower follower;
+        bool wasReachable = true;
+    };
+
+    void advance(Range &range);
+    void onPage(Range &range, const StorePage &page);
+    void noteReach(Range &range);
+    void apply(const StoreItem &item);
+    void applyServer(const StoreItem &item, ListedServer server);
+    void remove(const StoreItem &item);
+    void publish();
+    bool isLocal(const std::string &dataCentre) const;
+
+    EntryState &m_state;
+    Control &m_control;
+    std::unique_ptr<RangeStore> m_store;
+    std::unique_ptr<RecordFormat> m_format;
+    std::vector<std::unique_ptr<Range>> m_ranges;
+    ServerList m_servers;
+    std::set<std::string> m_evacuated;
+    bool m_changed = false;
+};
+
+} // namespace ibisnotch
--- /dev/null
+++ b/src/entry/rule-filters.cc
@@ -0,0 +1,78 @@
+// Checks of interfaces that choose a service by host and path.
+#include <algorithm>
+
+#include "filters.h"
+#include "ibisnotch/hash.h"
+
+namespace ibisnotch {
+
+namespace {
+
+class RuleFilter final : public Filter
+{
+public:
+    explicit RuleFilter(EntryState &state) : m_state(state) { }
+
+    std::optional<Refusal> apply(Exchange &exchange) override
+    {
+        const FleetConfig &config = exchange.config();
+        const HttpRequest &request = exchange.request;
+        exchange.service = findByPath(config, exchange.host, request.path);
+        if (exchange.service == nullptr)
+            return Refusal{ResultCode::unknownService, "", {}};
+        if (config.customers.empty())
+            return Refusal{ResultCode::unknownCustomer, "", {}};
+        exchange.customer = &config.customers.begin()->second;
+        exchange.trace.service = exchange.service->name;
+        exchange.trace.customer = exchange.customer->name;
+        if (request.body.size() > static_cast<std::size_t>(config.limits.maxBodyBytes))
+            return Refusal{ResultCode::bodyTooLarge, "", {}};
+        exchange.pool = drawPool(*exchange.service, m_state.random.uniform());
+        exchange.streaming = exchange.service->streams;
+        exchange.prefix = sharedPrefix(exchange.prompt);
+        exchange.fingerprint
+            = hash128Hex(exchange.host + request.path, request.query, request.body);
+        return std::nullopt;
+    }
+
+private:
+    // Of all parts but the last, which is the request's own; 0 if it shares nothing.
+    static std::uint64_t sharedPrefix(const Prompt &prompt)
+    {
+        std::uint64_t hash = 0;
+        for (std::size_t i = 0; i + 1 < prompt.parts.size(); ++i)
+            hash = hash64(std::to_string(prompt.parts[i].name), hash);
+        return hash;
+    }
+
+    EntryState &m_state;
+};
+
+class WaitFilter final : public Filter
+{
+public:
+    std::optional<Refusal> apply(Exchange &exchange) override
+    {
+        Duration wait = exchange.service->deadline;
+        if (exchange.callerWait)
+            wait = std::min(wait, *exchange.callerWait);
+        if (wait.count() <= 0)
+            return Refusal{ResultCode::deadlinePassed, "", {}};
+        exchange.deadline = exchange.arrived + wait;
+        return std::nullopt;
+    }
+};
+
+} // namespace
+
+std::unique_ptr<Filter> makeRuleFilter(EntryState &state)
+{
+    return std::make_unique<RuleFilter>(state);
+}
+
+std::unique_ptr<Filter> makeWaitFilter()
+{
+    return std::make_unique<WaitFilter>();
+}
+
+} // namespace ibisnotch
--- a/src/entry/state.cc
+++ b/src/entry/state.cc
@@ -1,5 +1,7 @@
 #include "state.h"
 
+#include <fmt/format.h>
+
 namespace ibisnotch {
 
 namespace {
@@ -14,12 +16,22 @@
 
 } // namespace
 
-EntryState::EntryState(ProcessSettings from)
+EntryState::EntryState(ProcessSettings from, std::unique_ptr<ConfigFormat> format)
     : settings(std::move(from)), incarnation(newIncarnation()), random(randomSeed()),
-      gate(settings.region), servers(ServerTable::Limits{}),
+      gate(settings.region, std::move(format)), servers(ServerTable::Limits{}),
       quarantine(settings.name, Quarantine::Limits{}),
       issuedKeys(settings.name, incarnation, IssuedKeys::Limits{}), traces(tracesKept)
 {
 }
 
+bool isReady(const EntryState &state)
+{
+    return state.gate.version() > 0 && !state.stopping;
+}
+
+std::string newRequestId(EntryState &state)
+{
+    return fmt::format("{}-{:016x}", state.settings.name, state.random.next());
+}
+
 } // namespace ibisnotch
--- a/src/entry/state.h
+++ b/src/entry/state.h
@@ -29,7 +29,8 @@
 // Set once; the control loop and the request threads both use it.
 struct EntryState
 {
-    explicit EntryState(ProcessSettings from);
+    explicit EntryState(ProcessSettings from, std::unique_ptr<ConfigFormat> format
+                        = std::make_unique<OverlayFormat>());
 
     Hop hop() const { return {settings.name, settings.region}; }
 
@@ -62,4 +63,10 @@
     std::atomic<int> inFlight = 0;
 };
 
+// Serves callers: a configuration is in force, and no stop is under way.
+bool isReady(const EntryState &state);
+
+// A name for a request that its caller did not name.
+std::string newRequestId(EntryState &state);
+
 } // namespace ibisnotch
--- a/src/experiment/experiment.cc
+++ b/src/experiment/experiment.cc
@@ -237,7 +237,8 @@
         if (m_setup.loseRegion && m_now > lossAt)
             question.reachable = {"b", "c"};
         question.service = call->service;
-        question.homeLoad = summarize(question.home, *call->service, candidates);
+        question.loadName = call->service->name;
+        question.homeLoad = summarize(question.home, question.loadName, candidates);
         question.weights = m_setup.weights;
         question.oneWay = std::chrono::milliseconds(80);
         const Spreading spreading = m_setup.policy.spreading;
@@ -362,7 +363,7 @@
         }
         const auto candidates = candidatesFor(m_entries[region][0]->table, m_plain, {});
         for (const Service *service : {&m_plain, &m_valuable})
-            publish(region, summarize(regionName(region), *service, candidates));
+            publish(region, summarize(regionName(region), service->name, candidates));
     }
 
     void publish(int region, const RegionLoad &summary)
--- a/src/net/config-admin.cc
+++ b/src/net/config-admin.cc
@@ -143,6 +143,7 @@
     case StoreEnd::conflict:
         return absl::AbortedError("another operator was first; nothing was changed, see diff");
     case StoreEnd::notApplied:
+    case StoreEnd::historyLost:
         return unavailable();
     case StoreEnd::unknown:
         return settleUnknown(draft);
--- a/src/net/http-client.cc
+++ b/src/net/http-client.cc
@@ -56,6 +56,7 @@
         bool cancelled = false;
         bool timedOut = false;
         bool paused = false;
+        int sends = 0;
         std::chrono::steady_clock::time_point started;
         std::chrono::steady_clock::time_point progress;
         std::unique_ptr<asio::steady_timer> timer;
@@ -104,6 +105,16 @@
         armTimer(transfer);
     }
 
+    void cancel(const AnswerSink *sink)
+    {
+        for (const auto &[easy, transfer] : m_transfers) {
+            if (transfer->sink.get() != sink)
+                continue;
+            transfer->cancelled = true;
+            return finish(easy, CURLE_ABORTED_BY_CALLBACK);
+        }
+    }
+
     asio::io_context m_io;
 
 private:
@@ -114,9 +125,22 @@
         for (const auto &[name, value] : request.headers.fields())
             transfer.headerList
                 = curl_slist_append(transfer.headerList, (name + ": " + value).c_str());
+        // What libcurl would add by itself.
         transfer.headerList = curl_slist_append(transfer.headerList, "Expect:");
+        for (const char *name : {"Accept", "Content-Type"}) {
+            if (!request.headers.get(name))
+                transfer.headerList
+                    = curl_slist_append(transfer.headerList, (std::string(name) + ":").c_str());
+        }
         curl_easy_setopt(easy, CURLOPT_PRIVATE, &transfer);
         curl_easy_setopt(easy, CURLOPT_URL, request.url.c_str());
+        if (!request.target.empty())
+            curl_easy_setopt(easy, CURLOPT_REQUEST_TARGET, request.target.c_str());
+        if (request.longestIdle.count() > 0)
+            curl_easy_setopt(easy, CURLOPT_MAXAGE_CONN,
+                             static_cast<long>(request.longestIdle.count()));
+        curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, &Private::onSend);
+        curl_easy_setopt(easy, CURLOPT_PREREQDATA, &transfer);
         curl_easy_setopt(easy, CURLOPT_PROXY, "");
         curl_easy_setopt(easy, CURLOPT_HTTP_VERSION, CURL_HTTP_VERSION_1_1);
         curl_easy_setopt(easy, CURLOPT_HTTPHEADER, transfer.headerList);
@@ -140,6 +164,12 @@
         }
     }
 
+    static int onSend(void *user, char *, char *, int, int)
+    {
+        auto &transfer = *static_cast<Transfer *>(user);
+        return ++transfer.sends > 1 ? CURL_PREREQFUNC_ABORT : CURL_PREREQFUNC_OK;
+    }
+
     static std::size_t onHeader(char *data, std::size_t size, std::size_t count, void *user)
     {
         auto &transfer = *static_cast<Transfer *>(user);
@@ -280,7 +310,7 @@
         const auto found = m_transfers.find(easy);
         const std::shared_ptr<Transfer> transfer = found->second;
         TransferResult result;
-        result.sent = wasSent(easy);
+        result.sent = transfer->sends > 0;
         result.answered = transfer->answered;
         result.end = endOf(*transfer, code, result.sent);
         transfer->timer->cancel();
@@ -291,13 +321,6 @@
         transfer->sink->onEnd(result);
     }
 
-    static bool wasSent(CURL *easy)
-    {
-        long requestBytes = 0;
-        curl_easy_getinfo(easy, CURLINFO_REQUEST_SIZE, &requestBytes);
-        return requestBytes > 0;
-    }
-
     static TransferEnd endOf(const Transfer &transfer, CURLcode code, bool sent)
     {
         if (transfer.cancelled)
@@ -379,6 +402,11 @@
                });
 }
 
+void HttpClient::cancel(const AnswerSink *sink)
+{
+    m_d->cancel(sink);
+}
+
 void HttpClient::post(std::function<void()> task)
 {
     asio::post(m_d->m_io, std::move(task));
--- a/src/net/http-server.cc
+++ b/src/net/http-server.cc
@@ -2,7 +2,9 @@
 
 #include <atomic>
 #include <future>
+#include <mutex>
 #include <thread>
+#include <unordered_map>
 #include <vector>
 
 #include <restinio/all.hpp>
@@ -11,8 +13,85 @@
 
 namespace {
 
+// What a connection's answers under way share with whoever hears that the connection closed.
+class AnswerState
+{
+public:
+    std::atomic<std::size_t> pending = 0;
+
+    bool closed() const { return m_closed; }
+
+    void onClosed(std::function<void()> task)
+    {
+        {
+            const std::lock_guard lock(m_mutex);
+            if (!m_closed) {
+                m_task = std::move(task);
+                return;
+            }
+        }
+        task();
+    }
+
+    void close()
+    {
+        std::function<void()> task;
+        {
+            const std::lock_guard lock(m_mutex);
+            m_closed = true;
+            task.swap(m_task);
+        }
+        if (task)
+            task();
+    }
+
+private:
+    std::mutex m_mutex;
+    std::atomic<bool> m_closed = false;
+    std::function<void()> m_task;
+};
+
+// Tells answers under way that their connection has closed. RESTinio reports a close at once only
+// while it reads ahead, which the server below lets it do; without that, work for a caller that has
+// left goes on until its answer is written.
+class ConnectionBook
+{
+public:
+    void add(restinio::connection_id_t id, const std::shared_ptr<AnswerState> &state)
+    {
+        const std::lock_guard lock(m_mutex);
+        auto &states = m_states[id];
+        std::erase_if(states, [](const auto &old) { return old.expired(); });
+        states.push_back(state);
+    }
+
+    void state_changed(const restinio::connection_state::notice_t &notice) // NOLINT: RESTinio's name
+    {
+        if (!std::holds_alternative<restinio::connection_state::closed_t>(notice.cause()))
+            return;
+        std::vector<std::weak_ptr<AnswerState>> states;
+        {
+            const std::lock_guard lock(m_mutex);
+            const auto found = m_states.find(notice.connection_id());
+            if (found == m_states.end())
+                return;
+            states = std::move(found->second);
+            m_states.erase(found);
+        }
+        for (const auto &state : states) {
+            if (const auto alive = state.lock())
+                alive->close();
+        }
+    }
+
+private:
+    std::mutex m_mutex;
+    std::unordered_map<restinio::connection_id_t, std::vector<std::weak_ptr<AnswerState>>> m_states;
+};
+
 struct ServerTraits : public restinio::default_traits_t
 {
+    using connection_state_listener_t = ConnectionBook;
     using logger_t = restinio::null_logger_t;
     using request_handler_t
         = std::function<restinio::request_handling_status_t(restinio::request_handle_t)>;
@@ -40,16 +119,21 @@
 class RestinioResponder final : public Responder
 {
 public:
-    explicit RestinioResponder(restinio::request_handle_t request)
+    RestinioResponder(restinio::request_handle_t request, const std::atomic<bool> &closing)
         : m_connection(restinio::impl::access_req_connection(*request)),
-          m_request(std::move(request)), m_state(std::make_shared<State>())
+          m_request(std::move(request)), m_closing(closing),
+          m_state(std::make_shared<AnswerState>())
     {
     }
 
+    const std::shared_ptr<AnswerState> &state() const { return m_state; }
+
     void reply(HttpResponse response) override
     {
         PlainResponse builder = m_request->create_response(statusLine(response.status));
         addFields(builder, response.headers);
+        if (m_closing)
+            builder.connection_close();
         builder.set_body(std::move(response.body));
         builder.done();
     }
@@ -59,6 +143,8 @@
         m_chunked = std::make_unique<ChunkedResponse>(
             m_request->create_response<restinio::chunked_output_t>(statusLine(status)));
         addFields(*m_chunked, headers);
+        if (m_closing)
+            m_chunked->connection_close();
         m_chunked->flush();
     }
 
@@ -72,7 +158,7 @@
         m_chunked->flush([state = m_state, size](const asio::error_code &error) {
             state->pending -= size;
             if (error)
-                state->closed = true;
+                state->close();
         });
     }
 
@@ -97,20 +183,16 @@
             restinio::write_group_t{restinio::writable_items_container_t{}});
     }
 
-    bool closed() const override { return m_state->closed; }
+    bool closed() const override { return m_state->closed(); }
+    void onClosed(std::function<void()> task) override { m_state->onClosed(std::move(task)); }
     std::size_t pendingBytes() const override { return m_state->pending; }
 
 private:
-    struct State
-    {
-        std::atomic<std::size_t> pending = 0;
-        std::atomic<bool> closed = false;
-    };
-
     restinio::impl::connection_handle_t m_connection;
     restinio::request_handle_t m_request;
     std::unique_ptr<ChunkedResponse> m_chunked;
-    std::shared_ptr<State> m_state;
+    const std::atomic<bool> &m_closing;
+    std::shared_ptr<AnswerState> m_state;
 };
 
 HttpRequest toRequest(const restinio::request_t &from)
@@ -130,38 +212,59 @@
 
 } // namespace
 
-class HttpServer::Private
+class HttpLoop::Private
 {
 public:
-    Private(const HttpServerSettings &settings, RequestHandler &handler)
-        : m_server(*new restinio::http_server_t<ServerTraits>(
-            restinio::external_io_context(m_io),
-            [&](restinio::server_settings_t<ServerTraits> &to) {
-                configure(to, settings, handler);
-            }))
+    explicit Private(unsigned threads)
     {
-        for (unsigned i = 0; i < settings.threads; ++i)
-            m_threads.emplace_back([this] { m_io.run(); });
-        std::promise<void> opened;
-        m_server.open_async([&opened] { opened.set_value(); },
-                            [&opened](std::exception_ptr error) { opened.set_exception(error); });
-        try {
-            opened.get_future().get();
-        } catch (...) {
-            stopThreads();
-            throw;
-        }
+        for (unsigned i = 0; i < threads; ++i)
+            m_threads.emplace_back([this] { io.run(); });
     }
 
-    void stopThreads()
+    void stop()
     {
-        m_io.stop();
+        io.stop();
         for (std::thread &thread : m_threads)
             thread.join();
         m_threads.clear();
     }
 
-    static void configure(restinio::server_settings_t<ServerTraits> &to,
+    asio::io_context io;
+
+private:
+    asio::executor_work_guard<asio::io_context::executor_type> m_guard = asio::make_work_guard(io);
+    std::vector<std::thread> m_threads;
+};
+
+HttpLoop::HttpLoop(unsigned threads) : m_d(std::make_unique<Private>(threads)) { }
+
+HttpLoop::~HttpLoop()
+{
+    stop();
+}
+
+void HttpLoop::stop()
+{
+    m_d->stop();
+}
+
+class HttpServer::Private
+{
+public:
+    Private(const HttpServerSettings &settings, RequestHandler &handler, asio::io_context &loop)
+        : io(loop), server(*new restinio::http_server_t<ServerTraits>(
+                        restinio::external_io_context(loop),
+                        [&](restinio::server_settings_t<ServerTraits> &to) {
+                            configure(to, settings, handler);
+                        }))
+    {
+        std::promise<void> opened;
+        server.open_async([&opened] { opened.set_value(); },
+                          [&opened](std::exception_ptr error) { opened.set_exception(error); });
+        opened.get_future().get();
+    }
+
+    void configure(restinio::server_settings_t<ServerTraits> &to,
                           const HttpServerSettings &settings, RequestHandler &handler)
     {
         to.address(settings.address);
@@ -172,6 +275,9 @@
         to.max_parallel_connections(settings.maxConnections);
         to.incoming_http_msg_limits(
             restinio::incoming_http_msg_limits_t{}.max_body_size(settings.maxBodyBytes));
+        // One request ahead is read, so that a close is seen while an answer is under way.
+        to.max_pipelined_requests(2);
+        to.connection_state_listener(m_connections);
         to.concurrent_accepts_count(2);
         to.socket_options_setter([](restinio::socket_options_t &options) {
             options.set_option(asio::ip::tcp::no_delay{true});
@@ -179,44 +285,42 @@
         to.acceptor_options_setter([](restinio::acceptor_options_t &options) {
             options.set_option(asio::ip::tcp::acceptor::reuse_address(true));
         });
-        to.request_handler([&handler](restinio::request_handle_t request) {
+        to.request_handler([this, &handler](restinio::request_handle_t request) {
             HttpRequest plain = toRequest(*request);
-            auto responder = std::make_shared<RestinioResponder>(std::move(request));
+            const auto connection = request->connection_id();
+            auto responder = std::make_shared<RestinioResponder>(std::move(request), closing);
+            m_connections->add(connection, responder->state());
             handler.handle(std::move(plain), std::move(responder));
             return restinio::request_accepted();
         });
     }
 
-    asio::io_context m_io;
-    asio::executor_work_guard<asio::io_context::executor_type> m_guard
-        = asio::make_work_guard(m_io);
+    asio::io_context &io;
+    std::atomic<bool> closing = false;
+    std::shared_ptr<ConnectionBook> m_connections = std::make_shared<ConnectionBook>();
     // Never destroyed. Connections that are still open are freed with the loop and count themselves
     // out of the server's limiter then; a server that went first left them a freed limiter. The
     // other order would leave the server's acceptor a freed loop. Few servers live in a process,
     // and only until it ends.
-    restinio::http_server_t<ServerTraits> &m_server;
-    std::vector<std::thread> m_threads;
+    restinio::http_server_t<ServerTraits> &server;
 };
 
-HttpServer::HttpServer(const HttpServerSettings &settings, RequestHandler &handler)
-    : m_d(std::make_unique<Private>(settings, handler))
+HttpServer::HttpServer(const HttpServerSettings &settings, RequestHandler &handler, HttpLoop &loop)
+    : m_d(std::make_unique<Private>(settings, handler, loop.m_d->io))
 {
 }
 
-HttpServer::~HttpServer()
-{
-    m_d->stopThreads();
-}
+HttpServer::~HttpServer() = default;
 
-void HttpServer::stop()
+void HttpServer::closeAfterAnswers()
 {
-    m_d->stopThreads();
+    m_d->closing = true;
 }
 
 void HttpServer::stopAccepting()
 {
-    asio::post(m_d->m_io,
-               [d = m_d.get()] { d->m_server.close_async([] {}, [](std::exception_ptr) {}); });
+    asio::post(m_d->io,
+               [d = m_d.get()] { d->server.close_async([] {}, [](std::exception_ptr) {}); });
 }
 
 } // namespace ibisnotch
--- a/src/standin-engine.cc
+++ b/src/standin-engine.cc
@@ -392,10 +392,11 @@
     auto engine = std::make_unique<Engine>(settings);
     HttpServerSettings http;
     http.port = static_cast<std::uint16_t>(settings.port);
-    HttpServer server(http, *engine);
+    HttpLoop loop(2);
+    HttpServer server(http, *engine, loop);
     int signal = 0;
     sigwait(&stops, &signal);
-    server.stop();
+    loop.stop();
     engine.reset();
     return 0;
 }
--- a/src/standin-store.cc
+++ b/src/standin-store.cc
@@ -103,6 +103,7 @@
         void finish() override { }
         void abort() override { }
         bool closed() const override { return true; }
+        void onClosed(std::function<void()>) override { }
         std::size_t pendingBytes() const override { return 0; }
     };
 
@@ -313,11 +314,11 @@
     auto store = std::make_unique<StoreStandin>();
     HttpServerSettings settings;
     settings.port = static_cast<std::uint16_t>(port);
-    settings.threads = 2;
-    HttpServer server(settings, *store);
+    HttpLoop loop(2);
+    HttpServer server(settings, *store, loop);
     int signal = 0;
     sigwait(&stops, &signal);
-    server.stop();
+    loop.stop();
     store.reset();
     return 0;
 }
--- a/test/region-choice-test.cc
+++ b/test/region-choice-test.cc
@@ -27,6 +27,7 @@
         question.allowed = {"a", "b", "c"};
         question.reachable = {"b", "c"};
         question.service = &service;
+        question.loadName = service.name;
         question.homeLoad = {"a", "s", 8, 0, 0};
         question.oneWay = 80ms;
         question.awayMargin = 200ms;
