--- a/include/ibisnotch/membership.h
+++ b/include/ibisnotch/membership.h
@@ -72,6 +72,8 @@
     // A dead member is kept, and probed now and then, so that two sides of a healed partition find
     // each other again without an operator.
     Duration forgetDead = std::chrono::hours(1);
+    // How long a dead member may still be sending to backend servers, cut off from us alone.
+    Duration mayStillSend = std::chrono::seconds(30);
     int indirectProbes = 3;
     // The part of the probes that stays in the own region. Load reports travel with those, and a
     // region's instances need them within seconds however many other regions there are.
@@ -106,6 +108,10 @@
     std::vector<Member> members() const; // without self
     std::vector<Member> usable() const; // without self; alive only
 
+    // The instances of the own region that may be sending to its backend servers, self included. One
+    // that was found dead may only be cut off, so it counts for some time longer.
+    std::vector<std::string> senders(TimePoint now) const;
+
     // True once a tick came late by more than the freeze gap; cleared by the call.
     bool takeFreeze();
 
--- a/include/ibisnotch/process-settings.h
+++ b/include/ibisnotch/process-settings.h
@@ -9,6 +9,7 @@
 
 #include "ibisnotch/clock.h"
 #include "ibisnotch/config.h"
+#include "ibisnotch/warmup.h"
 
 namespace ibisnotch {
 
@@ -47,8 +48,11 @@
     double retryShare = 0.1;
     double retrySlack = 45;
     Duration retryWindow = std::chrono::seconds(10);
-    // A stopping instance goes on serving: its callers are told elsewhere to leave it.
-    bool serveWhileStopping = false;
+    WarmupBound warmup; // what a cold server bears beside its pool's rate
+    // How long a stopping instance goes on taking requests. Callers that choose an instance by the
+    // directory come until their copy of its answer is old; what is taken later than this might not
+    // end before the process is killed.
+    Duration serveOn{};
     int workers = 2;
     int maxConnections = 20000;
     Duration idleTimeout = std::chrono::seconds(60);
--- a/include/ibisnotch/server-table.h
+++ b/include/ibisnotch/server-table.h
@@ -57,6 +57,7 @@
     std::atomic<int> inFlight = 0; // sent by this instance and not yet over
     std::atomic<int> sentSinceReport = 0;
     std::atomic<int> endedSinceReport = 0;
+    std::atomic<Duration::rep> warmedAt = 0; // the last request to the server while it was cold
     std::atomic<bool> probing = false; // the one request that tries an ejected server again
 };
 
@@ -112,6 +113,7 @@
     // How much traffic all instances of the region send to these servers, for each request of this
     // one.
     double trafficFactor = 1;
+    std::vector<std::string> senders; // instances that may send to these servers
 };
 
 // The reported load, corrected by what this instance sent and saw end since the report, and by what
@@ -137,7 +139,8 @@
     void setListed(std::map<std::string, ListedServer> listed, TimePoint now);
     // Data centres whose servers get nothing for now.
     void setEvacuated(std::set<std::string> dataCentres);
-    void setSenders(int senders);
+    // The instances of the region that may send to its servers, this one included.
+    void setSenders(std::vector<std::string> senders);
 
     // What a server says with an answer about its load.
     void onAnswerLoad(const std::string &server, std::uint32_t running, std::uint32_t waiting,
@@ -191,7 +194,7 @@
     std::set<std::string> m_evacuated;
     std::map<std::string, Record> m_records;
     std::map<std::uint32_t, std::string> m_names;
-    int m_senders = 1;
+    std::vector<std::string> m_senders;
     double m_reportedTraffic = 0; // both smoothed over reports
     double m_ownTraffic = 0;
 };
--- /dev/null
+++ b/include/ibisnotch/warmup.h
@@ -0,0 +1,31 @@
+// How much of what a cold backend server bears falls to one instance.
+#pragma once
+
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "ibisnotch/clock.h"
+#include "ibisnotch/server-table.h"
+
+namespace ibisnotch {
+
+struct WarmupBound
+{
+    double factor = 1; // of the pool's warm-up rate
+    double slack = 0; // requests a second beside that
+    bool operator==(const WarmupBound &) const = default;
+};
+
+// The time that this instance must leave between two of its requests to the server; empty if others
+// may use up all that the server bears. Returning servers crash when every instance takes them for
+// the least loaded and sends at once, so what one bears in a second is dealt out: to a few senders,
+// the same ones from everyone's view, whole requests each.
+std::optional<Duration> warmupPause(double rate, const WarmupBound &bound,
+                                    const std::vector<std::string> &senders,
+                                    const std::string &self, const std::string &server);
+
+// Takes the right to send one request now. False if the last one was too short a time ago.
+bool takeWarmup(ServerCounters &counters, Duration pause, TimePoint now);
+
+} // namespace ibisnotch
--- a/src/decide/membership.cc
+++ b/src/decide/membership.cc
@@ -338,6 +338,19 @@
     return result;
 }
 
+std::vector<std::string> Membership::senders(TimePoint now) const
+{
+    std::vector<std::string> names{m_self.name};
+    for (const auto &[name, entry] : m_entries) {
+        const bool gone = entry.member.state == MemberState::left
+            || (entry.member.state == MemberState::dead
+                && entry.changed + m_settings.mayStillSend <= now);
+        if (entry.member.region == m_self.region && !gone)
+            names.push_back(name);
+    }
+    return names;
+}
+
 std::vector<Member> Membership::usable() const
 {
     std::vector<Member> result;
--- a/src/decide/process-settings.cc
+++ b/src/decide/process-settings.cc
@@ -53,7 +53,11 @@
     settings.metrics = readAddress(reader, "metrics");
     settings.regions = readRegions(reader);
     settings.entryListLife = reader.duration("entryListLife", settings.entryListLife);
-    settings.serveWhileStopping = reader.flag("serveWhileStopping", true);
+    settings.serveOn = reader.duration("serveOn", settings.serveOn);
+    SettingReader warmup = reader.child("warmup");
+    settings.warmup.factor = warmup.number("factor", 1, 0, mostSlack);
+    settings.warmup.slack = warmup.number("slack", 0, 0, mostSlack);
+    warmup.finish();
     // Time for the process to end by itself before it is killed.
     constexpr Duration endMargin = std::chrono::milliseconds(700);
     settings.drainTime = reader.duration("killedAfter", settings.drainTime) - endMargin;
--- a/src/decide/server-table.cc
+++ b/src/decide/server-table.cc
@@ -125,10 +125,10 @@
     onReport(report, now);
 }
 
-void ServerTable::setSenders(int senders)
+void ServerTable::setSenders(std::vector<std::string> senders)
 {
     const std::lock_guard lock(m_mutex);
-    m_senders = std::max(1, senders);
+    m_senders = std::move(senders);
 }
 
 void ServerTable::startIncarnation(Record &record, const LoadReport &report)
@@ -275,10 +275,12 @@
     const std::lock_guard lock(m_mutex);
     RoutingTable result;
     result.config = m_config;
+    result.senders = m_senders;
     constexpr double leastTraffic = 0.05;
     if (m_ownTraffic > leastTraffic)
         result.trafficFactor
-            = std::clamp(m_reportedTraffic / m_ownTraffic, 1.0, static_cast<double>(m_senders));
+            = std::clamp(m_reportedTraffic / m_ownTraffic, 1.0,
+                                          std::max(1.0, static_cast<double>(m_senders.size())));
     for (const auto &[name, record] : m_records) {
         ServerView view;
         view.server = record.server;
--- /dev/null
+++ b/src/decide/warmup.cc
@@ -0,0 +1,49 @@
+#include "ibisnotch/warmup.h"
+
+#include <algorithm>
+#include <cmath>
+
+#include "ibisnotch/hash.h"
+
+namespace ibisnotch {
+
+namespace {
+
+// Requests that leave a second apart may arrive a little closer.
+constexpr double jitterFactor = 1.06;
+
+} // namespace
+
+std::optional<Duration> warmupPause(double rate, const WarmupBound &bound,
+                                    const std::vector<std::string> &senders,
+                                    const std::string &self, const std::string &server)
+{
+    const auto whole = static_cast<std::size_t>(std::floor(rate * bound.factor + bound.slack));
+    if (whole == 0)
+        return std::nullopt;
+    const std::uint64_t hash = hash64(server);
+    const std::uint64_t own = rendezvousWeight(self, hash);
+    const auto ahead = static_cast<std::size_t>(
+        std::count_if(senders.begin(), senders.end(), [&](const std::string &name) {
+            return name != self && rendezvousWeight(name, hash) > own;
+        }));
+    const std::size_t sharing = std::min(std::max<std::size_t>(senders.size(), 1), whole);
+    if (ahead >= sharing)
+        return std::nullopt;
+    const double each = std::floor(static_cast<double>(whole) / static_cast<double>(sharing));
+    const std::chrono::duration<double> pause(jitterFactor / each);
+    return std::chrono::duration_cast<Duration>(pause);
+}
+
+bool takeWarmup(ServerCounters &counters, Duration pause, TimePoint now)
+{
+    Duration::rep last = counters.warmedAt;
+    const Duration::rep at = now.time_since_epoch().count();
+    do {
+        if (last != 0 && at - last < pause.count())
+            return false;
+    } while (!counters.warmedAt.compare_exchange_weak(last, at));
+    return true;
+}
+
+} // namespace ibisnotch
--- a/src/entry/control.cc
+++ b/src/entry/control.cc
@@ -194,18 +194,12 @@
 
 void Control::publishMembers()
 {
+    m_state.servers.setSenders(m_membership.senders(m_state.clock.now()));
     std::vector<Member> members = m_membership.members();
     members.push_back(m_membership.self());
     const auto old = m_state.members.read();
     if (old && *old == members)
         return;
-    int senders = 0;
-    for (const Member &member : members) {
-        const bool sends = member.region == m_state.settings.region
-            && (member.state == MemberState::alive || member.state == MemberState::leaving);
-        senders += sends ? 1 : 0;
-    }
-    m_state.servers.setSenders(senders);
     if (old) {
         for (const Member &member : members) {
             const auto before = std::find_if(old->begin(), old->end(), [&](const Member &one) {
--- a/src/entry/dispatch-plan.cc
+++ b/src/entry/dispatch-plan.cc
@@ -5,12 +5,15 @@
 
 #include "dispatch.h"
 #include "ibisnotch/entry-list.h"
+#include "ibisnotch/warmup.h"
 
 namespace ibisnotch {
 
 namespace {
 
 constexpr double noServerPause = 2;
+// Two rounds of probes; a member that joins is told the others in its first.
+constexpr Duration membersKnownAfter = std::chrono::seconds(2);
 
 double seconds(Duration duration)
 {
@@ -26,9 +29,36 @@
     // the way to another region.
     if (candidates.empty() && m_failure)
         candidates = candidatesFor(table, *m_exchange->service, {}, m_exchange->pool);
+    std::erase_if(candidates, [&](const Candidate &candidate) {
+        return !mayWarm(table, *candidate.view);
+    });
     return candidates;
 }
 
+// Whether a server that is cold may get a request from this instance now.
+bool Dispatch::mayWarm(const RoutingTable &table, const ServerView &view) const
+{
+    const TimePoint now = m_state.clock.now();
+    if (now >= view.coldUntil)
+        return true;
+    // An instance that has just started does not yet know with whom it shares.
+    if (now < m_state.startedAt + membersKnownAfter)
+        return false;
+    const auto pause = warmingPause(table, view);
+    const Duration::rep last = view.counters->warmedAt;
+    return pause && (last == 0 || now.time_since_epoch().count() - last >= pause->count());
+}
+
+std::optional<Duration> Dispatch::warmingPause(const RoutingTable &table,
+                                               const ServerView &view) const
+{
+    const auto pool = table.config->pools.find(view.server.pool);
+    if (pool == table.config->pools.end())
+        return Duration(0);
+    return warmupPause(pool->second.warmupRate, m_state.settings.warmup, table.senders,
+                       m_state.settings.name, view.server.name);
+}
+
 std::variant<Target, Refusal> Dispatch::plan(bool admit)
 {
     const TimePoint now = m_state.clock.now();
@@ -115,6 +145,7 @@
 
 std::variant<Target, Refusal> Dispatch::pickServer(const RoutingTable &table)
 {
+    const TimePoint now = m_state.clock.now();
     const auto candidates = candidatesIn(table);
     if (candidates.empty())
         return Refusal{ResultCode::noBackendServer, "",
@@ -128,6 +159,13 @@
     trace(fmt::format("picked {} of {}, load {:.1f} of {:.1f} slots", chosen.view->server.name,
                       candidates.size(), chosen.load, chosen.slots));
     const BackendServer &server = chosen.view->server;
+    if (now < chosen.view->coldUntil) {
+        const auto pause = warmingPause(table, *chosen.view);
+        // Another thread took the right in between.
+        if (!pause || !takeWarmup(*chosen.view->counters, *pause, now))
+            return Refusal{ResultCode::noBackendServer, "",
+                           spreadRetryAfter(noServerPause, m_state.random)};
+    }
     return Target{false,
                   server.name,
                   m_state.settings.region,
--- a/src/entry/dispatch.h
+++ b/src/entry/dispatch.h
@@ -50,6 +50,8 @@
     // Choice of a target.
     std::variant<Target, Refusal> plan(bool admit);
     std::vector<Candidate> candidatesIn(const RoutingTable &table) const;
+    bool mayWarm(const RoutingTable &table, const ServerView &view) const;
+    std::optional<Duration> warmingPause(const RoutingTable &table, const ServerView &view) const;
     AdmissionQuestion admissionQuestion(const RegionLoad &load, bool away) const;
     std::variant<Target, Refusal> planAway(const std::string &region);
     std::variant<Target, Refusal> pickServer(const RoutingTable &table);
--- a/src/entry/gateway.cc
+++ b/src/entry/gateway.cc
@@ -10,6 +10,8 @@
 namespace {
 
 constexpr std::size_t longestRequestId = 64;
+// Another instance serves the caller as soon as it asks there.
+constexpr Duration comeBackElsewhere = std::chrono::milliseconds(50);
 
 } // namespace
 
@@ -86,8 +88,8 @@
     exchange->table = m_state.routing.read();
     if (!exchange->table || !exchange->table->config)
         return refuse(*exchange, {ResultCode::notReady, "", spreadRetryAfter(1, m_state.random)});
-    if (m_state.stopping && !m_state.settings.serveWhileStopping)
-        return refuse(*exchange, {ResultCode::stopping, "", spreadRetryAfter(1, m_state.random)});
+    if (m_state.stopping && m_state.clock.now() >= m_state.servesUntil.load())
+        return refuse(*exchange, {ResultCode::stopping, "", comeBackElsewhere});
     for (const auto &filter : m_filters) {
         if (const auto refusal = filter->apply(*exchange))
             return refuse(*exchange, *refusal);
--- a/src/entry/instance.cc
+++ b/src/entry/instance.cc
@@ -10,7 +10,7 @@
 
 constexpr auto drainPoll = std::chrono::milliseconds(20);
 // Callers that hold our address for a moment longer are refused with a list of the others.
-constexpr auto goodbyeTime = std::chrono::milliseconds(500);
+constexpr Duration goodbyeTime = std::chrono::milliseconds(500);
 // Callers that were told of this instance before it began to stop come until their list is over;
 // some keep it three times as long.
 constexpr int listLives = 3;
@@ -94,15 +94,15 @@
             {{"inFlight", std::to_string(m_state.inFlight)}});
     const TimePoint began = m_state.clock.now();
     const TimePoint until = began + m_state.settings.drainTime;
+    m_state.servesUntil = began + m_state.settings.serveOn;
     m_state.stopping = true;
     m_control->leave();
     HttpServer &callers = *m_servers.back();
     callers.closeAfterAnswers();
-    if (m_state.settings.serveWhileStopping) {
-        const TimePoint told = began + listLives * m_state.settings.entryListLife;
-        std::this_thread::sleep_for(std::min(told, until) - began - goodbyeTime);
-    }
-    std::this_thread::sleep_for(goodbyeTime);
+    // Whoever still comes is told at once to go elsewhere, rather than find nobody.
+    const Duration told = listLives * m_state.settings.entryListLife;
+    const bool named = m_state.settings.serveOn.count() > 0;
+    std::this_thread::sleep_for(named ? std::min(told, m_state.settings.drainTime) : goodbyeTime);
     callers.stopAccepting();
     while (busy()) {
         if (m_state.clock.now() >= until)
--- a/src/entry/state.h
+++ b/src/entry/state.h
@@ -37,6 +37,7 @@
     const ProcessSettings settings;
     const std::uint64_t incarnation;
     SystemClock clock;
+    const TimePoint startedAt = clock.now();
     Random random;
 
     ConfigGate gate;
@@ -60,6 +61,7 @@
     TraceBook traces;
 
     std::atomic<bool> stopping = false;
+    std::atomic<TimePoint> servesUntil{}; // while stopping
     std::atomic<int> inFlight = 0;
 };
 
--- a/test/server-table-test.cc
+++ b/test/server-table-test.cc
@@ -165,7 +165,7 @@
 // instances. Why: what others send is learnt from reports, not taken to be as much as our own.
 TEST_CASE_METHOD(TableFixture, "trafficFactor_ofUnevenCallers_isLearntFromReports")
 {
-    table.setSenders(3);
+    table.setSenders({"a", "b", "c"});
     const auto counters = table.table(now).servers.at(1).counters;
     const auto learn = [&](std::uint32_t reported, int own) {
         counters->inFlight = own;
