--- a/include/ibisnotch/entry-list.h
+++ b/include/ibisnotch/entry-list.h
@@ -24,9 +24,19 @@
 EntryList makeEntryList(const std::vector<Member> &members, const std::string &callerRegion,
                         const std::vector<std::string> &allowedRegions, Random &random);
 
-// For callers that pick any of the named instances: all that are alive in the caller's region, or,
-// if none is, in all others. In random order.
-EntryList makeLocalEntryList(const std::vector<Member> &members, const std::string &callerRegion,
-                             Duration lifetime, Random &random);
+struct LocalEntryQuestion
+{
+    std::string callerRegion;
+    // Where every request may run; a caller may use one answer for several hosts. With all instances of its region stopped for
+    // planned work, a caller sent anywhere else would hand its data to a region that may not have
+    // it.
+    std::vector<std::string> homes;
+    Duration lifetime{};
+};
+
+// For callers that pick any of the named instances: all that are alive in the caller's region; if
+// none is, in the homes; if none is there either, anywhere. In random order.
+EntryList makeLocalEntryList(const std::vector<Member> &members,
+                             const LocalEntryQuestion &question, Random &random);
 
 } // namespace ibisnotch
--- a/include/ibisnotch/log.h
+++ b/include/ibisnotch/log.h
@@ -20,6 +20,8 @@
 // Lines go to standard output. `instance` is added to each line.
 void startLog(const std::string &instance, const std::string &level);
 
+void setLogLevel(const std::string &level);
+
 // Neither request text nor prices nor keys may be passed as fields: partners share these logs.
 void logLine(LogPart part, LogLevel level, std::string_view sentence,
              std::initializer_list<LogField> fields = {});
--- a/include/ibisnotch/membership.h
+++ b/include/ibisnotch/membership.h
@@ -102,6 +102,7 @@
     std::vector<SendProbe> spread(int fanout, Random &random);
 
     void leave();
+    void setSeeds(std::vector<std::string> seeds) { m_seeds = std::move(seeds); }
     void setLoadPercent(std::uint8_t percent) { m_self.loadPercent = percent; }
 
     const Member &self() const { return m_self; }
--- a/src/decide/config.cc
+++ b/src/decide/config.cc
@@ -437,6 +437,20 @@
     return best;
 }
 
+std::vector<std::string> commonRegions(const FleetConfig &config)
+{
+    std::vector<std::string> common;
+    for (const Region &region : config.regions) {
+        const bool allowed
+            = std::all_of(config.services.begin(), config.services.end(), [&](const auto &entry) {
+                  return permits(entry.second.regions, region.name);
+              });
+        if (allowed)
+            common.push_back(region.name);
+    }
+    return common;
+}
+
 std::string drawPool(const Service &service, double uniform)
 {
     double total = 0;
--- a/src/decide/entry-list.cc
+++ b/src/decide/entry-list.cc
@@ -48,24 +48,31 @@
     return list;
 }
 
-EntryList makeLocalEntryList(const std::vector<Member> &members, const std::string &callerRegion,
-                             Duration lifetime, Random &random)
+EntryList makeLocalEntryList(const std::vector<Member> &members,
+                             const LocalEntryQuestion &question, Random &random)
 {
     constexpr std::size_t mostNamed = 64;
     std::vector<Member> local;
+    std::vector<Member> homes;
     std::vector<Member> others;
     for (const Member &member : members) {
         if (member.state != MemberState::alive)
             continue;
-        (member.region == callerRegion ? local : others).push_back(member);
+        const bool home = std::find(question.homes.begin(), question.homes.end(), member.region)
+            != question.homes.end();
+        const bool near = member.region == question.callerRegion;
+        (near ? local : home ? homes : others).push_back(member);
     }
     EntryList list;
-    list.instances = local.empty() ? std::move(others) : std::move(local);
+    if (!local.empty())
+        list.instances = std::move(local);
+    else
+        list.instances = homes.empty() ? std::move(others) : std::move(homes);
     for (std::size_t i = list.instances.size(); i > 1; --i)
         std::swap(list.instances[i - 1], list.instances[random.below(i)]);
     if (list.instances.size() > mostNamed)
         list.instances.resize(mostNamed);
-    list.lifetime = lifetime;
+    list.lifetime = question.lifetime;
     return list;
 }
 
--- a/src/entry/control.cc
+++ b/src/entry/control.cc
@@ -80,6 +80,13 @@
     m_link.post([this] { tick(); });
 }
 
+void Control::setSeeds(std::vector<std::string> seeds)
+{
+    m_link.post([this, seeds = std::move(seeds)]() mutable {
+        m_membership.setSeeds(std::move(seeds));
+    });
+}
+
 void Control::stop()
 {
     m_link.stop();
--- a/src/entry/control.h
+++ b/src/entry/control.h
@@ -23,6 +23,9 @@
     void start();
     void stop();
 
+    // Other instances to join through; from any thread.
+    void setSeeds(std::vector<std::string> seeds);
+
     // For sources, on the loop.
     void post(std::function<void()> task) { m_link.post(std::move(task)); }
     void postAfter(Duration delay, std::function<void()> task)
--- a/src/entry/dispatch.cc
+++ b/src/entry/dispatch.cc
@@ -438,6 +438,14 @@
     if (m_mayHaveRun && resultInfo(refusal.code).run == RunState::notRun)
         refusal.code = m_exchange->service->idempotent ? ResultCode::backendFailed
                                                        : ResultCode::outcomeUnknown;
+    // The head of a stream is out, so no other answer can follow on this connection.
+    if (m_streamed) {
+        trace("stream cut: " + std::string(resultInfo(refusal.code).name));
+        m_exchange->responder->abort();
+        settleUnknown();
+        return finish(resultInfo(refusal.code).run == RunState::notRun ? ResultCode::answerCutShort
+                                                                       : refusal.code);
+    }
     // A server's own failure tells the caller more than that there is no better answer.
     if (m_failure) {
         settleUnknown();
--- a/src/entry/instance.cc
+++ b/src/entry/instance.cc
@@ -11,9 +11,10 @@
 constexpr auto drainPoll = std::chrono::milliseconds(20);
 // Callers that hold our address for a moment longer are refused with a list of the others.
 constexpr Duration goodbyeTime = std::chrono::milliseconds(500);
-// Callers that were told of this instance before it began to stop come until their list is over;
-// some keep it three times as long.
-constexpr int listLives = 3;
+// Callers that were told of this instance before it began to stop come until their list is over.
+// Some keep it longer and find nobody; they then ask elsewhere, and an instance that is back sooner
+// leaves its region short of one for less time.
+constexpr Duration afterServing = std::chrono::milliseconds(300);
 
 } // namespace
 
@@ -83,6 +84,19 @@
     m_servers.push_back(std::make_unique<HttpServer>(settings, handler, *m_loop));
 }
 
+void Instance::reload(const ProcessSettings &settings)
+{
+    ProcessSettings taken = m_state.settings;
+    taken.seeds = settings.seeds;
+    taken.logLevel = settings.logLevel;
+    setLogLevel(settings.logLevel);
+    m_control->setSeeds(settings.seeds);
+    logLine(LogPart::entry, LogLevel::info, "Reloaded.",
+            {{"seeds", std::to_string(settings.seeds.size())},
+             {"logLevel", settings.logLevel},
+             {"waitsForRestart", taken == settings ? "nothing" : "other settings"}});
+}
+
 bool Instance::busy()
 {
     return m_state.inFlight > 0 || (m_desk && m_desk->busy());
@@ -100,9 +114,8 @@
     HttpServer &callers = *m_servers.back();
     callers.closeAfterAnswers();
     // Whoever still comes is told at once to go elsewhere, rather than find nobody.
-    const Duration told = listLives * m_state.settings.entryListLife;
-    const bool named = m_state.settings.serveOn.count() > 0;
-    std::this_thread::sleep_for(named ? std::min(told, m_state.settings.drainTime) : goodbyeTime);
+    const Duration serveOn = m_state.settings.serveOn;
+    std::this_thread::sleep_for(serveOn.count() > 0 ? serveOn + afterServing : goodbyeTime);
     callers.stopAccepting();
     while (busy()) {
         if (m_state.clock.now() >= until)
--- a/src/entry/instance.h
+++ b/src/entry/instance.h
@@ -23,6 +23,9 @@
     Instance(const Instance &) = delete;
     Instance &operator=(const Instance &) = delete;
 
+    // Takes what may change while the instance runs; the rest waits for the next start.
+    void reload(const ProcessSettings &settings);
+
     // Finishes what is in flight. Returns false if the drain time ran out first.
     bool drain();
 
--- a/src/ibisnotch-entry.cc
+++ b/src/ibisnotch-entry.cc
@@ -41,11 +41,31 @@
     return end < -1 ? "" : result;
 }
 
-int waitForStop(const sigset_t &stops)
+absl::StatusOr<ProcessSettings> readSettings(const std::string &path)
 {
-    int signal = 0;
-    sigwait(&stops, &signal);
-    return signal;
+    const auto text = readFile(path);
+    return text.ok() ? parseProcessSettings(*text, path) : text.status();
+}
+
+void reload(Instance &instance, const std::string &path)
+{
+    const auto settings = readSettings(path);
+    if (settings.ok())
+        return instance.reload(*settings);
+    logLine(LogPart::entry, LogLevel::error, "Reload failed; the settings in force stay.",
+            {{"reason", std::string(settings.status().message())}});
+}
+
+// Returns on a signal to stop.
+void waitForStop(const sigset_t &signals, Instance &instance, const std::string &path)
+{
+    for (;;) {
+        int signal = 0;
+        sigwait(&signals, &signal);
+        if (signal != SIGHUP)
+            return;
+        reload(instance, path);
+    }
 }
 
 } // namespace
@@ -53,26 +73,24 @@
 int main(int argc, const char **argv)
 {
     const std::string path = settingsPath(argc, argv);
-    const auto text = readFile(path);
-    const auto settings = text.ok() ? parseProcessSettings(*text, path)
-                                    : absl::StatusOr<ProcessSettings>(text.status());
+    const auto settings = readSettings(path);
     if (!settings.ok()) {
         fmt::print(stderr, "{}\n", std::string(settings.status().message()));
         return exitSettings;
     }
     // Blocked before any thread starts, so that only the wait below takes them.
-    sigset_t stops;
-    sigemptyset(&stops);
-    sigaddset(&stops, SIGINT);
-    sigaddset(&stops, SIGTERM);
-    pthread_sigmask(SIG_BLOCK, &stops, nullptr);
+    sigset_t signals;
+    sigemptyset(&signals);
+    for (const int signal : {SIGINT, SIGTERM, SIGHUP})
+        sigaddset(&signals, signal);
+    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
     (void)std::signal(SIGPIPE, SIG_IGN);
     startLog(settings->name, settings->logLevel);
     try {
         Instance instance(*settings, makeInterfaces(*settings));
         logLine(LogPart::entry, LogLevel::info, "Started.",
                 {{"region", settings->region}, {"callers", settings->callers.text()}});
-        waitForStop(stops);
+        waitForStop(signals, instance, path);
         const bool whole = instance.drain();
         logLine(LogPart::entry, whole ? LogLevel::info : LogLevel::error,
                 whole ? "Stopped." : "Stopped with requests in flight.");
--- a/src/net/log.cc
+++ b/src/net/log.cc
@@ -80,6 +80,11 @@
     root->setLevel(log4cxx::Level::toLevel(level));
 }
 
+void setLogLevel(const std::string &level)
+{
+    log4cxx::Logger::getRootLogger()->setLevel(log4cxx::Level::toLevel(level));
+}
+
 void logLine(LogPart part, LogLevel level, std::string_view sentence,
              std::initializer_list<LogField> fields)
 {
