--- a/include/ibisnotch/config.h
+++ b/include/ibisnotch/config.h
@@ -200,8 +200,8 @@
 // The service whose rule fits best, or null.
 const Service *findByPath(const FleetConfig &config, std::string_view host, std::string_view path);
 
-// The regions where every service may run, in configuration order.
-std::vector<std::string> commonRegions(const FleetConfig &config);
+// How many services may run in each region.
+std::map<std::string, int> servicesAllowed(const FleetConfig &config);
 
 // The pool of a service that a number in [0, 1) falls to; empty for a service without pools.
 std::string drawPool(const Service &service, double uniform);
--- a/include/ibisnotch/entry-list.h
+++ b/include/ibisnotch/entry-list.h
@@ -2,6 +2,7 @@
 // this answer is what balances.
 #pragma once
 
+#include <map>
 #include <string>
 #include <vector>
 
@@ -27,15 +28,15 @@
 struct LocalEntryQuestion
 {
     std::string callerRegion;
-    // Where every request may run; a caller may use one answer for several hosts. With all instances of its region stopped for
-    // planned work, a caller sent anywhere else would hand its data to a region that may not have
-    // it.
-    std::vector<std::string> homes;
+    // How many services may run in each region.
+    std::map<std::string, int> servicesAllowed;
     Duration lifetime{};
 };
 
-// For callers that pick any of the named instances: all that are alive in the caller's region; if
-// none is, in the homes; if none is there either, anywhere. In random order.
+// For callers that pick any of the named instances: all that are alive in the caller's region. If
+// none is, as when all stop in turn for planned work, those of the regions where most services may
+// run: a caller sent elsewhere would hand its data to a region that may not have it. Which service a
+// caller will ask for is not known; it may use one answer for several hosts. In random order.
 EntryList makeLocalEntryList(const std::vector<Member> &members,
                              const LocalEntryQuestion &question, Random &random);
 
--- a/include/ibisnotch/forward-path.h
+++ b/include/ibisnotch/forward-path.h
@@ -21,6 +21,9 @@
 using ForwardPath = std::vector<Hop>;
 
 constexpr std::string_view forwardPathHeader = "X-Ibisnotch-Path";
+// Attempts of the request that may have run so far. Without it, the next instance would allow as
+// many again, and one request would run on more servers than its service permits.
+constexpr std::string_view runsBeforeHeader = "X-Ibisnotch-Runs";
 
 // "bp-1@budapest,gy-1@gyor"
 std::string printForwardPath(const ForwardPath &path);
--- a/src/decide/config.cc
+++ b/src/decide/config.cc
@@ -437,18 +437,16 @@
     return best;
 }
 
-std::vector<std::string> commonRegions(const FleetConfig &config)
+std::map<std::string, int> servicesAllowed(const FleetConfig &config)
 {
-    std::vector<std::string> common;
+    std::map<std::string, int> allowed;
     for (const Region &region : config.regions) {
-        const bool allowed
-            = std::all_of(config.services.begin(), config.services.end(), [&](const auto &entry) {
-                  return permits(entry.second.regions, region.name);
-              });
-        if (allowed)
-            common.push_back(region.name);
+        const auto count = std::count_if(
+            config.services.begin(), config.services.end(),
+            [&](const auto &entry) { return permits(entry.second.regions, region.name); });
+        allowed[region.name] = static_cast<int>(count);
     }
-    return common;
+    return allowed;
 }
 
 std::string drawPool(const Service &service, double uniform)
--- a/src/decide/entry-list.cc
+++ b/src/decide/entry-list.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <limits>
 
 namespace ibisnotch {
 
@@ -52,22 +53,22 @@
                              const LocalEntryQuestion &question, Random &random)
 {
     constexpr std::size_t mostNamed = 64;
-    std::vector<Member> local;
-    std::vector<Member> homes;
-    std::vector<Member> others;
+    const auto rank = [&](const Member &member) {
+        if (member.region == question.callerRegion)
+            return std::numeric_limits<int>::max();
+        const auto found = question.servicesAllowed.find(member.region);
+        return found == question.servicesAllowed.end() ? 0 : found->second;
+    };
+    EntryList list;
+    int best = 0;
     for (const Member &member : members) {
-        if (member.state != MemberState::alive)
+        if (member.state != MemberState::alive || rank(member) < best)
             continue;
-        const bool home = std::find(question.homes.begin(), question.homes.end(), member.region)
-            != question.homes.end();
-        const bool near = member.region == question.callerRegion;
-        (near ? local : home ? homes : others).push_back(member);
+        if (rank(member) > best)
+            list.instances.clear();
+        best = rank(member);
+        list.instances.push_back(member);
     }
-    EntryList list;
-    if (!local.empty())
-        list.instances = std::move(local);
-    else
-        list.instances = homes.empty() ? std::move(others) : std::move(homes);
     for (std::size_t i = list.instances.size(); i > 1; --i)
         std::swap(list.instances[i - 1], list.instances[random.below(i)]);
     if (list.instances.size() > mostNamed)
--- a/src/entry/dispatch.cc
+++ b/src/entry/dispatch.cc
@@ -155,6 +155,8 @@
     ForwardPath path = exchange.path;
     path.push_back(m_state.hop());
     request.headers.add(std::string(forwardPathHeader), printForwardPath(path));
+    request.headers.add(std::string(runsBeforeHeader),
+                        std::to_string(exchange.runsBefore + m_runs));
     const bool holdsRight = m_right == Right::claim || m_right == Right::issuedKey;
     if (holdsRight || exchange.cleared)
         request.headers.add("X-Ibisnotch-Cleared-By", m_state.settings.name);
@@ -331,7 +333,7 @@
     question.idempotent = m_exchange->service->idempotent;
     question.callerHasSeenBytes = callerHasSeenBytes;
     question.attemptsMade = m_attempts;
-    question.runsMade = m_runs;
+    question.runsMade = m_exchange->runsBefore + m_runs;
     question.mostRuns = m_exchange->service->attempts;
     question.remaining = remaining();
     question.expected = m_exchange->service->expected;
--- a/src/entry/exchange.h
+++ b/src/entry/exchange.h
@@ -47,6 +47,7 @@
     std::shared_ptr<const RoutingTable> table;
     const Customer *customer = nullptr; // of the table's configuration
     const Service *service = nullptr;
+    int runsBefore = 0; // attempts that may have run before a peer handed the request on
     std::string host; // for services chosen by host and path
     std::optional<Duration> callerWait; // as the caller gave it
     Prompt prompt;
--- a/src/entry/filters.cc
+++ b/src/entry/filters.cc
@@ -33,6 +33,9 @@
         if (!checked.ok())
             return Refusal{resultCodeOf(checked), std::string(checked.message()), {}};
         exchange.path = *path;
+        const std::string runs = exchange.request.headers.get(runsBeforeHeader).value_or("0");
+        if (!absl::SimpleAtoi(runs, &exchange.runsBefore) || exchange.runsBefore < 0)
+            return Refusal{ResultCode::malformedRequest, std::string(runsBeforeHeader), {}};
         return std::nullopt;
     }
 
