--- a/test/entry-list-test.cc
+++ b/test/entry-list-test.cc
@@ -57,3 +57,25 @@
     CHECK(first["a2"] < 600);
     CHECK(first["a2"] > 50);
 }
+
+// What the caller sees: its data in a region that may not have it. In what order: all instances of
+// its region stop for planned work, one after the other and overlapping; it asks the directory.
+// Why: any other region was named, though one of them has fewer services that may run there.
+TEST_CASE("makeLocalEntryList_noInstanceInTheRegion_namesWhereMostServicesMayRun")
+{
+    std::vector<Member> members = fleet();
+    Random random(1);
+    const LocalEntryQuestion question{"a", {{"a", 9}, {"b", 8}, {"c", 7}}, std::chrono::seconds(2)};
+    CHECK(makeLocalEntryList(members, question, random).instances.size() == 3);
+    for (Member &member : members) {
+        if (member.region == "a")
+            member.state = MemberState::leaving;
+    }
+    const EntryList list = makeLocalEntryList(members, question, random);
+    REQUIRE(list.instances.size() == 2);
+    CHECK(list.instances[0].region == "b");
+    CHECK(list.instances[1].region == "b");
+    for (Member &member : members)
+        member.state = MemberState::dead;
+    CHECK(makeLocalEntryList(members, question, random).instances.empty());
+}
--- /dev/null
+++ b/test/event-stream-test.cc
@@ -0,0 +1,53 @@
+#include "ibisnotch/event-stream.h"
+
+#include <catch2/catch.hpp>
+#include <rapidcheck/catch.h>
+
+using namespace ibisnotch;
+
+namespace {
+
+std::string event(int number)
+{
+    return "id: " + std::to_string(number) + "\ndata: x" + std::to_string(number) + "\n\n";
+}
+
+} // namespace
+
+TEST_CASE("eventStream_cutAnywhere_passesOnWholeEventsOnly")
+{
+    rc::prop("whole events up to the cut", [] {
+        std::string all;
+        const int count = *rc::gen::inRange(1, 8);
+        for (int i = 0; i < count; ++i)
+            all += event(i);
+        const auto cut = *rc::gen::inRange<std::size_t>(0, all.size() + 1);
+        EventStream stream("");
+        std::string out;
+        std::size_t begin = 0;
+        while (begin < cut) {
+            const auto size = std::min(cut - begin, *rc::gen::inRange<std::size_t>(1, 9));
+            RC_ASSERT(stream.take(all.substr(begin, size), out));
+            begin += size;
+        }
+        RC_ASSERT(all.compare(0, out.size(), out) == 0);
+        RC_ASSERT((out.empty() || out.ends_with("\n\n")));
+        RC_ASSERT((stream.whole() == (out.size() == cut)));
+        RC_ASSERT((out.empty() == stream.lastEvent().empty()));
+    });
+}
+
+// What the caller sees: a piece twice, or pieces of two answers. In what order: a stream breaks
+// off, it goes on at another server, which starts too early. Why: numbers that do not rise show it.
+TEST_CASE("eventStream_numberThatDoesNotRise_isRefused")
+{
+    EventStream stream("4");
+    std::string out;
+    CHECK(stream.take(event(5), out));
+    CHECK_FALSE(stream.take(event(5), out));
+    CHECK(out == event(5));
+    EventStream resumed("4");
+    CHECK_FALSE(resumed.take(event(4), out));
+    EventStream unnumbered("");
+    CHECK_FALSE(unnumbered.take("data: x\n\n", out));
+}
--- /dev/null
+++ b/test/path-rule-test.cc
@@ -0,0 +1,69 @@
+#include <catch2/catch.hpp>
+
+#include "ibisnotch/config.h"
+
+using namespace ibisnotch;
+using namespace std::chrono_literals;
+
+namespace {
+
+struct PathRuleFixture
+{
+    FleetConfig config;
+
+    Service &add(const std::string &name, const std::string &host, const std::string &prefix)
+    {
+        Service &service = config.services[name];
+        service.name = name;
+        service.rule = PathRule{host, prefix};
+        return service;
+    }
+
+    std::string find(const std::string &host, const std::string &path) const
+    {
+        const Service *service = findByPath(config, host, path);
+        return service == nullptr ? "" : service->name;
+    }
+};
+
+} // namespace
+
+TEST_CASE_METHOD(PathRuleFixture, "findByPath_severalPrefixes_takesTheLongestOfTheHost")
+{
+    add("short", "a.example", "/x/");
+    add("long", "a.example", "/x/y/");
+    add("other", "b.example", "/x/y/z/");
+    config.services["named"].name = "named";
+    CHECK(find("a.example", "/x/1") == "short");
+    CHECK(find("a.example", "/x/y/1") == "long");
+    CHECK(find("a.example", "/x/y/z/1") == "long");
+    CHECK(find("a.example", "/x") == "");
+    CHECK(find("c.example", "/x/1") == "");
+}
+
+TEST_CASE_METHOD(PathRuleFixture, "drawPool_weights_divideTheRange")
+{
+    Service &service = add("s", "a", "/");
+    CHECK(drawPool(service, 0.5) == "");
+    service.pools = {{"p", 90}, {"q", 10}};
+    CHECK(drawPool(service, 0) == "p");
+    CHECK(drawPool(service, 0.899) == "p");
+    CHECK(drawPool(service, 0.901) == "q");
+    service.pools = {{"p", 0}, {"q", 0}};
+    CHECK(drawPool(service, 0.5) == "q");
+}
+
+TEST_CASE_METHOD(PathRuleFixture, "servicesAllowed_servicesWithHomes_countOnlyThere")
+{
+    config.regions = {{"a", {}}, {"b", {}}};
+    add("free", "h", "/1/");
+    add("bound", "h", "/2/").regions = {"b"};
+    CHECK(servicesAllowed(config) == std::map<std::string, int>{{"a", 1}, {"b", 2}});
+}
+
+TEST_CASE_METHOD(PathRuleFixture, "completeServices_withoutExpectedTime_takesHalfOfTheTarget")
+{
+    add("s", "h", "/").target = 800ms;
+    completeServices(config);
+    CHECK(config.services["s"].expected == 400ms);
+}
--- a/test/pick-test.cc
+++ b/test/pick-test.cc
@@ -96,3 +96,28 @@
     table.servers[5].counters->probing = true;
     CHECK(candidatesFor(table, service, {"tried"}).size() == 1);
 }
+
+TEST_CASE_METHOD(RoutingFixture, "affinityRegion_serversOfAllRegions_agreeOnOneHolder")
+{
+    add("a1", 0, 8);
+    add("a2", 0, 8);
+    finish();
+    RoutingTable here;
+    here.remote = {{"b1", "b", "p"}, {"c1", "c", "p"}, {"x", "b", "other"}};
+    RoutingFixture other;
+    other.add("b1", 0, 8);
+    other.finish();
+    RoutingTable there;
+    there.remote = {{"a1", "a", "p"}, {"a2", "a", "p"}, {"c1", "c", "p"}};
+    std::map<std::string, int> counts;
+    for (std::uint64_t prefix = 1; prefix < 400; ++prefix) {
+        const std::string region
+            = affinityRegion(here, candidates, "a", "p", {"a", "b", "c"}, prefix);
+        CHECK(region == affinityRegion(there, other.candidates, "b", "p", {"a", "b", "c"}, prefix));
+        CHECK(affinityRegion(here, candidates, "a", "p", {"a", "b"}, prefix) != "c");
+        ++counts[region];
+    }
+    CHECK(counts["a"] > 150);
+    CHECK(counts["b"] > 60);
+    CHECK(counts["c"] > 60);
+}
--- /dev/null
+++ b/test/prefix-follower-test.cc
@@ -0,0 +1,151 @@
+#include "ibisnotch/prefix-follower.h"
+
+#include <catch2/catch.hpp>
+#include <rapidcheck/catch.h>
+
+using namespace ibisnotch;
+using namespace std::chrono_literals;
+
+namespace {
+
+struct FollowerFixture
+{
+    TimePoint now{10s};
+    PrefixFollower follower;
+
+    std::vector<StoreItem> answer(StorePage page)
+    {
+        REQUIRE(follower.next(now));
+        const auto changes = follower.onAnswer(page, now);
+        now += 2s;
+        return changes;
+    }
+
+    static StorePage page(std::vector<StoreItem> items, std::uint64_t asOf, bool more = false)
+    {
+        return {StoreEnd::ok, std::move(items), more, asOf};
+    }
+
+    static StorePage failed(StoreEnd end) { return {end, {}, false, 0}; }
+};
+
+} // namespace
+
+TEST_CASE_METHOD(FollowerFixture, "prefixFollower_ofTwoPages_watchesFromTheFirstPagesRevision")
+{
+    CHECK(follower.next(now) == FollowCall(ListCall{""}));
+    CHECK_FALSE(follower.next(now));
+    CHECK(follower.onAnswer(page({{"a", "1", 3, false}}, 7, true), now).size() == 1);
+    CHECK_FALSE(follower.complete());
+    CHECK(follower.next(now) == FollowCall(ListCall{"a"}));
+    CHECK(follower.onAnswer(page({{"b", "2", 9, false}}, 11), now).size() == 1);
+    CHECK(follower.complete());
+    const auto call = follower.next(now);
+    REQUIRE(call);
+    CHECK(std::get<WatchCall>(*call).afterRevision == 7);
+}
+
+// What callers see: work sent to a server that has left. In what order: the store forgets its
+// history, the server's entry goes meanwhile, the range is read again. Why: only the comparison of
+// the new pages with what was known shows the removal.
+TEST_CASE_METHOD(FollowerFixture, "prefixFollower_historyLost_findsWhatWasRemovedMeanwhile")
+{
+    answer(page({{"a", "1", 3, false}, {"b", "1", 4, false}}, 5));
+    CHECK(answer(failed(StoreEnd::historyLost)).empty());
+    const auto changes = answer(page({{"b", "1", 4, false}}, 20));
+    REQUIRE(changes.size() == 1);
+    CHECK(changes[0] == StoreItem{"a", "", 3, true});
+}
+
+TEST_CASE_METHOD(FollowerFixture, "prefixFollower_olderValueArrivingLate_isIgnored")
+{
+    answer(page({{"a", "new", 9, false}}, 9));
+    CHECK(answer(page({{"a", "old", 4, false}}, 9)).empty());
+    CHECK(answer(page({{"a", "newer", 12, false}}, 12)).size() == 1);
+    CHECK(answer(page({{"a", "", 13, true}}, 13)).size() == 1);
+}
+
+TEST_CASE_METHOD(FollowerFixture, "prefixFollower_storeAway_asksAgainAfterAPauseThatGrows")
+{
+    REQUIRE(follower.next(now));
+    follower.onAnswer(failed(StoreEnd::unknown), now);
+    CHECK_FALSE(follower.reachable());
+    CHECK_FALSE(follower.next(now + 200ms));
+    REQUIRE(follower.next(now + 260ms));
+    follower.onAnswer(failed(StoreEnd::notApplied), now + 260ms);
+    CHECK_FALSE(follower.next(now + 600ms));
+    REQUIRE(follower.next(now + 800ms));
+    follower.onAnswer(page({}, 1), now + 800ms);
+    CHECK(follower.reachable());
+}
+
+// Random writes, removals, lost answers and forgotten history, read in pages of two keys.
+TEST_CASE("prefixFollower_anyHistory_endsWithTheStoresKeys")
+{
+    rc::prop("the followed keys are the store's", [] {
+        std::map<std::string, StoreItem> store;
+        std::vector<StoreItem> log;
+        std::uint64_t revision = 1;
+        std::map<std::string, std::string> seen;
+        PrefixFollower follower;
+        TimePoint now{1s};
+        const auto write = [&] {
+            const std::string key(1, static_cast<char>('a' + *rc::gen::inRange(0, 6)));
+            const bool remove = *rc::gen::inRange(0, 3) == 0;
+            if (remove && store.erase(key) == 0)
+                return;
+            const StoreItem item{key, remove ? "" : std::to_string(revision), ++revision, remove};
+            if (!remove)
+                store[key] = item;
+            log.push_back(item);
+        };
+        const auto answerOf = [&](const FollowCall &call) {
+            StorePage page{StoreEnd::ok, {}, false, revision};
+            if (const auto *watch = std::get_if<WatchCall>(&call)) {
+                for (const StoreItem &item : log) {
+                    if (item.revision > watch->afterRevision)
+                        page.items.push_back(item);
+                }
+                return page;
+            }
+            const auto &after = std::get<ListCall>(call).after;
+            for (auto it = after.empty() ? store.begin() : store.upper_bound(after);
+                 it != store.end(); ++it) {
+                page.more = page.items.size() == 2;
+                if (page.more)
+                    break;
+                page.items.push_back(it->second);
+            }
+            return page;
+        };
+        const auto step = [&](bool calm) {
+            now += 2s;
+            const auto call = follower.next(now);
+            RC_ASSERT(call.has_value());
+            StorePage page = answerOf(*call);
+            const int fate = calm ? 9 : *rc::gen::inRange(0, 10);
+            if (fate == 0)
+                page = {StoreEnd::unknown, {}, false, 0};
+            if (fate == 1)
+                page = {StoreEnd::historyLost, {}, false, 0};
+            for (const StoreItem &item : follower.onAnswer(page, now)) {
+                if (item.deleted)
+                    seen.erase(item.key);
+                else
+                    seen[item.key] = item.value;
+            }
+        };
+        const int rounds = *rc::gen::inRange(5, 40);
+        for (int i = 0; i < rounds; ++i) {
+            for (int writes = *rc::gen::inRange(0, 3); writes > 0; --writes)
+                write();
+            step(false);
+        }
+        for (int i = 0; i < 8; ++i)
+            step(true);
+        std::map<std::string, std::string> expected;
+        for (const auto &[key, item] : store)
+            expected[key] = item.value;
+        RC_ASSERT(seen == expected);
+    });
+}
--- a/test/region-choice-test.cc
+++ b/test/region-choice-test.cc
@@ -131,3 +131,20 @@
     table.onLoad({"b", "s", 8, 50, 30000}, now + 10s);
     CHECK(table.find("b", "s", now + 10s)->outstanding == 0);
 }
+
+// What callers see: late first tokens in the region at its peak, while others are idle. In what
+// order: prompts that share long parts arrive in all regions; each region reads the parts again.
+// Why: reading them takes longer than the way to the region that holds them.
+TEST_CASE_METHOD(RegionFixture, "regionChooser_holderElsewhereWithRoom_goesThere")
+{
+    question.holder = "b";
+    CHECK(choose().region == "b");
+    question.mayForward = false;
+    CHECK(choose().region == "a");
+    question.mayForward = true;
+    table.onLoad({"b", "s", 8, 8, 0}, now + 1s);
+    now += 1s;
+    CHECK(choose().region == "a");
+    question.holder = "nowhere";
+    CHECK(choose().region == "a");
+}
--- a/test/retry-test.cc
+++ b/test/retry-test.cc
@@ -86,3 +86,21 @@
     CHECK_FALSE(budget.take("a", "s"));
     CHECK(budget.take("b", "s"));
 }
+
+// What the operator sees: a request on more servers than its service allows. In what order: it
+// fails here, is handed to another region, fails there, and is sent once more. Why: each instance
+// counted its own attempts only.
+TEST_CASE("mayRetry_runsOfAllInstancesUsedUp_givesUp")
+{
+    RetryQuestion question;
+    question.end = AttemptEnd::serverError;
+    question.remaining = std::chrono::seconds(5);
+    question.mostRuns = 2;
+    question.runsMade = 1;
+    CHECK(mayRetry(question) == RetryAnswer::retry);
+    question.runsMade = 2;
+    CHECK(mayRetry(question) == RetryAnswer::giveUp);
+    question.runsMade = 0;
+    question.end = AttemptEnd::callerLeft;
+    CHECK(mayRetry(question) == RetryAnswer::giveUp);
+}
--- /dev/null
+++ b/test/server-list-test.cc
@@ -0,0 +1,54 @@
+#include "ibisnotch/server-list.h"
+
+#include <catch2/catch.hpp>
+
+using namespace ibisnotch;
+using namespace std::chrono_literals;
+
+namespace {
+
+struct ServerListFixture
+{
+    ServerList list;
+    TimePoint now{10s};
+
+    static ListedServer server(const std::string &name, bool leaving = false)
+    {
+        ListedServer listed;
+        listed.server.name = name;
+        listed.leaving = leaving;
+        return listed;
+    }
+};
+
+} // namespace
+
+// What callers see: refusals from a region with sound servers. In what order: the store is away,
+// the servers' leases run out, it returns without their entries, which they write again within two
+// seconds. Why: a removal that took effect at once would leave no server meanwhile.
+TEST_CASE_METHOD(ServerListFixture, "serverList_lapsedEntryThatComesBack_isNeverMissing")
+{
+    list.put(server("a"));
+    list.remove("a", now);
+    CHECK_FALSE(list.expire(now + 2s));
+    CHECK(list.servers().count("a") == 1);
+    list.put(server("a"));
+    CHECK_FALSE(list.expire(now + 10s));
+    CHECK(list.servers().count("a") == 1);
+}
+
+TEST_CASE_METHOD(ServerListFixture, "serverList_entryThatStaysAway_isDroppedAfterTheGrace")
+{
+    list.put(server("a"));
+    list.remove("a", now);
+    list.remove("a", now + 1s);
+    CHECK(list.expire(now + ServerList::lapseGrace));
+    CHECK(list.servers().empty());
+}
+
+TEST_CASE_METHOD(ServerListFixture, "serverList_leavingServerRemoved_goesAtOnce")
+{
+    list.put(server("a", true));
+    list.remove("a", now);
+    CHECK(list.servers().empty());
+}
--- /dev/null
+++ b/test/warmup-test.cc
@@ -0,0 +1,54 @@
+#include "ibisnotch/warmup.h"
+
+#include <deque>
+
+#include <catch2/catch.hpp>
+#include <rapidcheck/catch.h>
+
+using namespace ibisnotch;
+using namespace std::chrono_literals;
+
+namespace {
+
+std::vector<std::string> names(int count)
+{
+    std::vector<std::string> result;
+    for (int i = 0; i < count; ++i)
+        result.push_back("entry-" + std::to_string(i));
+    return result;
+}
+
+} // namespace
+
+// What callers see: a server that crashes again just as it returns. In what order: it is listed
+// cold, every instance takes it for the least loaded, each sends what would be its part of a warm
+// one. Why: what a cold server bears is a count for all instances together.
+TEST_CASE("warmupPause_sendersThatAlwaysSend_stayWithinTheBoundTogether")
+{
+    rc::prop("in any second", [] {
+        const int count = *rc::gen::inRange(1, 40);
+        const double rate = *rc::gen::inRange(1, 80) / 10.0;
+        const WarmupBound bound{1.5, static_cast<double>(*rc::gen::inRange(0, 5))};
+        const auto senders = names(count);
+        std::deque<TimePoint> sent;
+        std::vector<ServerCounters> counters(senders.size());
+        for (TimePoint now{1s}; now < TimePoint{6s}; now += 10ms) {
+            while (!sent.empty() && now - sent.front() > 1s)
+                sent.pop_front();
+            for (std::size_t i = 0; i < senders.size(); ++i) {
+                const auto pause = warmupPause(rate, bound, senders, senders[i], "server");
+                if (pause && takeWarmup(counters[i], *pause, now))
+                    sent.push_back(now);
+            }
+            RC_ASSERT(static_cast<double>(sent.size()) <= rate * bound.factor + bound.slack);
+        }
+        if (rate * bound.factor + bound.slack >= 1)
+            RC_ASSERT(!sent.empty());
+    });
+}
+
+TEST_CASE("warmupPause_serverThatBearsNothing_getsNothing")
+{
+    CHECK_FALSE(warmupPause(0.2, {1, 0}, {"a"}, "a", "server"));
+    CHECK(warmupPause(2, {1, 0}, {"a"}, "a", "server") == 530ms);
+}
