Place and spill by the wait before a prompt is read

Each instance now learns an engine's reading rate and the wait from first tokens, counts what it sent since, and picks by it; the first instance of each region tells the others every half second. Regions send a part away, since news of waits is half a second old. Ruled out: slots.

--- a/include/ibisnotch/pick.h
+++ b/include/ibisnotch/pick.h
@@ -19,6 +19,7 @@
     const ServerView *view = nullptr;
     double load = 0; // corrected
     double slots = 1;
+    double delay = 0; // seconds before a prompt sent now is read; model engines only
 };
 
 // The servers that may run a request for a service, without those tried already. A pool, if named,
@@ -27,6 +28,9 @@
                                      const std::set<std::string> &tried,
                                      const std::string &pool = {});
 
+// Fills in how long a prompt sent now would wait.
+void addDelays(std::vector<Candidate> &candidates, double trafficFactor, TimePoint now);
+
 // The servers of a pool that may run requests.
 std::vector<Candidate> candidatesOf(const RoutingTable &table, const std::string &pool);
 
@@ -35,6 +39,8 @@
     std::span<const Candidate> candidates;
     // Requests with the same prefix share a cache entry; 0 for none.
     std::uint64_t prefix = 0;
+    // Of the shared parts, which only the server of that prefix need not read.
+    double sharedSeconds = 0;
     Weights weights;
     double expectedSeconds = 0.1;
 };
@@ -89,8 +95,8 @@
     TwoChoicesPicker m_fallback;
 };
 
-// The region of the server that a prefix falls to by rendezvous, among the candidates at home and the
-// servers of a pool elsewhere. Empty if there is none.
+// The region of the server that a prefix falls to by rendezvous, among the candidates at home and
+// the servers of a pool elsewhere. Empty if there is none.
 std::string affinityRegion(const RoutingTable &table, std::span<const Candidate> home,
                            const std::string &homeRegion, const std::string &pool,
                            const std::vector<std::string> &allowed, std::uint64_t prefix);
--- a/include/ibisnotch/region-choice.h
+++ b/include/ibisnotch/region-choice.h
@@ -23,10 +23,11 @@
     double slots = 0;
     double outstanding = 0;
     std::uint32_t ageMs = 0; // when sent
+    double delay = 0; // seconds before a prompt sent now is read, on average
 
     template <typename Archive> void serialize(Archive &archive)
     {
-        archive(region, service, slots, outstanding, ageMs);
+        archive(region, service, slots, outstanding, ageMs, delay);
     }
     bool operator==(const RegionLoad &) const = default;
 };
@@ -47,6 +48,8 @@
     void onBack(const std::string &region, const std::string &service);
     std::optional<RegionLoad> find(const std::string &region, const std::string &service,
                                    TimePoint now) const;
+    // All summaries that still count, with their ages.
+    std::vector<RegionLoad> all(TimePoint now) const;
 
 private:
     struct Entry
@@ -72,6 +75,7 @@
     Duration awayMargin{};
     // Where a server holds the parts that the prompt shares with others; empty: anywhere.
     std::string holder;
+    double sharedSeconds = 0; // in which another server reads those parts
     bool homeRefuses = false; // admission would refuse the request at home
     bool mayForward = true; // false once the request has changed regions
 };
--- a/include/ibisnotch/server-table.h
+++ b/include/ibisnotch/server-table.h
@@ -58,6 +58,11 @@
     std::atomic<int> sentSinceReport = 0;
     std::atomic<int> endedSinceReport = 0;
     std::atomic<Duration::rep> warmedAt = 0; // the last request to the server while it was cold
+    // Of prompts sent whose first token is not there yet, and what first tokens have shown.
+    std::atomic<std::int64_t> pendingTokens = 0;
+    std::atomic<double> tokensPerMs = 0; // the engine's reading rate; 0: not known
+    std::atomic<double> delayMs = 0; // smoothed wait before a prompt is read
+    std::atomic<Duration::rep> delayAt = 0;
     std::atomic<bool> probing = false; // the one request that tries an ejected server again
 };
 
--- a/src/decide/pick.cc
+++ b/src/decide/pick.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "ibisnotch/hash.h"
+#include "ibisnotch/read-delay.h"
 
 namespace ibisnotch {
 
@@ -15,6 +16,14 @@
     return (candidate.load + 1) / candidate.slots;
 }
 
+// What a request meets at a server, in seconds. A server whose slots are all taken counts as a
+// tenth of a second behind an empty one, so that equal waits are told apart by load.
+double waitOf(const Candidate &candidate)
+{
+    constexpr double secondsWhenFull = 0.1;
+    return candidate.delay + secondsWhenFull * fill(candidate);
+}
+
 bool better(const Candidate &a, const Candidate &b, const PickQuestion &question)
 {
     const double costA = question.weights.cost * a.view->server.cost * question.expectedSeconds;
@@ -23,7 +32,7 @@
     const bool bothFree = fill(a) <= 1 && fill(b) <= 1;
     if (bothFree && costA != costB)
         return costA < costB;
-    return fill(a) < fill(b);
+    return waitOf(a) < waitOf(b);
 }
 
 } // namespace
@@ -64,8 +73,15 @@
 
 std::vector<Candidate> candidatesOf(const RoutingTable &table, const std::string &pool)
 {
-    return candidatesWhere(table,
-                           [&](const BackendServer &server) { return server.pool == pool; });
+    return candidatesWhere(table, [&](const BackendServer &server) { return server.pool == pool; });
+}
+
+void addDelays(std::vector<Candidate> &candidates, double trafficFactor, TimePoint now)
+{
+    for (Candidate &candidate : candidates)
+        candidate.delay = std::chrono::duration<double>(
+                              readDelay(*candidate.view->counters, trafficFactor, now))
+                              .count();
 }
 
 std::size_t RandomPicker::pick(const PickQuestion &question, Random &random)
@@ -110,13 +126,20 @@
         order.emplace_back(rendezvousWeight(name, question.prefix), i);
     }
     std::sort(order.rbegin(), order.rend());
-    // The first two in the order may hold the prefix; a third copy would waste cache memory.
+    // The first two in the order may hold the prefix; a third copy would waste cache memory. The
+    // second is used once the first is further behind than the second needs to read the parts.
     constexpr std::size_t homes = 2;
+    std::optional<std::size_t> best;
+    double bestWait = 0;
     for (std::size_t rank = 0; rank < std::min(homes, order.size()); ++rank) {
-        if (fill(question.candidates[order[rank].second]) <= m_bound)
-            return order[rank].second;
+        const Candidate &candidate = question.candidates[order[rank].second];
+        const double wait = candidate.delay + (rank == 0 ? 0 : question.sharedSeconds);
+        if (fill(candidate) > m_bound || (best && wait >= bestWait))
+            continue;
+        best = order[rank].second;
+        bestWait = wait;
     }
-    return m_fallback.pick(question, random);
+    return best ? *best : m_fallback.pick(question, random);
 }
 
 std::string affinityRegion(const RoutingTable &table, std::span<const Candidate> home,
--- a/src/decide/region-choice.cc
+++ b/src/decide/region-choice.cc
@@ -52,10 +52,11 @@
 RegionLoad summarize(const std::string &region, const std::string &loadName,
                      std::span<const Candidate> candidates)
 {
-    RegionLoad load{region, loadName, 0, 0, 0};
+    RegionLoad load{region, loadName, 0, 0, 0, 0};
     for (const Candidate &candidate : candidates) {
         load.slots += candidate.slots;
         load.outstanding += candidate.load;
+        load.delay += candidate.delay / static_cast<double>(candidates.size());
     }
     return load;
 }
@@ -100,11 +101,22 @@
 
 namespace {
 
+// The part of the requests to send away, by how much shorter the wait is there. News of waits is
+// half a second old, so a region that sent everything would find the other one behind and send
+// everything back.
+double partSentAway(double gainSeconds)
+{
+    constexpr double wholeGain = 0.5;
+    constexpr double leastPart = 0.1;
+    constexpr double mostPart = 0.6;
+    return std::clamp(gainSeconds / wholeGain, leastPart, mostPart);
+}
+
 // Reading the shared parts of a long prompt again takes a server longer than the way to the region
 // where one holds them: 6,300 tokens at 38 a ms against 160 ms. So such a prompt goes there while
 // the region has free slots, whichever region its caller is in.
-std::optional<RegionAnswer> holderWithRoom(const RegionQuestion &question,
-                                           const RegionTable &table, TimePoint now)
+std::optional<RegionAnswer> holderWithRoom(const RegionQuestion &question, const RegionTable &table,
+                                           TimePoint now)
 {
     const std::string &holder = question.holder;
     if (holder.empty() || holder == question.home)
@@ -116,11 +128,31 @@
     const auto load = table.find(holder, question.loadName, now);
     if (!load || load->outstanding + 1 > load->slots)
         return std::nullopt;
+    // Not if its engines are further behind than ours would take to read the parts.
+    const double atHome = question.homeLoad.slots > 0
+        ? question.homeLoad.delay + question.sharedSeconds
+        : std::numeric_limits<double>::infinity();
+    if (load->delay + 2 * seconds(question.oneWay) > atHome + marginSeconds(question, true))
+        return std::nullopt;
     return RegionAnswer{holder, 2 * seconds(question.oneWay), false};
 }
 
 } // namespace
 
+std::vector<RegionLoad> RegionTable::all(TimePoint now) const
+{
+    const std::lock_guard lock(m_mutex);
+    std::vector<RegionLoad> loads;
+    for (const auto &[key, entry] : m_entries) {
+        if (entry.at + summaryLife <= now)
+            continue;
+        loads.push_back(entry.load);
+        loads.back().ageMs = static_cast<std::uint32_t>(
+            std::chrono::duration_cast<std::chrono::milliseconds>(now - entry.at).count());
+    }
+    return loads;
+}
+
 RegionAnswer RegionChooser::choose(const RegionQuestion &question, const RegionTable &table,
                                    TimePoint now, Random &random)
 {
@@ -128,8 +160,9 @@
     const bool homeAllowed = contains(question.allowed, question.home);
     if (question.allowed.empty() || (!homeAllowed && !question.mayForward))
         return {std::nullopt, 0, true};
-    const double homeWait
+    const double slotWait
         = waitSeconds(question.homeLoad.slots, question.homeLoad.outstanding, expected);
+    const double homeWait = std::max(slotWait, question.homeLoad.delay);
     RegionAnswer best;
     double bestAway = std::numeric_limits<double>::infinity();
     bool bestIsFree = false;
@@ -143,8 +176,9 @@
             continue;
         // A little noise spreads senders over regions that look alike.
         const double noise = random.uniform() * 0.01;
-        const double away = waitSeconds(load->slots, load->outstanding, expected)
-            + 2 * seconds(question.oneWay) + noise;
+        const double there
+            = std::max(waitSeconds(load->slots, load->outstanding, expected), load->delay);
+        const double away = there + 2 * seconds(question.oneWay) + noise;
         if (away < bestAway) {
             bestAway = away;
             best = {region, away, false};
@@ -163,6 +197,9 @@
     sendingAway = best.region && homeWait > bestAway + margin;
     // A refusal at home is worse for the caller than the way to a region with room.
     const bool rescued = best.region && bestIsFree && question.homeRefuses;
+    const bool byDelay = sendingAway && slotWait <= bestAway + margin;
+    if (byDelay && random.uniform() >= partSentAway(homeWait - bestAway - margin))
+        return {question.home, homeWait, false};
     if (sendingAway || rescued)
         return best;
     if (!homeRuns)
--- a/src/entry/control.cc
+++ b/src/entry/control.cc
@@ -1,6 +1,7 @@
 #include "control.h"
 
 #include <algorithm>
+#include <map>
 
 #include <nlohmann/json.hpp>
 
@@ -13,6 +14,8 @@
 namespace {
 
 constexpr Duration tickPeriod = std::chrono::milliseconds(100);
+constexpr Duration reportPeriod = std::chrono::milliseconds(500);
+constexpr std::string_view reporterTask = "reporter";
 constexpr Duration pollPeriod = std::chrono::milliseconds(500);
 // However many servers a region has for each of its instances, one instance asks no more of them
 // than this at once; with more, each is asked less often.
@@ -82,9 +85,8 @@
 
 void Control::setSeeds(std::vector<std::string> seeds)
 {
-    m_link.post([this, seeds = std::move(seeds)]() mutable {
-        m_membership.setSeeds(std::move(seeds));
-    });
+    m_link.post(
+        [this, seeds = std::move(seeds)]() mutable { m_membership.setSeeds(std::move(seeds)); });
 }
 
 void Control::stop()
@@ -147,6 +149,10 @@
         updateOwnLoad();
     }
     m_source->tick();
+    if (now >= m_nextReport) {
+        m_nextReport = now + reportPeriod;
+        reportRegions();
+    }
     if (m_routingDirty || now - m_lastPublish > publishAtLeast)
         publishRouting();
     m_link.postAfter(tickPeriod, [this] { tick(); });
@@ -178,19 +184,61 @@
     const auto table = m_state.routing.read();
     if (!table || !table->config)
         return message;
-    const FleetConfig &config = *table->config;
-    const auto add = [&](const std::string &loadName, const std::vector<Candidate> &candidates) {
-        if (message.regionLoads.size() < regionLoadsPerMessage)
-            message.regionLoads.push_back(
-                summarize(m_state.settings.region, loadName, candidates));
+    message.regionLoads = ownRegionLoads(*table);
+    return message;
+}
+
+std::vector<RegionLoad> Control::ownRegionLoads(const RoutingTable &table) const
+{
+    std::vector<RegionLoad> loads;
+    const TimePoint now = m_state.clock.now();
+    const FleetConfig &config = *table.config;
+    const auto add = [&](const std::string &loadName, std::vector<Candidate> candidates) {
+        addDelays(candidates, table.trafficFactor, now);
+        if (loads.size() < regionLoadsPerMessage)
+            loads.push_back(summarize(m_state.settings.region, loadName, candidates));
     };
     for (const auto &[name, pool] : config.pools)
-        add(name, candidatesOf(*table, name));
+        add(name, candidatesOf(table, name));
     for (const auto &[name, service] : config.services) {
         if (service.pools.empty())
-            add(name, candidatesFor(*table, service, {}));
+            add(name, candidatesFor(table, service, {}));
+    }
+    return loads;
+}
+
+// The first instance of each region, by rendezvous, tells its counterparts how busy its region is,
+// and tells its own region what it heard. Probes alone bring that news every four seconds, while a
+// peak fills a region in one.
+void Control::reportRegions()
+{
+    const auto table = m_state.routing.read();
+    if (!table || !table->config || !amongFirst(reporterTask, 1))
+        return;
+    const TimePoint now = m_state.clock.now();
+    GossipMessage report;
+    report.probe.sender = m_membership.self();
+    report.probe.kind = ProbeKind::ack;
+    report.configVersion = m_state.gate.version();
+    report.regionLoads = ownRegionLoads(*table);
+    std::map<std::string, const Member *> reporters;
+    const std::vector<Member> members = m_membership.usable();
+    const std::uint64_t task = hash64(reporterTask);
+    for (const Member &member : members) {
+        const Member *&first = reporters[member.region];
+        if (first == nullptr
+            || rendezvousWeight(member.name, task) > rendezvousWeight(first->name, task))
+            first = &member;
+    }
+    for (const auto &[region, reporter] : reporters) {
+        if (region != m_state.settings.region)
+            m_link.sendGossip(reporter->gossipAddress, report);
+    }
+    report.regionLoads = m_state.regions.all(now);
+    for (const Member &member : members) {
+        if (member.region == m_state.settings.region)
+            m_link.sendGossip(member.gossipAddress, report);
     }
-    return message;
 }
 
 void Control::send(const std::vector<SendProbe> &probes)
@@ -249,7 +297,7 @@
 // Whether this instance is among the first of its region for a task, by rendezvous hashing over the
 // members that are alive: tasks are spread without anyone handing them out, and pass on by
 // themselves when an instance goes.
-bool Control::amongFirst(const std::string &key, std::size_t count) const
+bool Control::amongFirst(std::string_view key, std::size_t count) const
 {
     const std::uint64_t hash = hash64(key);
     const std::uint64_t own = rendezvousWeight(m_state.settings.name, hash);
--- a/src/entry/control.h
+++ b/src/entry/control.h
@@ -34,7 +34,7 @@
     }
     void offer(const ConfigDocument &document, const std::string &source);
     // Whether this instance is among the first of its region for a task.
-    bool amongFirst(const std::string &key, std::size_t count) const;
+    bool amongFirst(std::string_view key, std::size_t count) const;
     // Publishes the routing table and tells a few members at once.
     void spreadNews();
     void publishRouting();
@@ -58,6 +58,8 @@
     GossipMessage message(Probe probe, const std::string &toRegion);
     std::string regionOf(const std::string &gossipAddress) const;
     void publishMembers();
+    void reportRegions();
+    std::vector<RegionLoad> ownRegionLoads(const RoutingTable &table) const;
     void updateOwnLoad();
 
     void pollServers();
@@ -76,6 +78,7 @@
     bool m_routingDirty = true;
     TimePoint m_lastPublish{};
     TimePoint m_nextPoll{};
+    TimePoint m_nextReport{};
     std::unique_ptr<StateSource> m_source;
     PeerLink m_link; // last: its thread uses the others
 };
--- a/src/entry/dispatch-plan.cc
+++ b/src/entry/dispatch-plan.cc
@@ -5,6 +5,7 @@
 
 #include "dispatch.h"
 #include "ibisnotch/entry-list.h"
+#include "ibisnotch/read-delay.h"
 #include "ibisnotch/warmup.h"
 
 namespace ibisnotch {
@@ -29,12 +30,22 @@
     // the way to another region.
     if (candidates.empty() && m_failure)
         candidates = candidatesFor(table, *m_exchange->service, {}, m_exchange->pool);
-    std::erase_if(candidates, [&](const Candidate &candidate) {
-        return !mayWarm(table, *candidate.view);
-    });
+    std::erase_if(candidates,
+                  [&](const Candidate &candidate) { return !mayWarm(table, *candidate.view); });
+    if (m_exchange->prompt.tokens > 0)
+        addDelays(candidates, table.trafficFactor, m_state.clock.now());
     return candidates;
 }
 
+// The time in which a server of the region would read what the prompt shares.
+double Dispatch::sharedSeconds(std::span<const Candidate> candidates) const
+{
+    if (candidates.empty() || m_exchange->prefix == 0)
+        return 0;
+    const std::int64_t shared = m_exchange->prompt.sharedTokens();
+    return seconds(readTime(*candidates.front().view->counters, shared));
+}
+
 // Whether a server that is cold may get a request from this instance now.
 bool Dispatch::mayWarm(const RoutingTable &table, const ServerView &view) const
 {
@@ -87,6 +98,7 @@
     if (m_exchange->prefix != 0 && !m_exchange->pool.empty())
         question.holder = affinityRegion(*table, candidates, question.home, m_exchange->pool,
                                          question.allowed, m_exchange->prefix);
+    question.sharedSeconds = sharedSeconds(candidates);
     question.homeRefuses = admit && !m_admitted
         && m_state.admission.ask(admissionQuestion(question.homeLoad, false), m_state.random).code
             != ResultCode::served;
@@ -99,9 +111,9 @@
                        spreadRetryAfter(noServerPause, m_state.random)};
     const bool away = *answer.region != question.home;
     if (admit && !m_admitted) {
-        const auto load = away
-            ? m_state.regions.find(*answer.region, loadName(*m_exchange), now).value_or(RegionLoad{})
-            : question.homeLoad;
+        const auto load = away ? m_state.regions.find(*answer.region, loadName(*m_exchange), now)
+                                     .value_or(RegionLoad{})
+                               : question.homeLoad;
         const AdmissionAnswer admission
             = m_state.admission.ask(admissionQuestion(load, away), m_state.random);
         if (admission.code != ResultCode::served)
@@ -156,6 +168,7 @@
     PickQuestion question;
     question.candidates = candidates;
     question.prefix = m_exchange->prefix;
+    question.sharedSeconds = sharedSeconds(candidates);
     question.weights = m_exchange->config().weights;
     question.expectedSeconds = seconds(m_exchange->service->expected);
     const Candidate &chosen = candidates[m_state.picker.pick(question, m_state.random)];
--- a/src/entry/dispatch.cc
+++ b/src/entry/dispatch.cc
@@ -6,6 +6,7 @@
 
 #include "attempt.h"
 #include "ibisnotch/log.h"
+#include "ibisnotch/read-delay.h"
 
 namespace ibisnotch {
 
@@ -163,10 +164,32 @@
     return request;
 }
 
+std::int64_t Dispatch::tokensToRead() const
+{
+    const Prompt &prompt = m_exchange->prompt;
+    return std::max<std::int64_t>(0, prompt.tokens - prompt.sharedTokens());
+}
+
+void Dispatch::dropPending(const Target &target)
+{
+    target.counters->pendingTokens -= std::exchange(m_pendingTokens, 0);
+}
+
+void Dispatch::noteFirstByte(const Target &target)
+{
+    if (m_exchange->prompt.tokens == 0)
+        return;
+    const TimePoint now = m_state.clock.now();
+    noteFirstToken(*target.counters, tokensToRead(), now - m_attemptStarted, now);
+    dropPending(target);
+}
+
 void Dispatch::onServerWord(const Target &target, const AnswerReader &reader)
 {
     if (target.away)
         return;
+    if (reader.streams())
+        noteFirstByte(target);
     if (reader.leaving())
         m_state.servers.onOwnWord(target.name);
     if (const auto load = reader.load())
@@ -212,6 +235,8 @@
         target.counters->probing = target.trial;
         ++target.counters->inFlight;
         ++target.counters->sentSinceReport;
+        m_pendingTokens = tokensToRead();
+        target.counters->pendingTokens += m_pendingTokens;
     }
     auto attempt = std::make_shared<Attempt>(shared_from_this(), target,
                                              m_protocol.reader(*m_exchange, target.away));
@@ -229,6 +254,7 @@
     }
     const Duration taken = m_state.clock.now() - m_attemptStarted;
     m_cost += target.cost * std::chrono::duration<double>(taken).count();
+    dropPending(target);
     --target.counters->inFlight;
     ++target.counters->endedSinceReport;
     const bool refused = end == AttemptEnd::refusedNotRun || end == AttemptEnd::refusedForGood;
@@ -352,8 +378,7 @@
         return false;
     // An attempt that reached nobody cost no backend server anything, so it needs no budget.
     const bool costsNothing = end == AttemptEnd::notConnected;
-    if (!costsNothing
-        && !m_state.retries.take(m_exchange->customer->name, loadName(*m_exchange))) {
+    if (!costsNothing && !m_state.retries.take(m_exchange->customer->name, loadName(*m_exchange))) {
         trace("no retry: budget spent");
         return false;
     }
--- a/src/entry/dispatch.h
+++ b/src/entry/dispatch.h
@@ -50,6 +50,7 @@
     // Choice of a target.
     std::variant<Target, Refusal> plan(bool admit);
     std::vector<Candidate> candidatesIn(const RoutingTable &table) const;
+    double sharedSeconds(std::span<const Candidate> candidates) const;
     bool mayWarm(const RoutingTable &table, const ServerView &view) const;
     std::optional<Duration> warmingPause(const RoutingTable &table, const ServerView &view) const;
     AdmissionQuestion admissionQuestion(const RegionLoad &load, bool away) const;
@@ -65,6 +66,10 @@
     void onServerWord(const Target &target, const AnswerReader &reader);
     void passOn(const HttpResponse &answer, std::string data);
     void onCallerLeft();
+    // What the server still has to read of the prompt, as far as it can be known.
+    std::int64_t tokensToRead() const;
+    void noteFirstByte(const Target &target);
+    void dropPending(const Target &target);
     TransferLimits limitsFor(const Target &target) const;
     void onAttemptEnd(const Target &target, AttemptEnd end, Attempt &attempt);
     void routeAgain(AttemptEnd end);
@@ -107,6 +112,7 @@
     int m_runs = 0; // attempts that may have run
     std::weak_ptr<Attempt> m_current;
     bool m_callerLeft = false;
+    std::int64_t m_pendingTokens = 0; // counted at the server of the attempt under way
     bool m_streamed = false; // the caller has the head of a stream
     // A whole failure answer of a backend server, for the caller if nothing better comes.
     std::optional<HttpResponse> m_failure;
--- a/src/entry/exchange.h
+++ b/src/entry/exchange.h
@@ -28,6 +28,15 @@
     std::vector<PromptPart> parts; // in the order in which a server reads them
     std::int64_t tokens = 0;
     std::int64_t answerTokens = 0; // at most
+
+    // All parts but the last, which is the request's own.
+    std::int64_t sharedTokens() const
+    {
+        std::int64_t shared = 0;
+        for (std::size_t i = 0; i + 1 < parts.size(); ++i)
+            shared += parts[i].tokens;
+        return shared;
+    }
     bool operator==(const Prompt &) const = default;
 };
 
--- a/src/entry/rule-filters.cc
+++ b/src/entry/rule-filters.cc
@@ -43,10 +43,7 @@
     // Of all parts but the last, which is the request's own; 0 if it shares too little.
     static std::uint64_t sharedPrefix(const Prompt &prompt)
     {
-        std::int64_t tokens = 0;
-        for (std::size_t i = 0; i + 1 < prompt.parts.size(); ++i)
-            tokens += prompt.parts[i].tokens;
-        if (tokens < leastShared)
+        if (prompt.sharedTokens() < leastShared)
             return 0;
         std::uint64_t hash = 0;
         for (std::size_t i = 0; i + 1 < prompt.parts.size(); ++i)
--- a/test/region-choice-test.cc
+++ b/test/region-choice-test.cc
@@ -138,6 +138,7 @@
 TEST_CASE_METHOD(RegionFixture, "regionChooser_holderElsewhereWithRoom_goesThere")
 {
     question.holder = "b";
+    question.sharedSeconds = 0.2;
     CHECK(choose().region == "b");
     question.mayForward = false;
     CHECK(choose().region == "a");
@@ -148,3 +149,37 @@
     question.holder = "nowhere";
     CHECK(choose().region == "a");
 }
+
+// What callers see: late first tokens at home while another region has room, then the reverse. In
+// what order: prompts wait to be read at home, all instances hear of room elsewhere at the same
+// time. Why: were everything sent there for the half second until the next news, the wait would
+// move with it; only a part goes.
+TEST_CASE_METHOD(RegionFixture, "regionChooser_promptsWaitAtHome_sendsAPartAway")
+{
+    question.weights = {1, 1, 1, false};
+    const auto partAway = [&] {
+        int away = 0;
+        for (int i = 0; i < 1000; ++i)
+            away += choose().region == "a" ? 0 : 1;
+        return away;
+    };
+    CHECK(partAway() == 0);
+    question.homeLoad.delay = 0.4;
+    const int some = partAway();
+    CHECK(some > 50);
+    CHECK(some < 450);
+    question.homeLoad.delay = 3;
+    CHECK(partAway() > some);
+    CHECK(partAway() < 700);
+}
+
+TEST_CASE_METHOD(RegionFixture, "regionChooser_holderFurtherBehindThanHome_staysHome")
+{
+    question.holder = "b";
+    question.sharedSeconds = 0.2;
+    CHECK(choose().region == "b");
+    RegionLoad behind{"b", "s", 8, 0, 0, 2.0};
+    table.onLoad(behind, now + 1s);
+    now += 1s;
+    CHECK(choose().region == "a");
+}
