Tell other regions of warm servers only; keep at home what they turn away

Regions now tell of warm servers only, and what another region refuses for lack of room is served at home if home may.

--- a/include/ibisnotch/pick.h
+++ b/include/ibisnotch/pick.h
@@ -31,6 +31,9 @@
 // Fills in how long a prompt sent now would wait.
 void addDelays(std::vector<Candidate> &candidates, double trafficFactor, TimePoint now);
 
+// Leaves out servers that are cold: they bear a few requests a second, not what their slots say.
+void dropCold(std::vector<Candidate> &candidates, TimePoint now);
+
 // The servers of a pool that may run requests.
 std::vector<Candidate> candidatesOf(const RoutingTable &table, const std::string &pool);
 
--- a/src/decide/config.cc
+++ b/src/decide/config.cc
@@ -441,9 +441,10 @@
 {
     std::map<std::string, int> allowed;
     for (const Region &region : config.regions) {
-        const auto count = std::count_if(
-            config.services.begin(), config.services.end(),
-            [&](const auto &entry) { return permits(entry.second.regions, region.name); });
+        const auto count
+            = std::count_if(config.services.begin(), config.services.end(), [&](const auto &entry) {
+                  return permits(entry.second.regions, region.name);
+              });
         allowed[region.name] = static_cast<int>(count);
     }
     return allowed;
--- a/src/decide/entry-list.cc
+++ b/src/decide/entry-list.cc
@@ -49,8 +49,8 @@
     return list;
 }
 
-EntryList makeLocalEntryList(const std::vector<Member> &members,
-                             const LocalEntryQuestion &question, Random &random)
+EntryList makeLocalEntryList(const std::vector<Member> &members, const LocalEntryQuestion &question,
+                             Random &random)
 {
     constexpr std::size_t mostNamed = 64;
     const auto rank = [&](const Member &member) {
--- a/src/decide/pick.cc
+++ b/src/decide/pick.cc
@@ -84,6 +84,12 @@
                               .count();
 }
 
+void dropCold(std::vector<Candidate> &candidates, TimePoint now)
+{
+    std::erase_if(candidates,
+                  [now](const Candidate &candidate) { return now < candidate.view->coldUntil; });
+}
+
 std::size_t RandomPicker::pick(const PickQuestion &question, Random &random)
 {
     return random.below(question.candidates.size());
--- a/src/decide/retry.cc
+++ b/src/decide/retry.cc
@@ -7,8 +7,7 @@
 bool certainlyNotRun(AttemptEnd end)
 {
     return end == AttemptEnd::notConnected || end == AttemptEnd::refusedNotRun
-        || end == AttemptEnd::otherServer
-        || end == AttemptEnd::refusedForGood;
+        || end == AttemptEnd::otherServer || end == AttemptEnd::refusedForGood;
 }
 
 double &RetryBudget::tokens(const std::string &customer, const std::string &service)
--- a/src/decide/server-table.cc
+++ b/src/decide/server-table.cc
@@ -285,8 +285,7 @@
     result.remote = m_remote;
     constexpr double leastTraffic = 0.05;
     if (m_ownTraffic > leastTraffic)
-        result.trafficFactor
-            = std::clamp(m_reportedTraffic / m_ownTraffic, 1.0,
+        result.trafficFactor = std::clamp(m_reportedTraffic / m_ownTraffic, 1.0,
                                           std::max(1.0, static_cast<double>(m_senders.size())));
     for (const auto &[name, record] : m_records) {
         ServerView view;
--- a/src/entry/control.cc
+++ b/src/entry/control.cc
@@ -194,6 +194,9 @@
     const TimePoint now = m_state.clock.now();
     const FleetConfig &config = *table.config;
     const auto add = [&](const std::string &loadName, std::vector<Candidate> candidates) {
+        // With cold servers counted in, the other regions sent their prompts to a region whose
+        // servers had all just come back, and 324 requests were refused in two seconds.
+        dropCold(candidates, now);
         addDelays(candidates, table.trafficFactor, now);
         if (loads.size() < regionLoadsPerMessage)
             loads.push_back(summarize(m_state.settings.region, loadName, candidates));
--- a/src/entry/dispatch-plan.cc
+++ b/src/entry/dispatch-plan.cc
@@ -94,7 +94,8 @@
     question.weights = config.weights;
     question.oneWay = config.regionOneWay;
     question.awayMargin = config.limits.awayMargin;
-    question.mayForward = !m_exchange->fromPeer || regionChanges(m_exchange->path) == 0;
+    question.mayForward
+        = !m_stayHome && (!m_exchange->fromPeer || regionChanges(m_exchange->path) == 0);
     if (m_exchange->prefix != 0 && !m_exchange->pool.empty())
         question.holder = affinityRegion(*table, candidates, question.home, m_exchange->pool,
                                          question.allowed, m_exchange->prefix);
--- a/src/entry/dispatch.cc
+++ b/src/entry/dispatch.cc
@@ -296,6 +296,10 @@
     }
     if (!target.away && end == AttemptEnd::brokenOff && !m_exchange->responder->closed())
         onServerLost(target);
+    if (end == AttemptEnd::answered && turnedAwayElsewhere(target, attempt)) {
+        stayHome();
+        return route();
+    }
     if (end == AttemptEnd::answered)
         return deliver(attempt);
     const bool mayResume = m_exchange->service->resumable && !m_exchange->lastEvent.empty();
@@ -387,6 +391,31 @@
     return true;
 }
 
+// Another region has no room after all; news of its load is half a second old. The request has run
+// nowhere, so home may still take it.
+bool Dispatch::turnedAwayElsewhere(const Target &target, const Attempt &attempt) const
+{
+    const ResultCode code = attempt.reader().code();
+    const bool noRoom = code == ResultCode::overloaded || code == ResultCode::noBackendServer
+        || code == ResultCode::deadlineTooShort;
+    const auto &allowed = m_exchange->allowedRegions;
+    const bool homeAllowed
+        = std::find(allowed.begin(), allowed.end(), m_state.settings.region) != allowed.end();
+    const bool away = target.away && target.region != m_state.settings.region;
+    return away && noRoom && homeAllowed && !m_stayHome && !m_mayHaveRun && !m_toIssuer
+        && !m_exchange->responder->closed();
+}
+
+void Dispatch::stayHome()
+{
+    trace("turned away there; stays in its region");
+    m_stayHome = true;
+    m_sentAway = false;
+    if (m_admitted)
+        m_state.admission.onOver(m_exchange->customer->name, m_exchange->service->name);
+    m_admitted = false;
+}
+
 void Dispatch::deliver(Attempt &attempt)
 {
     std::vector<CrashMark> cleared;
--- a/src/entry/dispatch.h
+++ b/src/entry/dispatch.h
@@ -77,6 +77,8 @@
     void onServerLost(const Target &target);
     void checkServerAlive(const Target &target);
     bool tryAgain(AttemptEnd end, bool callerHasSeenBytes);
+    bool turnedAwayElsewhere(const Target &target, const Attempt &attempt) const;
+    void stayHome();
     void deliver(Attempt &attempt);
     void reply(HttpResponse answer, ResultCode code);
     void breakOff(AttemptEnd end);
@@ -108,6 +110,7 @@
     bool m_mayHaveRun = false;
     bool m_trial = false;
     bool m_sentAway = false;
+    bool m_stayHome = false; // another region had no room
     int m_attempts = 0;
     int m_runs = 0; // attempts that may have run
     std::weak_ptr<Attempt> m_current;
--- a/src/entry/gateway.cc
+++ b/src/entry/gateway.cc
@@ -17,8 +17,8 @@
 
 Gateway::Gateway(DispatchServices services, std::vector<HttpClient *> clients, PageHandler &pages,
                  bool forPeers)
-    : m_state(services.state), m_services(services), m_clients(std::move(clients)),
-      m_pages(pages), m_forPeers(forPeers), m_filters(services.protocol.filters(m_state))
+    : m_state(services.state), m_services(services), m_clients(std::move(clients)), m_pages(pages),
+      m_forPeers(forPeers), m_filters(services.protocol.filters(m_state))
 {
 }
 
--- a/src/entry/range-source.cc
+++ b/src/entry/range-source.cc
@@ -86,12 +86,12 @@
 {
     if (isLocal(server.server.dataCentre))
         logLine(LogPart::load, LogLevel::info, "Backend server listed.",
-            {{"server", server.server.name},
-             {"pool", server.server.pool},
-             {"address", server.server.address},
-             {"leaving", server.leaving ? "yes" : "no"},
-             {"warmupMs", std::to_string(server.warmup.count() / 1000)},
-             {"revision", std::to_string(item.revision)}});
+                {{"server", server.server.name},
+                 {"pool", server.server.pool},
+                 {"address", server.server.address},
+                 {"leaving", server.leaving ? "yes" : "no"},
+                 {"warmupMs", std::to_string(server.warmup.count() / 1000)},
+                 {"revision", std::to_string(item.revision)}});
     server.revision = item.revision;
     m_servers.put(std::move(server));
     m_changed = true;
--- a/test/pick-test.cc
+++ b/test/pick-test.cc
@@ -121,3 +121,21 @@
     CHECK(counts["b"] > 60);
     CHECK(counts["c"] > 60);
 }
+
+// What callers see: refusals from a region whose servers have all just come back. In what order:
+// the region tells the others of its slots, they send it their prompts, it may pass on a few a
+// second. Why: slots of cold servers were told as if they were warm.
+TEST_CASE_METHOD(RoutingFixture, "dropCold_serversJustBack_leavesTheWarmOnes")
+{
+    using namespace std::chrono_literals;
+    add("cold", 0, 8);
+    add("warm", 0, 8);
+    views[0].coldUntil = TimePoint(10s);
+    finish();
+    auto at10 = candidates;
+    dropCold(at10, TimePoint(10s));
+    CHECK(at10.size() == 2);
+    dropCold(candidates, TimePoint(9s));
+    REQUIRE(candidates.size() == 1);
+    CHECK(candidates[0].view->server.name == "warm");
+}
