--- a/test/docs-test.cc
+++ b/test/docs-test.cc
@@ -29,12 +29,12 @@
     std::string message;
 };
 
-// The rows of OPERATORS.md between the marks "wrong settings" and "end": | file | from | to |
+// The rows of OPERATIONS.md between the marks "wrong settings" and "end": | file | from | to |
 // message |, each cell but the first in backticks.
 std::vector<WrongFile> wrongFiles()
 {
     std::vector<WrongFile> rows;
-    std::istringstream lines(page("docs/OPERATORS.md"));
+    std::istringstream lines(page("docs/OPERATIONS.md"));
     std::string line;
     bool inside = false;
     while (std::getline(lines, line)) {
