Keep retries of all instances within the platform's bound; tell inputs in the request lines

Cause: the settings' retry share and slack were read and not used; every instance could save up 5 retries, 400 on 80 instances where the bound is 168 to 200, and a restart of all gave them anew. Each now saves up its part of four fifths of the slack and begins empty. The last line of a request tells server, time taken, time left and configuration version. The test of the page of proofs looks into platform/test as well.

--- a/include/ibisnotch/process-settings.h
+++ b/include/ibisnotch/process-settings.h
@@ -43,11 +43,10 @@
     Address metrics;
     std::vector<Region> regions;
     Duration entryListLife = std::chrono::seconds(2);
-    // Retries of one pool, of all instances together in a window: a share of its requests, and
-    // some more.
+    // Retries of one pool by all instances together: a share of its requests, and this many more in
+    // any ten seconds.
     double retryShare = 0.1;
     double retrySlack = 45;
-    Duration retryWindow = std::chrono::seconds(10);
     WarmupBound warmup; // what a cold server bears beside its pool's rate
     // How long a stopping instance goes on taking requests. Callers that choose an instance by the
     // directory come until their copy of its answer is old; what is taken later than this might not
--- a/include/ibisnotch/retry.h
+++ b/include/ibisnotch/retry.h
@@ -36,6 +36,10 @@
 public:
     explicit RetryBudget(double burst = 5) : m_burst(burst) { }
 
+    // What may be saved up, for a bound that all instances keep together. After this, a service
+    // begins with nothing saved: instances that restart together would else spend it anew.
+    void setBurst(double burst);
+
     void onRequest(const std::string &customer, const std::string &service, double retryShare);
     bool take(const std::string &customer, const std::string &service);
 
@@ -43,6 +47,7 @@
     double &tokens(const std::string &customer, const std::string &service);
 
     double m_burst;
+    bool m_beginsEmpty = false;
     std::mutex m_mutex;
     std::map<std::pair<std::string, std::string>, double> m_tokens;
 };
--- a/src/decide/process-settings.cc
+++ b/src/decide/process-settings.cc
@@ -64,7 +64,6 @@
     SettingReader retries = reader.child("retries");
     settings.retryShare = retries.number("share", settings.retryShare, 0, 1);
     settings.retrySlack = retries.number("slack", settings.retrySlack, 0, mostSlack);
-    settings.retryWindow = retries.duration("window", settings.retryWindow);
     retries.finish();
 }
 
--- a/src/decide/retry.cc
+++ b/src/decide/retry.cc
@@ -12,7 +12,17 @@
 
 double &RetryBudget::tokens(const std::string &customer, const std::string &service)
 {
-    return m_tokens.try_emplace({customer, service}, m_burst).first->second;
+    const double first = m_beginsEmpty ? 0 : m_burst;
+    return m_tokens.try_emplace({customer, service}, first).first->second;
+}
+
+void RetryBudget::setBurst(double burst)
+{
+    const std::lock_guard lock(m_mutex);
+    m_burst = burst;
+    m_beginsEmpty = true;
+    for (auto &[key, left] : m_tokens)
+        left = std::min(left, burst);
 }
 
 void RetryBudget::onRequest(const std::string &customer, const std::string &service,
--- a/src/entry/control.cc
+++ b/src/entry/control.cc
@@ -255,6 +255,7 @@
     m_state.servers.setSenders(m_membership.senders(m_state.clock.now()));
     std::vector<Member> members = m_membership.members();
     members.push_back(m_membership.self());
+    shareRetries(members.size());
     const auto old = m_state.members.read();
     if (old && *old == members)
         return;
@@ -273,6 +274,18 @@
     m_routingDirty = true;
 }
 
+// The platform bounds retries of all instances together, beside a share of the requests. What each
+// may save up is its part of that; a fifth is left for instances that it does not know yet. Members
+// that died keep their part while they are remembered, since they may only be cut off.
+void Control::shareRetries(std::size_t members)
+{
+    if (m_state.settings.interfaces != Interfaces::platform)
+        return;
+    constexpr double usedPart = 0.8;
+    m_state.retries.setBurst(usedPart * m_state.settings.retrySlack
+                             / static_cast<double>(std::max<std::size_t>(members, 1)));
+}
+
 void Control::publishRouting()
 {
     const TimePoint now = m_state.clock.now();
--- a/src/entry/control.h
+++ b/src/entry/control.h
@@ -60,6 +60,7 @@
     void publishMembers();
     void reportRegions();
     std::vector<RegionLoad> ownRegionLoads(const RoutingTable &table) const;
+    void shareRetries(std::size_t members);
     void updateOwnLoad();
 
     void pollServers();
--- a/src/entry/dispatch.cc
+++ b/src/entry/dispatch.cc
@@ -48,6 +48,11 @@
     return "";
 }
 
+std::string millisecondsText(Duration duration)
+{
+    return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
+}
+
 } // namespace
 
 Dispatch::Dispatch(DispatchServices services, ExchangePtr exchange, HttpClient &client)
@@ -274,7 +279,8 @@
                 {{"request", m_exchange->id},
                  {"customer", m_exchange->customer->name},
                  {"server", target.name},
-                 {"end", std::string(endName(end))}});
+                 {"end", std::string(endName(end))},
+                 {"ms", millisecondsText(m_state.clock.now() - m_attemptStarted)}});
     }
 }
 
@@ -546,7 +552,11 @@
              {"customer", record.customer},
              {"service", record.service},
              {"code", std::to_string(static_cast<int>(code))},
-             {"attempts", std::to_string(m_attempts)}});
+             {"attempts", std::to_string(m_attempts)},
+             {"server", m_servedBy},
+             {"ms", millisecondsText(record.total)},
+             {"leftMs", millisecondsText(remaining())},
+             {"configVersion", std::to_string(exchange.config().version)}});
     --m_state.inFlight;
 }
 
--- a/test/docs-test.cc
+++ b/test/docs-test.cc
@@ -110,9 +110,11 @@
 {
     const std::string text = page("docs/PROOFS.md");
     std::string tests;
-    for (const auto &entry :
-         std::filesystem::directory_iterator(std::string(IBISNOTCH_SOURCE_DIR) + "/test"))
-        tests += *readFile(entry.path().string());
+    for (const char *folder : {"/test", "/platform/test"}) {
+        for (const auto &entry :
+             std::filesystem::directory_iterator(std::string(IBISNOTCH_SOURCE_DIR) + folder))
+            tests += *readFile(entry.path().string());
+    }
     std::size_t at = 0;
     int named = 0;
     while ((at = text.find('`', at)) != std::string::npos) {
--- a/test/retry-test.cc
+++ b/test/retry-test.cc
@@ -104,3 +104,23 @@
     question.end = AttemptEnd::callerLeft;
     CHECK(mayRetry(question) == RetryAnswer::giveUp);
 }
+
+// What the operator sees: more retries than all instances may make. In what order: they are killed
+// together and start again, and each finds its savings full. Why: the bound holds for any ten
+// seconds, also across a restart.
+TEST_CASE("retryBudget_shareOfAFleetsBound_beginsEmptyAndSavesUpToIt")
+{
+    RetryBudget budget;
+    budget.setBurst(2);
+    CHECK_FALSE(budget.take("c", "s"));
+    for (int i = 0; i < 100; ++i)
+        budget.onRequest("c", "s", 0.2);
+    CHECK(budget.take("c", "s"));
+    CHECK(budget.take("c", "s"));
+    CHECK_FALSE(budget.take("c", "s"));
+    for (int i = 0; i < 100; ++i)
+        budget.onRequest("c", "s", 0.2);
+    budget.setBurst(1);
+    CHECK(budget.take("c", "s"));
+    CHECK_FALSE(budget.take("c", "s"));
+}
