--- a/include/ibisnotch/config-gate.h
+++ b/include/ibisnotch/config-gate.h
@@ -84,8 +84,8 @@
 class ConfigGate
 {
 public:
-    explicit ConfigGate(std::string site, std::unique_ptr<ConfigFormat> format
-                        = std::make_unique<OverlayFormat>())
+    explicit ConfigGate(std::string site,
+                        std::unique_ptr<ConfigFormat> format = std::make_unique<OverlayFormat>())
         : m_site(std::move(site)), m_format(std::move(format))
     {
     }
--- a/include/ibisnotch/entry-list.h
+++ b/include/ibisnotch/entry-list.h
@@ -35,9 +35,9 @@
 
 // For callers that pick any of the named instances: all that are alive in the caller's region. If
 // none is, as when all stop in turn for planned work, those of the regions where most services may
-// run: a caller sent elsewhere would hand its data to a region that may not have it. Which service a
-// caller will ask for is not known; it may use one answer for several hosts. In random order.
-EntryList makeLocalEntryList(const std::vector<Member> &members,
-                             const LocalEntryQuestion &question, Random &random);
+// run: a caller sent elsewhere would hand its data to a region that may not have it. Which service
+// a caller will ask for is not known; it may use one answer for several hosts. In random order.
+EntryList makeLocalEntryList(const std::vector<Member> &members, const LocalEntryQuestion &question,
+                             Random &random);
 
 } // namespace ibisnotch
--- a/include/ibisnotch/http-client.h
+++ b/include/ibisnotch/http-client.h
@@ -82,9 +82,9 @@
     HttpClient(const HttpClient &) = delete;
     HttpClient &operator=(const HttpClient &) = delete;
 
-    // Sends each request once: libcurl would send it again by itself when a kept connection turns out
-    // to be closed, even a POST that the other end may have acted on. Such a transfer ends as broken
-    // off instead. May be called from any thread.
+    // Sends each request once: libcurl would send it again by itself when a kept connection turns
+    // out to be closed, even a POST that the other end may have acted on. Such a transfer ends as
+    // broken off instead. May be called from any thread.
     void send(OutgoingRequest request, std::shared_ptr<AnswerSink> sink);
 
     // Ends the transfer that the sink waits for, if it is still under way. From the loop only.
--- a/include/ibisnotch/membership.h
+++ b/include/ibisnotch/membership.h
@@ -109,8 +109,8 @@
     std::vector<Member> members() const; // without self
     std::vector<Member> usable() const; // without self; alive only
 
-    // The instances of the own region that may be sending to its backend servers, self included. One
-    // that was found dead may only be cut off, so it counts for some time longer.
+    // The instances of the own region that may be sending to its backend servers, self included.
+    // One that was found dead may only be cut off, so it counts for some time longer.
     std::vector<std::string> senders(TimePoint now) const;
 
     // True once a tick came late by more than the freeze gap; cleared by the call.
--- a/src/entry/state.h
+++ b/src/entry/state.h
@@ -29,8 +29,8 @@
 // Set once; the control loop and the request threads both use it.
 struct EntryState
 {
-    explicit EntryState(ProcessSettings from, std::unique_ptr<ConfigFormat> format
-                        = std::make_unique<OverlayFormat>());
+    explicit EntryState(ProcessSettings from,
+                        std::unique_ptr<ConfigFormat> format = std::make_unique<OverlayFormat>());
 
     Hop hop() const { return {settings.name, settings.region}; }
 
--- a/src/net/http-server.cc
+++ b/src/net/http-server.cc
@@ -65,7 +65,8 @@
         states.push_back(state);
     }
 
-    void state_changed(const restinio::connection_state::notice_t &notice) // NOLINT: RESTinio's name
+    void
+    state_changed(const restinio::connection_state::notice_t &notice) // NOLINT: RESTinio's name
     {
         if (!std::holds_alternative<restinio::connection_state::closed_t>(notice.cause()))
             return;
@@ -265,7 +266,7 @@
     }
 
     void configure(restinio::server_settings_t<ServerTraits> &to,
-                          const HttpServerSettings &settings, RequestHandler &handler)
+                   const HttpServerSettings &settings, RequestHandler &handler)
     {
         to.address(settings.address);
         to.port(settings.port);
