--- a/test/path-rule-test.cc
+++ b/test/path-rule-test.cc
@@ -37,14 +37,14 @@
     CHECK(find("a.example", "/x/1") == "short");
     CHECK(find("a.example", "/x/y/1") == "long");
     CHECK(find("a.example", "/x/y/z/1") == "long");
-    CHECK(find("a.example", "/x") == "");
-    CHECK(find("c.example", "/x/1") == "");
+    CHECK(find("a.example", "/x").empty());
+    CHECK(find("c.example", "/x/1").empty());
 }
 
 TEST_CASE_METHOD(PathRuleFixture, "drawPool_weights_divideTheRange")
 {
     Service &service = add("s", "a", "/");
-    CHECK(drawPool(service, 0.5) == "");
+    CHECK(drawPool(service, 0.5).empty());
     service.pools = {{"p", 90}, {"q", 10}};
     CHECK(drawPool(service, 0) == "p");
     CHECK(drawPool(service, 0.899) == "p");
