Take silent backend servers out of use by their silence; log each request with what decided

Cause: at a server that loses power, each request sent there ends only with its own time; three had to fail before it was left out, 2 s and more.

--- a/include/ibisnotch/http-client.h
+++ b/include/ibisnotch/http-client.h
@@ -70,6 +70,9 @@
     virtual bool onData(std::string_view data) = 0;
     // True while the sink can't take more; the transfer is then held back.
     virtual bool congested() const { return false; }
+    // Asked when nothing came for `firstByte` or `idle`, and again every tenth of a second: true to
+    // wait on, up to `total`.
+    virtual bool waitsOn() { return false; }
     virtual void onEnd(const TransferResult &result) = 0;
 };
 
--- a/include/ibisnotch/peer-link.h
+++ b/include/ibisnotch/peer-link.h
@@ -15,12 +15,13 @@
 #include "ibisnotch/quarantine.h"
 #include "ibisnotch/region-choice.h"
 #include "ibisnotch/server-table.h"
+#include "ibisnotch/silence.h"
 
 namespace ibisnotch {
 
 // Raised when fields are appended. A reader ignores what follows the fields it knows, so instances
 // of neighbouring versions understand each other while a fleet is being replaced.
-constexpr std::uint16_t peerProtocol = 1;
+constexpr std::uint16_t peerProtocol = 2;
 
 struct GossipMessage
 {
@@ -30,6 +31,7 @@
     std::vector<CompactLoad> loads; // of the sender's region only
     std::vector<RegionLoad> regionLoads;
     std::vector<CrashMark> marks;
+    std::vector<SilenceNews> silences; // since protocol 2
 
     bool operator==(const GossipMessage &) const = default;
 };
--- a/include/ibisnotch/region-choice.h
+++ b/include/ibisnotch/region-choice.h
@@ -22,7 +22,7 @@
     std::string service; // or pool
     double slots = 0;
     double outstanding = 0;
-    std::uint32_t ageMs = 0; // when sent
+    std::uint32_t ageMs = 0; // when sent, or when looked up
     double delay = 0; // seconds before a prompt sent now is read, on average
 
     template <typename Archive> void serialize(Archive &archive)
--- a/include/ibisnotch/retry.h
+++ b/include/ibisnotch/retry.h
@@ -42,6 +42,8 @@
 
     void onRequest(const std::string &customer, const std::string &service, double retryShare);
     bool take(const std::string &customer, const std::string &service);
+    // Whether take() would succeed now.
+    bool has(const std::string &customer, const std::string &service);
 
 private:
     double &tokens(const std::string &customer, const std::string &service);
--- a/include/ibisnotch/server-table.h
+++ b/include/ibisnotch/server-table.h
@@ -63,6 +63,11 @@
     std::atomic<double> tokensPerMs = 0; // the engine's reading rate; 0: not known
     std::atomic<double> delayMs = 0; // smoothed wait before a prompt is read
     std::atomic<Duration::rep> delayAt = 0;
+    // For telling a silent server (silence.h): streams that have begun, the last byte from it, and
+    // when this instance began to wait for one.
+    std::atomic<int> streaming = 0;
+    std::atomic<Duration::rep> heardAt = 0;
+    std::atomic<Duration::rep> waitingSince = 0;
     std::atomic<bool> probing = false; // the one request that tries an ejected server again
 };
 
@@ -145,6 +150,8 @@
         Duration firstEjection = std::chrono::seconds(5);
         Duration longestEjection = std::chrono::seconds(60);
         Duration reportLife = std::chrono::seconds(10);
+        // A server that is silent again so soon after a health check has a check that lies.
+        Duration believedAfter = std::chrono::seconds(10);
     };
 
     explicit ServerTable(Limits limits) : m_limits(limits) { }
@@ -172,6 +179,11 @@
     void onOwnWord(const std::string &server);
 
     void onAttempt(const std::string &server, AttemptHealth health, TimePoint now);
+    // A server from which nothing comes any more gets nothing for a while.
+    void onSilence(std::uint32_t server, TimePoint now);
+    // It was heard again. After a health check that was followed by silence once more, the next one
+    // is not believed, and the server has to show itself by a trial.
+    void onHeardAgain(std::uint32_t server, TimePoint now);
 
     // The state of an operator's drain.
     void setDrained(const std::string &server, bool drained);
@@ -192,12 +204,16 @@
         int failures = 0;
         int ejections = 0;
         TimePoint ejectedUntil{};
+        TimePoint heardAgainAt{};
+        bool needsTrial = false;
         std::uint64_t revision = 0; // of the platform's list
         TimePoint coldUntil{};
         std::shared_ptr<ServerCounters> counters;
     };
 
     void learnTraffic(double reported, double own);
+    void eject(Record &record, TimePoint now);
+    Record *find(std::uint32_t server); // with the lock held; null if unknown
     ServerStatus statusOf(const Record &record, TimePoint now) const;
     static void startIncarnation(Record &record, const LoadReport &report);
 
--- a/src/decide/region-choice.cc
+++ b/src/decide/region-choice.cc
@@ -9,6 +9,12 @@
 
 constexpr Duration summaryLife = std::chrono::seconds(15);
 
+std::uint32_t ageMilliseconds(TimePoint at, TimePoint now)
+{
+    return static_cast<std::uint32_t>(
+        std::chrono::duration_cast<std::chrono::milliseconds>(now - at).count());
+}
+
 bool contains(const std::vector<std::string> &list, const std::string &item)
 {
     return std::find(list.begin(), list.end(), item) != list.end();
@@ -96,6 +102,7 @@
         return std::nullopt;
     RegionLoad load = found->second.load;
     load.outstanding = std::max(0.0, load.outstanding + found->second.underWay);
+    load.ageMs = ageMilliseconds(found->second.at, now);
     return load;
 }
 
@@ -147,8 +154,7 @@
         if (entry.at + summaryLife <= now)
             continue;
         loads.push_back(entry.load);
-        loads.back().ageMs = static_cast<std::uint32_t>(
-            std::chrono::duration_cast<std::chrono::milliseconds>(now - entry.at).count());
+        loads.back().ageMs = ageMilliseconds(entry.at, now);
     }
     return loads;
 }
--- a/src/decide/retry.cc
+++ b/src/decide/retry.cc
@@ -43,6 +43,12 @@
     return true;
 }
 
+bool RetryBudget::has(const std::string &customer, const std::string &service)
+{
+    const std::lock_guard lock(m_mutex);
+    return tokens(customer, service) >= 1;
+}
+
 RetryAnswer mayRetry(const RetryQuestion &question)
 {
     const bool final = question.end == AttemptEnd::answered
--- a/src/decide/server-table.cc
+++ b/src/decide/server-table.cc
@@ -228,6 +228,7 @@
     Record &record = found->second;
     record.counters->probing = false;
     if (health == AttemptHealth::good) {
+        record.needsTrial = false;
         record.failures = 0;
         record.ejections = 0;
         record.ejectedUntil = {};
@@ -240,12 +241,46 @@
     const bool trialFailed = record.ejections > 0 && now >= record.ejectedUntil;
     if (record.failures < m_limits.failuresToEject && !trialFailed)
         return;
+    eject(record, now);
+}
+
+void ServerTable::eject(Record &record, TimePoint now)
+{
     const Duration pause = m_limits.firstEjection * (1 << std::min(record.ejections, 10));
     record.ejectedUntil = now + std::min(pause, m_limits.longestEjection);
     ++record.ejections;
     record.failures = 0;
 }
 
+ServerTable::Record *ServerTable::find(std::uint32_t server)
+{
+    const auto name = m_names.find(server);
+    const auto found = name == m_names.end() ? m_records.end() : m_records.find(name->second);
+    return found == m_records.end() ? nullptr : &found->second;
+}
+
+void ServerTable::onSilence(std::uint32_t server, TimePoint now)
+{
+    const std::lock_guard lock(m_mutex);
+    Record *record = find(server);
+    if (record == nullptr || now < record->ejectedUntil)
+        return;
+    record->needsTrial = now - record->heardAgainAt < m_limits.believedAfter;
+    eject(*record, now);
+}
+
+void ServerTable::onHeardAgain(std::uint32_t server, TimePoint now)
+{
+    const std::lock_guard lock(m_mutex);
+    Record *record = find(server);
+    if (record == nullptr || record->ejections == 0 || record->needsTrial)
+        return;
+    record->heardAgainAt = now;
+    record->failures = 0;
+    record->ejections = 0;
+    record->ejectedUntil = {};
+}
+
 void ServerTable::setDrained(const std::string &server, bool drained)
 {
     const std::lock_guard lock(m_mutex);
--- a/src/entry/attempt.cc
+++ b/src/entry/attempt.cc
@@ -1,5 +1,7 @@
 #include "attempt.h"
 
+#include "ibisnotch/silence.h"
+
 namespace ibisnotch {
 
 namespace {
@@ -11,7 +13,8 @@
 
 Dispatch::Attempt::Attempt(std::shared_ptr<Dispatch> dispatch, Target target,
                            std::unique_ptr<AnswerReader> reader)
-    : m_dispatch(std::move(dispatch)), m_target(std::move(target)), m_reader(std::move(reader))
+    : m_dispatch(std::move(dispatch)), m_target(std::move(target)), m_reader(std::move(reader)),
+      m_heard(m_dispatch->m_state.clock.now())
 {
 }
 
@@ -26,6 +29,7 @@
     m_answer.status = status;
     m_answer.headers = headers;
     const auto end = m_reader->onHead(status, headers);
+    m_heard = m_dispatch->m_state.clock.now();
     m_dispatch->onServerWord(m_target, *m_reader);
     return end ? stop(*end) : true;
 }
@@ -33,6 +37,9 @@
 bool Dispatch::Attempt::onData(std::string_view data)
 {
     std::string passed;
+    m_heard = m_dispatch->m_state.clock.now();
+    if (m_target.counters)
+        noteHeard(*m_target.counters, m_heard);
     const auto end = m_reader->onData(data, passed);
     if (!end && !passed.empty() && !m_reader->streams() && !m_tooLong) {
         m_answer.body += passed;
@@ -50,6 +57,11 @@
     return !m_dispatch->m_exchange->responder->closed();
 }
 
+bool Dispatch::Attempt::waitsOn()
+{
+    return m_dispatch->waitsOn(m_target, *m_reader, m_heard);
+}
+
 bool Dispatch::Attempt::congested() const
 {
     return m_dispatch->m_streamed
--- a/src/entry/attempt.h
+++ b/src/entry/attempt.h
@@ -19,6 +19,7 @@
     bool onHead(int status, const Headers &headers) override;
     bool onData(std::string_view data) override;
     bool congested() const override;
+    bool waitsOn() override;
     void onEnd(const TransferResult &result) override;
 
     const HttpResponse &answer() const { return m_answer; }
@@ -34,6 +35,7 @@
     HttpResponse m_answer; // kept until it is whole
     bool m_tooLong = false; // to be kept whole
     std::optional<AttemptEnd> m_stoppedAs;
+    TimePoint m_heard; // the last byte, or the start
 };
 
 } // namespace ibisnotch
--- a/src/entry/chat-protocol.cc
+++ b/src/entry/chat-protocol.cc
@@ -145,10 +145,10 @@
         return std::make_unique<ChatReader>(exchange.id, form, fromPeer);
     }
 
-    OutgoingRequest healthCheck(const Exchange &, const Target &target) const override
+    OutgoingRequest healthCheck(const FleetConfig &, const BackendServer &server) const override
     {
         OutgoingRequest request;
-        request.url = "http://" + target.address + "/metrics";
+        request.url = "http://" + server.address + "/metrics";
         return request;
     }
 
--- a/src/entry/control.cc
+++ b/src/entry/control.cc
@@ -23,6 +23,7 @@
 constexpr Duration publishAtMost = std::chrono::milliseconds(5);
 constexpr Duration publishAtLeast = std::chrono::milliseconds(500);
 constexpr std::size_t pollersPerServer = 2;
+constexpr std::size_t checkersPerServer = 1;
 constexpr std::size_t loadsPerMessage = 48;
 constexpr std::size_t regionLoadsPerMessage = 16;
 constexpr std::size_t marksPerMessage = 8;
@@ -55,10 +56,10 @@
 
 } // namespace
 
-Control::Control(EntryState &state, HttpClient &client)
+Control::Control(EntryState &state, const Protocol &protocol, HttpClient &client)
     : m_state(state), m_client(client),
       m_membership(selfMember(state), state.settings.seeds, MembershipSettings{}),
-      m_link(state.settings.gossip, *this)
+      m_silence(state, protocol), m_link(state.settings.gossip, *this)
 {
 }
 
@@ -115,10 +116,7 @@
             const bool local = member.region == m_state.settings.region;
             if (!local && others-- <= 0)
                 continue;
-            GossipMessage news;
-            news.probe.sender = m_membership.self();
-            news.probe.kind = ProbeKind::ack;
-            news.configVersion = m_state.gate.version();
+            GossipMessage news = emptyNews();
             news.marks = marks;
             m_link.sendGossip(member.gossipAddress, news);
         }
@@ -149,6 +147,7 @@
         updateOwnLoad();
     }
     m_source->tick();
+    watchSilence();
     if (now >= m_nextReport) {
         m_nextReport = now + reportPeriod;
         reportRegions();
@@ -219,10 +218,7 @@
     if (!table || !table->config || !amongFirst(reporterTask, 1))
         return;
     const TimePoint now = m_state.clock.now();
-    GossipMessage report;
-    report.probe.sender = m_membership.self();
-    report.probe.kind = ProbeKind::ack;
-    report.configVersion = m_state.gate.version();
+    GossipMessage report = emptyNews();
     report.regionLoads = ownRegionLoads(*table);
     std::map<std::string, const Member *> reporters;
     const std::vector<Member> members = m_membership.usable();
@@ -238,12 +234,52 @@
             m_link.sendGossip(reporter->gossipAddress, report);
     }
     report.regionLoads = m_state.regions.all(now);
-    for (const Member &member : members) {
+    sendToRegion(report);
+}
+
+// Without a probe's news and loads, for what has to arrive at once.
+GossipMessage Control::emptyNews()
+{
+    GossipMessage message;
+    message.probe.sender = m_membership.self();
+    message.probe.kind = ProbeKind::ack;
+    message.configVersion = m_state.gate.version();
+    return message;
+}
+
+void Control::sendToRegion(const GossipMessage &message)
+{
+    for (const Member &member : m_membership.usable()) {
         if (member.region == m_state.settings.region)
-            m_link.sendGossip(member.gossipAddress, report);
+            m_link.sendGossip(member.gossipAddress, message);
     }
 }
 
+void Control::watchSilence()
+{
+    shareSilence(m_silence.tick());
+    for (const ServerView &view : m_silence.dueForCheck()) {
+        if (!amongFirst(view.server.name, checkersPerServer))
+            continue;
+        sendWhole(m_client, m_silence.healthCheck(view.server),
+                  [this, view](const WholeAnswer &answer) {
+                      m_link.post([this, view, answer] {
+                          shareSilence(m_silence.onChecked(view, answer));
+                      });
+                  });
+    }
+}
+
+void Control::shareSilence(std::vector<SilenceNews> news)
+{
+    if (news.empty())
+        return;
+    publishRouting();
+    GossipMessage message = emptyNews();
+    message.silences = std::move(news);
+    sendToRegion(message);
+}
+
 void Control::send(const std::vector<SendProbe> &probes)
 {
     for (const SendProbe &item : probes)
@@ -373,6 +409,10 @@
     if (message.probe.sender.region == m_state.settings.region) {
         for (const CompactLoad &load : message.loads)
             m_routingDirty |= m_state.servers.onReport(load, now);
+        for (const SilenceNews &news : message.silences)
+            m_silence.onNews(news);
+        if (!message.silences.empty())
+            publishRouting();
     }
     for (const RegionLoad &load : message.regionLoads)
         m_state.regions.onLoad(load, now);
--- a/src/entry/control.h
+++ b/src/entry/control.h
@@ -7,6 +7,7 @@
 #include "ibisnotch/http-client.h"
 #include "ibisnotch/membership.h"
 #include "ibisnotch/peer-link.h"
+#include "silence-watch.h"
 #include "state-source.h"
 #include "state.h"
 
@@ -15,7 +16,7 @@
 class Control final : public PeerHandler
 {
 public:
-    Control(EntryState &state, HttpClient &client);
+    Control(EntryState &state, const Protocol &protocol, HttpClient &client);
     ~Control() override;
 
     // Before start().
@@ -63,6 +64,10 @@
     void shareRetries(std::size_t members);
     void updateOwnLoad();
 
+    void watchSilence();
+    void shareSilence(std::vector<SilenceNews> news);
+    void sendToRegion(const GossipMessage &message);
+    GossipMessage emptyNews();
     void pollServers();
     void pollServer(const BackendServer &server);
     void onPolled(const std::string &server, const WholeAnswer &answer);
@@ -72,6 +77,7 @@
     EntryState &m_state;
     HttpClient &m_client;
     Membership m_membership;
+    SilenceWatch m_silence;
     std::size_t m_loadCursor = 0;
     std::size_t m_pollCursor = 0;
     bool m_pulling = false;
--- a/src/entry/dispatch-plan.cc
+++ b/src/entry/dispatch-plan.cc
@@ -32,6 +32,14 @@
         candidates = candidatesFor(table, *m_exchange->service, {}, m_exchange->pool);
     std::erase_if(candidates,
                   [&](const Candidate &candidate) { return !mayWarm(table, *candidate.view); });
+    // A request that may run once only is lost if the server on trial is still out of order.
+    const bool othersUsable = std::any_of(
+        candidates.begin(), candidates.end(),
+        [](const Candidate &one) { return one.view->status == ServerStatus::usable; });
+    if (!m_exchange->service->idempotent && othersUsable)
+        std::erase_if(candidates, [](const Candidate &one) {
+            return one.view->status == ServerStatus::trial;
+        });
     if (m_exchange->prompt.tokens > 0)
         addDelays(candidates, table.trafficFactor, m_state.clock.now());
     return candidates;
@@ -111,10 +119,13 @@
         return Refusal{ResultCode::noBackendServer, "",
                        spreadRetryAfter(noServerPause, m_state.random)};
     const bool away = *answer.region != question.home;
+    m_inputs = {};
+    m_inputs.home = question.homeLoad;
+    if (away)
+        m_inputs.away = m_state.regions.find(*answer.region, loadName(*m_exchange), now);
     if (admit && !m_admitted) {
-        const auto load = away ? m_state.regions.find(*answer.region, loadName(*m_exchange), now)
-                                     .value_or(RegionLoad{})
-                               : question.homeLoad;
+        const RegionLoad load
+            = away ? m_inputs.away.value_or(RegionLoad{}) : question.homeLoad;
         const AdmissionAnswer admission
             = m_state.admission.ask(admissionQuestion(load, away), m_state.random);
         if (admission.code != ResultCode::served)
@@ -175,6 +186,11 @@
     const Candidate &chosen = candidates[m_state.picker.pick(question, m_state.random)];
     trace(fmt::format("picked {} of {}, load {:.1f} of {:.1f} slots", chosen.view->server.name,
                       candidates.size(), chosen.load, chosen.slots));
+    m_inputs.serverLoad = chosen.load;
+    m_inputs.serverSlots = chosen.slots;
+    m_inputs.serverDelay = chosen.delay;
+    if (chosen.view->reportedAt != TimePoint{})
+        m_inputs.reportAge = now - chosen.view->reportedAt;
     const BackendServer &server = chosen.view->server;
     if (now < chosen.view->coldUntil) {
         const auto pause = warmingPause(table, *chosen.view);
--- a/src/entry/dispatch.cc
+++ b/src/entry/dispatch.cc
@@ -7,6 +7,7 @@
 #include "attempt.h"
 #include "ibisnotch/log.h"
 #include "ibisnotch/read-delay.h"
+#include "ibisnotch/silence.h"
 
 namespace ibisnotch {
 
@@ -15,6 +16,8 @@
 constexpr int patienceFactor = 8;
 constexpr Duration leastPatience = std::chrono::seconds(2);
 constexpr Duration longestSilence = std::chrono::seconds(3);
+// When an attempt that brings nothing is first looked at.
+constexpr Duration firstLook = std::chrono::milliseconds(600);
 constexpr Duration connectTime = std::chrono::milliseconds(500);
 constexpr Duration markArrival = std::chrono::milliseconds(10);
 constexpr Duration aliveCheckAfter = std::chrono::milliseconds(300);
@@ -139,16 +142,31 @@
     TransferLimits limits;
     limits.connect = std::min(connectTime, remaining());
     limits.total = remaining();
-    const Duration patience
-        = std::max(leastPatience, m_exchange->service->expected * patienceFactor);
     // An idempotent request does not wait its whole time for a connection that may have gone
     // silent. A booking has nowhere else to go, so it waits.
     const bool moveOn = m_exchange->service->idempotent && !target.away;
-    limits.firstByte = moveOn ? std::min(patience, limits.total) : limits.total;
-    limits.idle = moveOn ? longestSilence : limits.total;
+    limits.firstByte = moveOn ? std::min(firstLook, limits.total) : limits.total;
+    limits.idle = moveOn ? firstLook : limits.total;
     return limits;
 }
 
+bool Dispatch::waitsOn(const Target &target, const AnswerReader &reader, TimePoint heard) const
+{
+    const TimePoint now = m_state.clock.now();
+    const bool began = reader.streams();
+    const Duration patience = began
+        ? longestSilence
+        : std::max(leastPatience, m_exchange->service->expected * patienceFactor);
+    if (now - heard >= patience)
+        return false;
+    if (began && m_exchange->lastEvent.empty() && reader.lastEvent().empty())
+        return true;
+    const bool mayMove = m_attempts < mostAttempts
+        && m_exchange->runsBefore + m_runs + 1 < m_exchange->service->attempts
+        && m_state.retries.has(m_exchange->customer->name, loadName(*m_exchange));
+    return !mayMove || !isSilent(*target.counters, now);
+}
+
 OutgoingRequest Dispatch::makeRequest(const Target &target) const
 {
     const Exchange &exchange = *m_exchange;
@@ -193,8 +211,11 @@
 {
     if (target.away)
         return;
-    if (reader.streams())
+    noteHeard(*target.counters, m_state.clock.now());
+    if (reader.streams()) {
         noteFirstByte(target);
+        target.counters->streaming += std::exchange(m_streaming, true) ? 0 : 1;
+    }
     if (reader.leaving())
         m_state.servers.onOwnWord(target.name);
     if (const auto load = reader.load())
@@ -238,7 +259,7 @@
             m_state.retries.onRequest(m_exchange->customer->name, loadName(*m_exchange),
                                       m_exchange->config().limits.retryShare);
         target.counters->probing = target.trial;
-        ++target.counters->inFlight;
+        noteSent(*target.counters, target.counters->inFlight++, m_attemptStarted);
         ++target.counters->sentSinceReport;
         m_pendingTokens = tokensToRead();
         target.counters->pendingTokens += m_pendingTokens;
@@ -260,6 +281,7 @@
     const Duration taken = m_state.clock.now() - m_attemptStarted;
     m_cost += target.cost * std::chrono::duration<double>(taken).count();
     dropPending(target);
+    target.counters->streaming -= std::exchange(m_streaming, false) ? 1 : 0;
     --target.counters->inFlight;
     ++target.counters->endedSinceReport;
     const bool refused = end == AttemptEnd::refusedNotRun || end == AttemptEnd::refusedForGood;
@@ -346,7 +368,11 @@
 void Dispatch::checkServerAlive(const Target &target)
 {
     m_client.postAfter(aliveCheckAfter, [self = shared_from_this(), target] {
-        OutgoingRequest request = self->m_protocol.healthCheck(*self->m_exchange, target);
+        BackendServer server;
+        server.address = target.address;
+        server.pool = self->m_exchange->pool;
+        OutgoingRequest request
+            = self->m_protocol.healthCheck(self->m_exchange->config(), server);
         request.limits.total = std::chrono::seconds(1);
         request.freshConnection = true;
         sendWhole(self->m_client, std::move(request), [self, target](const WholeAnswer &answer) {
@@ -547,17 +573,43 @@
         m_state.burn.count(record.service, record.customer, !good, m_state.clock.wallNow());
     m_exchange->trace.resultCode = static_cast<int>(code);
     m_state.traces.add(m_exchange->trace);
-    logLine(LogPart::request, good ? LogLevel::debug : LogLevel::info, "Request over.",
+    logOver(code, good);
+    --m_state.inFlight;
+}
+
+// home=load/slots+delay, away the same with its age, server=...; delays in milliseconds.
+std::string Dispatch::inputsText() const
+{
+    constexpr double toMs = 1000;
+    const RegionLoad &home = m_inputs.home;
+    std::string text
+        = fmt::format("home:{:.0f}/{:.0f}+{:.0f}", home.outstanding, home.slots, home.delay * toMs);
+    if (const auto &away = m_inputs.away)
+        text += fmt::format(";{}:{:.0f}/{:.0f}+{:.0f},age:{}", away->region, away->outstanding,
+                            away->slots, away->delay * toMs, away->ageMs);
+    if (m_inputs.serverSlots > 0)
+        text += fmt::format(";server:{:.0f}/{:.0f}+{:.0f},age:{}", m_inputs.serverLoad,
+                            m_inputs.serverSlots, m_inputs.serverDelay * toMs,
+                            m_inputs.reportAge ? millisecondsText(*m_inputs.reportAge) : "never");
+    return text;
+}
+
+void Dispatch::logOver(ResultCode code, bool good) const
+{
+    const Exchange &exchange = *m_exchange;
+    const TimePoint now = m_state.clock.now();
+    logLine(LogPart::request, good ? LogLevel::info : LogLevel::warn, "Request over.",
             {{"request", exchange.id},
-             {"customer", record.customer},
-             {"service", record.service},
+             {"customer", exchange.customer->name},
+             {"service", exchange.service->name},
              {"code", std::to_string(static_cast<int>(code))},
              {"attempts", std::to_string(m_attempts)},
              {"server", m_servedBy},
-             {"ms", millisecondsText(record.total)},
+             {"firstMs", m_firstByte ? millisecondsText(*m_firstByte - exchange.arrived) : "none"},
+             {"ms", millisecondsText(now - exchange.arrived)},
              {"leftMs", millisecondsText(remaining())},
-             {"configVersion", std::to_string(exchange.config().version)}});
-    --m_state.inFlight;
+             {"configVersion", std::to_string(exchange.config().version)},
+             {"by", inputsText()}});
 }
 
 } // namespace ibisnotch
--- a/src/entry/dispatch.h
+++ b/src/entry/dispatch.h
@@ -23,6 +23,17 @@
     ClaimDesk *desk = nullptr; // null where the protocol knows no booking keys
 };
 
+// What the last choice of a target went by, for the line that is logged when the request is over.
+struct RouteInputs
+{
+    RegionLoad home;
+    std::optional<RegionLoad> away; // of the region chosen, if another one
+    double serverLoad = 0; // corrected, of the server chosen
+    double serverSlots = 0;
+    double serverDelay = 0; // seconds before a prompt sent now is read
+    std::optional<Duration> reportAge; // of that server's last report; none: it never reported
+};
+
 // Lives until the request is over, on the loop of one HTTP client.
 class Dispatch final : public std::enable_shared_from_this<Dispatch>
 {
@@ -69,6 +80,9 @@
     // What the server still has to read of the prompt, as far as it can be known.
     std::int64_t tokensToRead() const;
     void noteFirstByte(const Target &target);
+    // Whether an attempt without a byte since `heard` may still come to something better than what
+    // another server would give.
+    bool waitsOn(const Target &target, const AnswerReader &reader, TimePoint heard) const;
     void dropPending(const Target &target);
     TransferLimits limitsFor(const Target &target) const;
     void onAttemptEnd(const Target &target, AttemptEnd end, Attempt &attempt);
@@ -88,6 +102,8 @@
     void refuse(const Refusal &refusal);
     void finish(ResultCode code);
 
+    void logOver(ResultCode code, bool good) const;
+    std::string inputsText() const;
     void trace(std::string what);
     Duration remaining() const;
     std::string servedBy(const Headers &answer) const;
@@ -115,6 +131,7 @@
     int m_runs = 0; // attempts that may have run
     std::weak_ptr<Attempt> m_current;
     bool m_callerLeft = false;
+    bool m_streaming = false; // counted at the server of the attempt under way
     std::int64_t m_pendingTokens = 0; // counted at the server of the attempt under way
     bool m_streamed = false; // the caller has the head of a stream
     // A whole failure answer of a backend server, for the caller if nothing better comes.
@@ -124,6 +141,7 @@
     TimePoint m_attemptStarted{};
     double m_cost = 0;
     std::optional<TimePoint> m_firstByte;
+    RouteInputs m_inputs;
 };
 
 } // namespace ibisnotch
--- a/src/entry/instance.cc
+++ b/src/entry/instance.cc
@@ -40,7 +40,7 @@
         m_clients.push_back(std::make_unique<HttpClient>());
     m_controlClient = std::make_unique<HttpClient>();
     m_desk = m_interfaces->claimDesk(m_state, *m_controlClient);
-    m_control = std::make_unique<Control>(m_state, *m_controlClient);
+    m_control = std::make_unique<Control>(m_state, *m_protocol, *m_controlClient);
     m_control->setSource(m_interfaces->source(m_state, *m_control, *m_controlClient));
     std::vector<HttpClient *> clients;
     for (const auto &client : m_clients)
--- a/src/entry/protocol.h
+++ b/src/entry/protocol.h
@@ -92,7 +92,8 @@
     virtual std::unique_ptr<AnswerReader> reader(const Exchange &exchange, bool fromPeer) const = 0;
 
     // Asks a backend server whether it lives.
-    virtual OutgoingRequest healthCheck(const Exchange &exchange, const Target &target) const = 0;
+    virtual OutgoingRequest healthCheck(const FleetConfig &config,
+                                        const BackendServer &server) const = 0;
     // Whether the answer to that shows the very run of the server that the target names.
     virtual bool showsSameRun(const Target &target, const WholeAnswer &answer) const = 0;
 
--- /dev/null
+++ b/src/entry/silence-watch.cc
@@ -0,0 +1,176 @@
+#include "silence-watch.h"
+
+#include <algorithm>
+
+#include "ibisnotch/log.h"
+
+namespace ibisnotch {
+
+namespace {
+
+// A loop that stood still this long has not read what servers sent meanwhile.
+constexpr Duration standstill = std::chrono::milliseconds(400);
+constexpr Duration afterStandstill = std::chrono::milliseconds(500);
+// If no server at all was heard within this, it is this instance that hears nothing.
+constexpr Duration othersHeard = std::chrono::milliseconds(300);
+constexpr Duration checkPeriod = std::chrono::milliseconds(500);
+constexpr Duration checkTime = std::chrono::milliseconds(400);
+
+std::string millisecondsSince(Duration::rep at, TimePoint now)
+{
+    const Duration since = now.time_since_epoch() - Duration(at);
+    return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(since).count());
+}
+
+const ServerView *findView(const RoutingTable &table, const std::string &name)
+{
+    const auto found = std::find_if(
+        table.servers.begin(), table.servers.end(),
+        [&](const ServerView &view) { return view.server.name == name; });
+    return found == table.servers.end() ? nullptr : &*found;
+}
+
+} // namespace
+
+SilenceWatch::SilenceWatch(EntryState &state, const Protocol &protocol)
+    : m_state(state), m_protocol(protocol)
+{
+}
+
+bool SilenceWatch::stoodStill(TimePoint now)
+{
+    const bool late = m_lastTick != TimePoint{} && now - m_lastTick > standstill;
+    m_lastTick = now;
+    if (late)
+        m_quietUntil = now + afterStandstill;
+    return now < m_quietUntil;
+}
+
+std::vector<SilenceNews> SilenceWatch::tick()
+{
+    std::vector<SilenceNews> news;
+    const TimePoint now = m_state.clock.now();
+    const auto table = m_state.routing.read();
+    if (stoodStill(now) || !table)
+        return news;
+    forgetOver(*table, news);
+    const bool hears = std::any_of(
+        table->servers.begin(), table->servers.end(),
+        [&](const ServerView &view) { return heardWithin(*view.counters, othersHeard, now); });
+    if (!hears)
+        return news;
+    for (const ServerView &view : table->servers) {
+        const bool inUse
+            = view.status == ServerStatus::usable || view.status == ServerStatus::trial;
+        if (!inUse || m_silent.count(view.server.name) > 0)
+            continue;
+        if (!isSilent(*view.counters, now))
+            continue;
+        take(view, "own");
+        news.push_back({serverId(view.server.name), true});
+    }
+    return news;
+}
+
+void SilenceWatch::take(const ServerView &view, std::string_view source)
+{
+    const TimePoint now = m_state.clock.now();
+    m_silent[view.server.name] = {now, now + checkPeriod};
+    m_state.servers.onSilence(serverId(view.server.name), now);
+    logLine(LogPart::load, LogLevel::warn, "Backend server silent.",
+            {{"server", view.server.name},
+             {"source", std::string(source)},
+             {"inFlight", std::to_string(view.counters->inFlight)},
+             {"streaming", std::to_string(view.counters->streaming)},
+             {"heardMsAgo", view.counters->heardAt == 0
+                                ? "never"
+                                : millisecondsSince(view.counters->heardAt, now)}});
+}
+
+void SilenceWatch::giveBack(const std::string &name, std::string_view source)
+{
+    const TimePoint now = m_state.clock.now();
+    m_silent.erase(name);
+    m_state.servers.onHeardAgain(serverId(name), now);
+    logLine(LogPart::load, LogLevel::info, "Backend server heard again.",
+            {{"server", name}, {"source", std::string(source)}});
+}
+
+// Servers that have left the table, and those of which an answer came after all.
+void SilenceWatch::forgetOver(const RoutingTable &table, std::vector<SilenceNews> &news)
+{
+    std::vector<std::string> heard;
+    std::erase_if(m_silent, [&](const auto &entry) {
+        const ServerView *view = findView(table, entry.first);
+        if (view == nullptr)
+            return true;
+        if (Duration(view->counters->heardAt.load()) > entry.second.since.time_since_epoch())
+            heard.push_back(entry.first);
+        return false;
+    });
+    for (const std::string &name : heard) {
+        giveBack(name, "own");
+        news.push_back({serverId(name), false});
+    }
+}
+
+void SilenceWatch::onNews(const SilenceNews &news)
+{
+    const TimePoint now = m_state.clock.now();
+    const auto table = m_state.routing.read();
+    if (!table)
+        return;
+    for (const ServerView &view : table->servers) {
+        if (serverId(view.server.name) != news.server)
+            continue;
+        const bool known = m_silent.count(view.server.name) > 0;
+        if (!news.silent && known)
+            return giveBack(view.server.name, "peer");
+        // Own evidence goes first: the server may be cut off from the other instance alone.
+        if (news.silent && !known && !heardWithin(*view.counters, othersHeard, now))
+            take(view, "peer");
+        return;
+    }
+}
+
+std::vector<ServerView> SilenceWatch::dueForCheck()
+{
+    const TimePoint now = m_state.clock.now();
+    std::vector<ServerView> due;
+    const auto table = m_state.routing.read();
+    if (!table)
+        return due;
+    for (auto &[name, silent] : m_silent) {
+        const ServerView *view = findView(*table, name);
+        if (view == nullptr || now < silent.nextCheck)
+            continue;
+        silent.nextCheck = now + checkPeriod;
+        due.push_back(*view);
+    }
+    return due;
+}
+
+OutgoingRequest SilenceWatch::healthCheck(const BackendServer &server) const
+{
+    OutgoingRequest request = m_protocol.healthCheck(*m_state.gate.config(), server);
+    request.limits = {checkTime, checkTime, checkTime, checkTime};
+    request.freshConnection = true;
+    return request;
+}
+
+std::vector<SilenceNews> SilenceWatch::onChecked(const ServerView &view, const WholeAnswer &answer)
+{
+    constexpr int statusOk = 200;
+    const std::string &name = view.server.name;
+    Target target;
+    target.name = name;
+    target.incarnation = view.incarnation;
+    const bool healthy
+        = answer.response.status == statusOk && m_protocol.showsSameRun(target, answer);
+    if (!healthy || m_silent.count(name) == 0)
+        return {};
+    giveBack(name, "health check");
+    return {{serverId(name), false}};
+}
+
+} // namespace ibisnotch
--- a/src/net/http-client.cc
+++ b/src/net/http-client.cc
@@ -20,6 +20,7 @@
 
 constexpr std::size_t maxCollectedBytes = 4U << 20;
 constexpr auto congestionCheck = std::chrono::milliseconds(20);
+constexpr auto askAgainAfter = std::chrono::milliseconds(100);
 constexpr long maxIdleConnections = 256;
 
 struct SocketWatch
@@ -59,6 +60,7 @@
         int sends = 0;
         std::chrono::steady_clock::time_point started;
         std::chrono::steady_clock::time_point progress;
+        std::chrono::steady_clock::time_point waitsUntil; // by the sink's leave
         std::unique_ptr<asio::steady_timer> timer;
     };
 
@@ -336,12 +338,13 @@
     {
         const TransferLimits &limits = transfer.request.limits;
         auto next = std::chrono::steady_clock::time_point::max();
-        if (limits.total.count() > 0)
-            next = transfer.started + limits.total;
         if (!transfer.answered && limits.firstByte.count() > 0)
             next = std::min(next, transfer.started + limits.firstByte);
         if (transfer.answered && !transfer.paused && limits.idle.count() > 0)
             next = std::min(next, transfer.progress + limits.idle);
+        next = std::max(next, transfer.waitsUntil);
+        if (limits.total.count() > 0)
+            next = std::min(next, transfer.started + limits.total);
         if (transfer.paused)
             next = std::min(next, std::chrono::steady_clock::now() + congestionCheck);
         return next;
@@ -365,7 +368,12 @@
         resumeIfTaken(*transfer);
         if (m_transfers.count(transfer->easy) == 0)
             return;
-        if (nextLimit(*transfer) <= std::chrono::steady_clock::now()) {
+        const auto now = std::chrono::steady_clock::now();
+        const Duration total = transfer->request.limits.total;
+        const bool over = total.count() > 0 && now >= transfer->started + total;
+        if (nextLimit(*transfer) <= now && !over && transfer->sink->waitsOn())
+            transfer->waitsUntil = now + askAgainAfter;
+        if (nextLimit(*transfer) <= now) {
             transfer->timedOut = true;
             finish(transfer->easy, CURLE_OPERATION_TIMEDOUT);
             return;
--- a/src/net/log.cc
+++ b/src/net/log.cc
@@ -2,7 +2,7 @@
 
 #include <array>
 
-#include <log4cxx/basicconfigurator.h>
+#include <log4cxx/asyncappender.h>
 #include <log4cxx/consoleappender.h>
 #include <log4cxx/level.h>
 #include <log4cxx/logger.h>
@@ -12,6 +12,9 @@
 
 namespace {
 
+// Some seconds of lines of a busy instance, at most about 2 MB.
+constexpr int queuedLines = 4096;
+
 std::string &instanceName()
 {
     static std::string name;
@@ -74,9 +77,16 @@
     instanceName() = instance;
     const auto layout
         = std::make_shared<log4cxx::PatternLayout>("%d{yyyy-MM-dd'T'HH:mm:ss.SSS} %-5p %c: %m%n");
+    // Whoever writes a line never waits for standard output: a reader that stands still would else
+    // stop requests. Lines that find the queue full are dropped, and the first one after that is
+    // a count of them.
+    const auto queue = std::make_shared<log4cxx::AsyncAppender>();
+    queue->setBufferSize(queuedLines);
+    queue->setBlocking(false);
+    queue->addAppender(std::make_shared<log4cxx::ConsoleAppender>(layout));
     const auto root = log4cxx::Logger::getRootLogger();
     root->removeAllAppenders();
-    root->addAppender(std::make_shared<log4cxx::ConsoleAppender>(layout));
+    root->addAppender(queue);
     root->setLevel(log4cxx::Level::toLevel(level));
 }
 
--- a/test/server-table-test.cc
+++ b/test/server-table-test.cc
@@ -66,6 +66,32 @@
     });
 }
 
+TEST_CASE_METHOD(TableFixture, "silentServer_heardAgain_isUsableAtOnce")
+{
+    table.onSilence(serverId("a-m"), now);
+    CHECK(status() == ServerStatus::ejected);
+    now += 500ms;
+    table.onHeardAgain(serverId("a-m"), now);
+    CHECK(status() == ServerStatus::usable);
+}
+
+// What callers see: requests lost at a server whose health check answers while it does no work. In
+// what order: silent, checked, taken back, silent again within seconds. Why: the second time the
+// check is not believed; one request has to show that the server is back.
+TEST_CASE_METHOD(TableFixture, "silentServer_silentAgainAfterAHealthCheck_needsATrial")
+{
+    table.onSilence(serverId("a-m"), now);
+    table.onHeardAgain(serverId("a-m"), now);
+    now += 3s;
+    table.onSilence(serverId("a-m"), now);
+    table.onHeardAgain(serverId("a-m"), now);
+    CHECK(status() == ServerStatus::ejected);
+    now += 5s;
+    CHECK(status() == ServerStatus::trial);
+    table.onAttempt("a-m", AttemptHealth::good, now);
+    CHECK(status() == ServerStatus::usable);
+}
+
 TEST_CASE_METHOD(TableFixture, "leavingServer_newRun_isUsable")
 {
     table.onReport(report(7, true), now);
