Predict first tokens by the engines' own waiting counts, shared in the region

Ruled out: uneven engines (at 12 to 18 s all engines but the cold ones were late). Kept: admission needs the signal.

--- a/include/ibisnotch/admission.h
+++ b/include/ibisnotch/admission.h
@@ -24,6 +24,10 @@
     bool lateIsUndelivered = false;
     Duration way{}; // to the region and back
     Duration remaining{}; // until the caller's deadline
+    double firstDelay = 0; // seconds before a prompt sent now is read; 0: no prompt
+    // Between 0 and 1, drawn once for a request: the lowest are turned away first, wherever it is
+    // asked for.
+    double draw = 1;
 };
 
 struct AdmissionAnswer
--- a/include/ibisnotch/pick.h
+++ b/include/ibisnotch/pick.h
@@ -29,7 +29,7 @@
                                      const std::string &pool = {});
 
 // Fills in how long a prompt sent now would wait.
-void addDelays(std::vector<Candidate> &candidates, double trafficFactor, TimePoint now);
+void addDelays(std::vector<Candidate> &candidates);
 
 // Leaves out servers that are cold: they bear a few requests a second, not what their slots say.
 void dropCold(std::vector<Candidate> &candidates, TimePoint now);
--- a/include/ibisnotch/server-table.h
+++ b/include/ibisnotch/server-table.h
@@ -59,10 +59,9 @@
     std::atomic<int> endedSinceReport = 0;
     std::atomic<Duration::rep> warmedAt = 0; // the last request to the server while it was cold
     // Of prompts sent whose first token is not there yet, and what first tokens have shown.
-    std::atomic<std::int64_t> pendingTokens = 0;
+    std::atomic<int> awaitingFirst = 0;
     std::atomic<double> tokensPerMs = 0; // the engine's reading rate; 0: not known
-    std::atomic<double> delayMs = 0; // smoothed wait before a prompt is read
-    std::atomic<Duration::rep> delayAt = 0;
+    std::atomic<double> msPerWaiting = 0; // smoothed, for each request ahead of a prompt; 0: not known
     // For telling a silent server (silence.h): streams that have begun, the last byte from it, and
     // when this instance began to wait for one.
     std::atomic<int> streaming = 0;
@@ -109,6 +108,7 @@
     BackendServer server;
     ServerStatus status = ServerStatus::usable;
     double reported = 0; // running and waiting, by the last report
+    double waiting = 0; // of those, the ones whose prompts were still to be read
     TimePoint reportedAt{};
     std::uint64_t incarnation = 0;
     TimePoint coldUntil{};
@@ -169,6 +169,9 @@
     void onAnswerLoad(const std::string &server, std::uint32_t running, std::uint32_t waiting,
                       TimePoint now);
 
+    // Reports since the last call, for other instances of the region; only those that came with
+    // answers to this one, unless `alsoHeard`.
+    std::vector<CompactLoad> takeFresh(TimePoint now, std::size_t most, bool alsoHeard);
     // Returns true if the report changed whether the server may get work.
     bool onReport(const LoadReport &report, TimePoint now);
     // The same for a report that came from another instance; unknown servers are ignored.
@@ -198,6 +201,8 @@
         LoadReport report;
         TimePoint reportedAt{};
         bool everReported = false;
+        bool firstHand = false; // the report came with an answer to this instance
+        TimePoint toldAt{}; // of the last report that was told to others
         bool leaving = false; // latched for this incarnation
         std::uint64_t noticeMs = 0; // of the platform's list
         bool drained = false;
@@ -212,6 +217,7 @@
     };
 
     void learnTraffic(double reported, double own);
+    static CompactLoad compact(const Record &record, TimePoint now);
     void eject(Record &record, TimePoint now);
     Record *find(std::uint32_t server); // with the lock held; null if unknown
     ServerStatus statusOf(const Record &record, TimePoint now) const;
--- a/src/decide/pick.cc
+++ b/src/decide/pick.cc
@@ -76,12 +76,10 @@
     return candidatesWhere(table, [&](const BackendServer &server) { return server.pool == pool; });
 }
 
-void addDelays(std::vector<Candidate> &candidates, double trafficFactor, TimePoint now)
+void addDelays(std::vector<Candidate> &candidates)
 {
     for (Candidate &candidate : candidates)
-        candidate.delay = std::chrono::duration<double>(
-                              readDelay(*candidate.view->counters, trafficFactor, now))
-                              .count();
+        candidate.delay = std::chrono::duration<double>(readDelay(*candidate.view)).count();
 }
 
 void dropCold(std::vector<Candidate> &candidates, TimePoint now)
--- a/src/decide/read-delay.cc
+++ b/src/decide/read-delay.cc
@@ -1,7 +1,6 @@
 #include "ibisnotch/read-delay.h"
 
 #include <algorithm>
-#include <cmath>
 
 namespace ibisnotch {
 
@@ -14,10 +13,13 @@
 constexpr std::int64_t leastTokens = 500;
 // An engine that slows down is believed after some hundred prompts.
 constexpr double rateKept = 0.998;
-// Of the smoothed wait, for each first token.
-constexpr double delayKept = 0.7;
-// A wait that no first token has confirmed for this long counts half.
-constexpr double halfLifeSeconds = 1;
+// Milliseconds for each request ahead, until an engine has shown otherwise: 2,300 tokens, what is
+// left to read of the mean prompt of the deployments.
+constexpr double usualMsPerWaiting = 60;
+// A queue behind taken slots moves at the pace of whole answers, seconds each.
+constexpr double mostMsPerWaiting = 1000;
+// Of what is learnt, for each first token.
+constexpr double paceKept = 0.9;
 
 double milliseconds(Duration duration)
 {
@@ -34,31 +36,32 @@
     return std::max(usualRate, counters.tokensPerMs.load());
 }
 
-double agedDelay(const ServerCounters &counters, TimePoint now)
+double paceOf(const ServerCounters &counters)
 {
-    const TimePoint at{Duration(counters.delayAt.load())};
-    const double age = std::chrono::duration<double>(now - at).count();
-    return counters.delayMs * std::exp2(-std::max(0.0, age) / halfLifeSeconds);
+    return counters.msPerWaiting > 0 ? counters.msPerWaiting.load() : usualMsPerWaiting;
 }
 
 } // namespace
 
 // Two threads that note at the same moment may lose one sample of many, which does no harm.
-void noteFirstToken(ServerCounters &counters, std::int64_t tokens, Duration taken, TimePoint now)
+void noteFirstToken(ServerCounters &counters, std::int64_t tokens, double waiting, Duration taken)
 {
     const double ms = std::max(0.1, milliseconds(taken));
     if (tokens >= leastTokens)
         counters.tokensPerMs
             = std::max(counters.tokensPerMs * rateKept, static_cast<double>(tokens) / ms);
+    if (waiting < 1)
+        return;
     const double waited = std::max(0.0, ms - static_cast<double>(tokens) / rateOf(counters));
-    counters.delayMs = delayKept * agedDelay(counters, now) + (1 - delayKept) * waited;
-    counters.delayAt = now.time_since_epoch().count();
+    const double each = std::min(waited / waiting, mostMsPerWaiting);
+    counters.msPerWaiting = paceKept * paceOf(counters) + (1 - paceKept) * each;
 }
 
-Duration readDelay(const ServerCounters &counters, double trafficFactor, TimePoint now)
+Duration readDelay(const ServerView &view)
 {
-    const double pending = static_cast<double>(counters.pendingTokens) * trafficFactor;
-    return fromMilliseconds(std::max(agedDelay(counters, now), pending / rateOf(counters)));
+    const ServerCounters &counters = *view.counters;
+    const int sentSince = std::min(counters.sentSinceReport.load(), counters.awaitingFirst.load());
+    return fromMilliseconds((view.waiting + std::max(0, sentSince)) * paceOf(counters));
 }
 
 Duration readTime(const ServerCounters &counters, std::int64_t tokens)
--- a/src/decide/server-table.cc
+++ b/src/decide/server-table.cc
@@ -129,6 +129,32 @@
     report.running = running;
     report.waiting = waiting;
     onReport(report, now);
+    const std::lock_guard lock(m_mutex);
+    if (const auto found = m_records.find(server); found != m_records.end())
+        found->second.firstHand = true;
+}
+
+CompactLoad ServerTable::compact(const Record &record, TimePoint now)
+{
+    LoadReport report = record.report;
+    report.leaving = record.leaving;
+    report.ageMs = static_cast<std::uint32_t>(
+        std::chrono::duration_cast<std::chrono::milliseconds>(now - record.reportedAt).count());
+    return compactLoad(report);
+}
+
+std::vector<CompactLoad> ServerTable::takeFresh(TimePoint now, std::size_t most, bool alsoHeard)
+{
+    const std::lock_guard lock(m_mutex);
+    std::vector<CompactLoad> result;
+    for (auto &[name, record] : m_records) {
+        const bool mayTell = record.firstHand || alsoHeard;
+        if (!mayTell || record.reportedAt <= record.toldAt || result.size() >= most)
+            continue;
+        record.toldAt = record.reportedAt;
+        result.push_back(compact(record, now));
+    }
+    return result;
 }
 
 void ServerTable::setSenders(std::vector<std::string> senders)
@@ -189,6 +215,7 @@
     record.report.incarnation = incarnation;
     record.reportedAt = at;
     record.everReported = true;
+    record.firstHand = false;
     if (report.reachable) {
         learnTraffic(report.running + report.waiting, record.counters->inFlight);
         record.counters->sentSinceReport = 0;
@@ -327,6 +354,7 @@
         view.server = record.server;
         view.status = statusOf(record, now);
         view.reported = record.report.running + record.report.waiting;
+        view.waiting = record.report.waiting;
         view.reportedAt = record.reportedAt;
         view.incarnation = record.report.incarnation;
         view.coldUntil = record.coldUntil;
@@ -349,11 +377,7 @@
         const Duration age = now - record.reportedAt;
         if (!record.everReported || age > m_limits.reportLife)
             continue;
-        LoadReport report = record.report;
-        report.leaving = record.leaving;
-        report.ageMs = static_cast<std::uint32_t>(
-            std::chrono::duration_cast<std::chrono::milliseconds>(age).count());
-        result.push_back(compactLoad(report));
+        result.push_back(compact(record, now));
     }
     cursor = (cursor + most) % size;
     return result;
--- a/src/decide/silence.cc
+++ b/src/decide/silence.cc
@@ -34,7 +34,7 @@
 {
     // First tokens say nothing: at a full engine they take seconds, and taking 1 s for silence had
     // instances drop one sound engine after the other (served share of a peak 0.747 to 0.727).
-    const bool firstTokensOnly = counters.streaming == 0 && counters.pendingTokens > 0;
+    const bool firstTokensOnly = counters.streaming == 0 && counters.awaitingFirst > 0;
     if (counters.inFlight <= 0 || firstTokensOnly)
         return false;
     const Duration since(std::max(counters.heardAt.load(), counters.waitingSince.load()));
--- a/src/entry/control.cc
+++ b/src/entry/control.cc
@@ -15,6 +15,8 @@
 
 constexpr Duration tickPeriod = std::chrono::milliseconds(100);
 constexpr Duration reportPeriod = std::chrono::milliseconds(500);
+// Twice a tick: with each report a kilobyte for 48 servers, an instance takes in 4 KB a second.
+constexpr Duration loadPeriod = std::chrono::milliseconds(250);
 constexpr std::string_view reporterTask = "reporter";
 constexpr Duration pollPeriod = std::chrono::milliseconds(500);
 // However many servers a region has for each of its instances, one instance asks no more of them
@@ -148,6 +150,10 @@
     }
     m_source->tick();
     watchSilence();
+    if (now >= m_nextLoads) {
+        m_nextLoads = now + loadPeriod;
+        shareLoads();
+    }
     if (now >= m_nextReport) {
         m_nextReport = now + reportPeriod;
         reportRegions();
@@ -196,7 +202,7 @@
         // With cold servers counted in, the other regions sent their prompts to a region whose
         // servers had all just come back, and 324 requests were refused in two seconds.
         dropCold(candidates, now);
-        addDelays(candidates, table.trafficFactor, now);
+        addDelays(candidates);
         if (loads.size() < regionLoadsPerMessage)
             loads.push_back(summarize(m_state.settings.region, loadName, candidates));
     };
@@ -209,6 +215,32 @@
     return loads;
 }
 
+// Each instance hands the loads that came with its answers to the region's reporter, which tells all
+// of them to all. By probes alone an instance of 27 heard of an engine after 0.6 s in the median,
+// but of one that it seldom uses after 9 s.
+void Control::shareLoads()
+{
+    const TimePoint now = m_state.clock.now();
+    GossipMessage message = emptyNews();
+    const Member *reporter = nullptr;
+    const std::uint64_t task = hash64(reporterTask);
+    std::uint64_t highest = rendezvousWeight(m_state.settings.name, task);
+    const std::vector<Member> members = m_membership.usable();
+    for (const Member &member : members) {
+        const std::uint64_t weight = rendezvousWeight(member.name, task);
+        if (member.region != m_state.settings.region || weight <= highest)
+            continue;
+        highest = weight;
+        reporter = &member;
+    }
+    message.loads = m_state.servers.takeFresh(now, loadsPerMessage, reporter == nullptr);
+    if (message.loads.empty())
+        return;
+    if (reporter != nullptr)
+        return m_link.sendGossip(reporter->gossipAddress, message);
+    sendToRegion(message);
+}
+
 // The first instance of each region, by rendezvous, tells its counterparts how busy its region is,
 // and tells its own region what it heard. Probes alone bring that news every four seconds, while a
 // peak fills a region in one.
--- a/src/entry/control.h
+++ b/src/entry/control.h
@@ -61,6 +61,7 @@
     void publishMembers();
     void reportRegions();
     std::vector<RegionLoad> ownRegionLoads(const RoutingTable &table) const;
+    void shareLoads();
     void shareRetries(std::size_t members);
     void updateOwnLoad();
 
@@ -86,6 +87,7 @@
     TimePoint m_lastPublish{};
     TimePoint m_nextPoll{};
     TimePoint m_nextReport{};
+    TimePoint m_nextLoads{};
     std::unique_ptr<StateSource> m_source;
     PeerLink m_link; // last: its thread uses the others
 };
--- a/src/entry/dispatch-plan.cc
+++ b/src/entry/dispatch-plan.cc
@@ -41,7 +41,7 @@
             return one.view->status == ServerStatus::trial;
         });
     if (m_exchange->prompt.tokens > 0)
-        addDelays(candidates, table.trafficFactor, m_state.clock.now());
+        addDelays(candidates);
     return candidates;
 }
 
@@ -153,6 +153,8 @@
     question.lateIsUndelivered = config.weights.lateIsUndelivered;
     question.way = away ? 2 * config.regionOneWay : Duration(0);
     question.remaining = remaining();
+    question.firstDelay = m_exchange->prompt.tokens > 0 ? load.delay : 0;
+    question.draw = m_draw;
     return question;
 }
 
--- a/src/entry/dispatch.cc
+++ b/src/entry/dispatch.cc
@@ -60,7 +60,8 @@
 
 Dispatch::Dispatch(DispatchServices services, ExchangePtr exchange, HttpClient &client)
     : m_state(services.state), m_control(services.control), m_protocol(services.protocol),
-      m_desk(services.desk), m_exchange(std::move(exchange)), m_client(client)
+      m_desk(services.desk), m_exchange(std::move(exchange)), m_client(client),
+      m_draw(services.state.random.uniform())
 {
 }
 
@@ -195,15 +196,16 @@
 
 void Dispatch::dropPending(const Target &target)
 {
-    target.counters->pendingTokens -= std::exchange(m_pendingTokens, 0);
+    target.counters->awaitingFirst -= std::exchange(m_awaitingFirst, false) ? 1 : 0;
 }
 
 void Dispatch::noteFirstByte(const Target &target)
 {
     if (m_exchange->prompt.tokens == 0)
         return;
-    const TimePoint now = m_state.clock.now();
-    noteFirstToken(*target.counters, tokensToRead(), now - m_attemptStarted, now);
+    const double waiting = m_answerLoad ? m_answerLoad->waiting : 0;
+    noteFirstToken(*target.counters, tokensToRead(), waiting,
+                   m_state.clock.now() - m_attemptStarted);
     dropPending(target);
 }
 
@@ -212,13 +214,14 @@
     if (target.away)
         return;
     noteHeard(*target.counters, m_state.clock.now());
+    m_answerLoad = reader.load();
     if (reader.streams()) {
         noteFirstByte(target);
         target.counters->streaming += std::exchange(m_streaming, true) ? 0 : 1;
     }
     if (reader.leaving())
         m_state.servers.onOwnWord(target.name);
-    if (const auto load = reader.load())
+    if (const auto load = m_answerLoad)
         m_state.servers.onAnswerLoad(target.name, load->running, load->waiting,
                                      m_state.clock.now());
 }
@@ -261,8 +264,8 @@
         target.counters->probing = target.trial;
         noteSent(*target.counters, target.counters->inFlight++, m_attemptStarted);
         ++target.counters->sentSinceReport;
-        m_pendingTokens = tokensToRead();
-        target.counters->pendingTokens += m_pendingTokens;
+        m_awaitingFirst = m_exchange->prompt.tokens > 0;
+        target.counters->awaitingFirst += m_awaitingFirst ? 1 : 0;
     }
     auto attempt = std::make_shared<Attempt>(shared_from_this(), target,
                                              m_protocol.reader(*m_exchange, target.away));
@@ -609,6 +612,8 @@
              {"ms", millisecondsText(now - exchange.arrived)},
              {"leftMs", millisecondsText(remaining())},
              {"configVersion", std::to_string(exchange.config().version)},
+             {"answerLoad", m_answerLoad ? fmt::format("{}/{}", m_answerLoad->running, m_answerLoad->waiting) : "none"},
+             {"tokens", fmt::format("{}/{}", m_exchange->prompt.tokens, m_exchange->prompt.sharedTokens())},
              {"by", inputsText()}});
 }
 
--- a/src/entry/dispatch.h
+++ b/src/entry/dispatch.h
@@ -119,6 +119,7 @@
     std::uint64_t m_claimAttempt = 0;
     std::string m_claimPage;
     std::string m_claimId;
+    double m_draw; // of this request, for admission
     bool m_admitted = false;
     bool m_toIssuer = false;
     // True once an attempt ended without certainty that it did not run. From then on no answer may
@@ -132,7 +133,7 @@
     std::weak_ptr<Attempt> m_current;
     bool m_callerLeft = false;
     bool m_streaming = false; // counted at the server of the attempt under way
-    std::int64_t m_pendingTokens = 0; // counted at the server of the attempt under way
+    bool m_awaitingFirst = false; // counted at the server of the attempt under way
     bool m_streamed = false; // the caller has the head of a stream
     // A whole failure answer of a backend server, for the caller if nothing better comes.
     std::optional<HttpResponse> m_failure;
@@ -142,6 +143,7 @@
     double m_cost = 0;
     std::optional<TimePoint> m_firstByte;
     RouteInputs m_inputs;
+    std::optional<AnswerLoad> m_answerLoad;
 };
 
 } // namespace ibisnotch
