--- a/src/decide/admission.cc
+++ b/src/decide/admission.cc
@@ -30,6 +30,19 @@
     return 1 + (question.queueFactor - 1) * byPriority * byWorth;
 }
 
+// The part of the requests to turn away while first tokens come late. Engines read prompts one
+// after the other, so once more come than they can read, all of them come late.
+double partTurnedAway(double firstSeconds, double targetSeconds)
+{
+    constexpr double begins = 0.6; // of the target
+    constexpr double whole = 1.4;
+    constexpr double mostPart = 0.85; // some have to come through to show that it is over
+    if (firstSeconds <= 0 || targetSeconds <= 0)
+        return 0;
+    const double pressure = firstSeconds / targetSeconds;
+    return std::clamp((pressure - begins) / (whole - begins), 0.0, mostPart);
+}
+
 } // namespace
 
 Duration spreadRetryAfter(double waitSeconds, Random &random)
@@ -70,6 +83,10 @@
     // Where a late answer counts as undelivered, running it would only make the next one late too.
     if (needed > remaining && (question.lateIsUndelivered || wait > 0))
         return {ResultCode::deadlineTooShort, spreadRetryAfter(wait, random)};
+    const double first
+        = question.firstDelay > 0 ? question.firstDelay + seconds(question.way) : 0;
+    if (question.draw < partTurnedAway(first, seconds(question.service->target)))
+        return {ResultCode::overloaded, spreadRetryAfter(first, random)};
     if (fill < 1)
         return {ResultCode::served, {}};
     if (overShare(question))
