Let callers that are turned away at a peak come back after a sixth to a third of their time

Cause: they came back after 1 to 2 s into the same peak and were turned away again. Ruled out: nothing else.

--- a/src/decide/admission.cc
+++ b/src/decide/admission.cc
@@ -86,7 +86,7 @@
     const double first
         = question.firstDelay > 0 ? question.firstDelay + seconds(question.way) : 0;
     if (question.draw < partTurnedAway(first, seconds(question.service->target)))
-        return {ResultCode::overloaded, spreadRetryAfter(first, random)};
+        return {ResultCode::overloaded, spreadRetryAfter(std::max(first, remaining / 6), random)};
     if (fill < 1)
         return {ResultCode::served, {}};
     if (overShare(question))
