--- a/include/ibisnotch/metrics.h
+++ b/include/ibisnotch/metrics.h
@@ -4,6 +4,7 @@
 #include <atomic>
 #include <memory>
 #include <string>
+#include <string_view>
 
 #include "ibisnotch/clock.h"
 #include "ibisnotch/result-code.h"
@@ -36,10 +37,13 @@
     Metrics &operator=(const Metrics &) = delete;
 
     void onRequest(const RequestRecord &record);
+    // One attempt at a backend server or a peer, by how it ended.
+    void onAttempt(std::string_view end);
     void onRetry();
+    void onServerSilent();
     void setGauge(const std::string &name, double value);
 
-    // Latencies in seconds; quantiles are estimated, not exact.
+    // Latencies in seconds, as counts by upper bound.
     std::string prometheusText() const;
 
 private:
--- a/src/entry/dispatch.cc
+++ b/src/entry/dispatch.cc
@@ -275,6 +275,7 @@
 
 void Dispatch::noteAttempt(const Target &target, AttemptEnd end)
 {
+    m_state.metrics.onAttempt(endName(end));
     trace(fmt::format("attempt {} at {}: {}", m_attempts, target.name, endName(end)));
     if (target.away) {
         if (target.region != m_state.settings.region)
--- a/src/entry/silence-watch.cc
+++ b/src/entry/silence-watch.cc
@@ -77,6 +77,7 @@
     const TimePoint now = m_state.clock.now();
     m_silent[view.server.name] = {now, now + checkPeriod};
     m_state.servers.onSilence(serverId(view.server.name), now);
+    m_state.metrics.onServerSilent();
     logLine(LogPart::load, LogLevel::warn, "Backend server silent.",
             {{"server", view.server.name},
              {"source", std::string(source)},
--- a/src/net/metrics.cc
+++ b/src/net/metrics.cc
@@ -6,9 +6,9 @@
 
 #include <boost/accumulators/accumulators.hpp>
 #include <boost/accumulators/statistics/count.hpp>
-#include <boost/accumulators/statistics/extended_p_square.hpp>
 #include <boost/accumulators/statistics/stats.hpp>
 #include <boost/accumulators/statistics/sum.hpp>
+#include <boost/histogram.hpp>
 #include <fmt/format.h>
 
 namespace ibisnotch {
@@ -17,16 +17,53 @@
 
 namespace acc = boost::accumulators;
 
-constexpr std::array<double, 3> quantiles{0.5, 0.95, 0.99};
+namespace hist = boost::histogram;
 
-using Latency
-    = acc::accumulator_set<double,
-                           acc::stats<acc::tag::count, acc::tag::sum, acc::tag::extended_p_square>>;
+// Upper bounds in seconds: twice as fine around the deployments' targets of 0.4 to 1.5 s, and up to
+// their longest deadline.
+constexpr std::array<double, 14> bounds{0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.3,
+                                        0.4,   0.5,  0.8,   1,    1.5, 5,   15};
+
+// Counts by bound, which add up over instances as estimated quantiles do not.
+class Latency
+{
+public:
+    Latency()
+        : m_buckets(hist::make_histogram(
+              hist::axis::variable<>(bounds.begin(), bounds.end())))
+    {
+    }
+
+    void add(double seconds)
+    {
+        m_all(seconds);
+        m_buckets(seconds);
+    }
+
+    std::string text(const std::string &name, const std::string &labels) const
+    {
+        std::string out;
+        // The axis has one bin below its first edge and one above its last.
+        double below = 0;
+        for (std::size_t i = 0; i < bounds.size(); ++i) {
+            below += m_buckets.at(static_cast<int>(i) - 1);
+            out += fmt::format("{}_bucket{{{},le=\"{}\"}} {:.0f}\n", name, labels, bounds[i], below);
+        }
+        out += fmt::format("{}_bucket{{{},le=\"+Inf\"}} {}\n", name, labels, acc::count(m_all));
+        out += fmt::format("{}_sum{{{}}} {:.6f}\n", name, labels, acc::sum(m_all));
+        out += fmt::format("{}_count{{{}}} {}\n", name, labels, acc::count(m_all));
+        return out;
+    }
+
+private:
+    acc::accumulator_set<double, acc::stats<acc::tag::count, acc::tag::sum>> m_all;
+    decltype(hist::make_histogram(hist::axis::variable<>{0., 1.})) m_buckets;
+};
 
 struct Series
 {
-    Latency total{acc::tag::extended_p_square::probabilities = quantiles};
-    Latency firstByte{acc::tag::extended_p_square::probabilities = quantiles};
+    Latency total;
+    Latency firstByte;
     std::map<ResultCode, std::uint64_t> codes;
     std::uint64_t sentAway = 0;
     double cost = 0;
@@ -38,16 +75,6 @@
     return std::chrono::duration<double>(duration).count();
 }
 
-void appendLatency(std::string &out, const std::string &name, const std::string &labels,
-                   const Latency &latency)
-{
-    for (std::size_t i = 0; i < quantiles.size(); ++i)
-        out += fmt::format("{}{{{},quantile=\"{}\"}} {:.6f}\n", name, labels, quantiles[i],
-                           acc::extended_p_square(latency)[i]);
-    out += fmt::format("{}_sum{{{}}} {:.6f}\n", name, labels, acc::sum(latency));
-    out += fmt::format("{}_count{{{}}} {}\n", name, labels, acc::count(latency));
-}
-
 } // namespace
 
 class Metrics::Private
@@ -55,8 +82,10 @@
 public:
     mutable std::mutex m_mutex;
     std::map<std::pair<std::string, std::string>, Series> m_series;
+    std::map<std::string, std::uint64_t> m_attempts; // by how they ended
     std::map<std::string, double> m_gauges;
     std::atomic<std::uint64_t> m_retries = 0;
+    std::atomic<std::uint64_t> m_silences = 0;
 };
 
 Metrics::Metrics() : m_d(std::make_unique<Private>()) { }
@@ -75,8 +104,19 @@
     series.worthDelivered += record.worthDelivered;
     if (record.code != ResultCode::served)
         return;
-    series.total(seconds(record.total));
-    series.firstByte(seconds(record.firstByte));
+    series.total.add(seconds(record.total));
+    series.firstByte.add(seconds(record.firstByte));
+}
+
+void Metrics::onAttempt(std::string_view end)
+{
+    const std::lock_guard lock(m_d->m_mutex);
+    ++m_d->m_attempts[std::string(end)];
+}
+
+void Metrics::onServerSilent()
+{
+    ++m_d->m_silences;
 }
 
 void Metrics::onRetry()
@@ -104,10 +144,13 @@
         out += fmt::format("ibisnotch_cost_total{{{}}} {:.6f}\n", labels, series.cost);
         out += fmt::format("ibisnotch_worth_delivered_total{{{}}} {:.6f}\n", labels,
                            series.worthDelivered);
-        appendLatency(out, "ibisnotch_request_seconds", labels, series.total);
-        appendLatency(out, "ibisnotch_first_byte_seconds", labels, series.firstByte);
+        out += series.total.text("ibisnotch_request_seconds", labels);
+        out += series.firstByte.text("ibisnotch_first_byte_seconds", labels);
     }
     out += fmt::format("ibisnotch_retries_total {}\n", m_d->m_retries.load());
+    out += fmt::format("ibisnotch_servers_silent_total {}\n", m_d->m_silences.load());
+    for (const auto &[end, count] : m_d->m_attempts)
+        out += fmt::format("ibisnotch_attempts_total{{end=\"{}\"}} {}\n", end, count);
     for (const auto &[name, value] : m_d->m_gauges)
         out += fmt::format("{} {}\n", name, value);
     return out;
--- a/test/metrics-test.cc
+++ b/test/metrics-test.cc
@@ -22,10 +22,26 @@
           != std::string::npos);
     CHECK(text.find("ibisnotch_cost_total" + labels + "} 1.000000\n") != std::string::npos);
     CHECK(text.find("ibisnotch_request_seconds_count" + labels + "} 1\n") != std::string::npos);
+    const std::string bucket = "ibisnotch_first_byte_seconds_bucket" + labels;
+    CHECK(text.find(bucket + ",le=\"0.005\"} 0\n") != std::string::npos);
+    CHECK(text.find(bucket + ",le=\"0.025\"} 1\n") != std::string::npos);
+    CHECK(text.find(bucket + ",le=\"+Inf\"} 1\n") != std::string::npos);
     CHECK(text.find("ibisnotch_retries_total 1\n") != std::string::npos);
     CHECK(text.find("g 4\n") != std::string::npos);
 }
 
+TEST_CASE("metrics_latencyBeyondTheLastBound_isInTheLastBucketOnly")
+{
+    Metrics metrics;
+    metrics.onRequest({"s", "c", ResultCode::served, 20s, 10ms, 1, false, false, 0.5, 3});
+    metrics.onAttempt("silent");
+    const std::string text = metrics.prometheusText();
+    const std::string bucket = "ibisnotch_request_seconds_bucket{service=\"s\",customer=\"c\"";
+    CHECK(text.find(bucket + ",le=\"15\"} 0\n") != std::string::npos);
+    CHECK(text.find(bucket + ",le=\"+Inf\"} 1\n") != std::string::npos);
+    CHECK(text.find("ibisnotch_attempts_total{end=\"silent\"} 1\n") != std::string::npos);
+}
+
 TEST_CASE("metrics_ofAForwardedRequest_countItsCostOnly")
 {
     Metrics metrics;
