Let two instances of a region watch the store and tell the others

Weighed: longer watches (a watch on a connection gone silent would be noticed after the 4 s within which a leaving server must get nothing more). Regions of up to five instances watch as before. Tests: prefixFollower_hearsOfChanges_callsOnlyOnceItHearsNothing, _newsWithAGap_asksTheStoreAtOnce, _lateAnswerAfterNews_bringsNoKeyBack, makeNews_changeTooLargeForADatagram_sendsOthersToTheStore.

--- a/include/ibisnotch/peer-link.h
+++ b/include/ibisnotch/peer-link.h
@@ -13,6 +13,7 @@
 #include "ibisnotch/membership.h"
 #include "ibisnotch/process-settings.h"
 #include "ibisnotch/quarantine.h"
+#include "ibisnotch/range-news.h"
 #include "ibisnotch/region-choice.h"
 #include "ibisnotch/server-table.h"
 #include "ibisnotch/silence.h"
@@ -31,7 +32,8 @@
     std::vector<CompactLoad> loads; // of the sender's region only
     std::vector<RegionLoad> regionLoads;
     std::vector<CrashMark> marks;
-    std::vector<SilenceNews> silences; // since protocol 2
+    std::vector<SilenceNews> silences; // since protocol 2, as the next
+    std::vector<RangeNews> ranges;
 
     bool operator==(const GossipMessage &) const = default;
 };
--- a/include/ibisnotch/prefix-follower.h
+++ b/include/ibisnotch/prefix-follower.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "ibisnotch/clock.h"
+#include "ibisnotch/range-news.h"
 #include "ibisnotch/store.h"
 
 namespace ibisnotch {
@@ -41,6 +42,12 @@
         Duration watchTime = std::chrono::seconds(4);
         // Changes that come close together are fetched by one call.
         Duration gather = std::chrono::milliseconds(100);
+        // One that tells others waits less, so that they hear often that nothing has changed.
+        Duration relayWatchTime = std::chrono::seconds(1);
+        // How long an instance relies on what it heard. Two relays speak once a second each, so it
+        // outlives one lost datagram; with the call that follows, news is at most 2.2 s old, where
+        // the platform asks that a server that leaves gets nothing after 4 s.
+        Duration newsLife = std::chrono::seconds(2);
         Duration firstPause = std::chrono::milliseconds(250);
         Duration longestPause = std::chrono::milliseconds(1000);
     };
@@ -54,6 +61,13 @@
     // The answer to the call under way. Returns what changed, each key once, oldest first.
     std::vector<StoreItem> onAnswer(const StorePage &page, TimePoint now);
 
+    // Whether this instance tells others of the range. If not, it makes no call while it hears.
+    void setRelay(bool relay) { m_relay = relay; }
+    // What another instance read. Returns what changed, as onAnswer() does.
+    std::vector<StoreItem> onNews(const RangeNews &news, TimePoint now);
+    // The revision up to which all is known.
+    std::uint64_t asOf() const { return m_asOf; }
+
     // Once the whole range has been read.
     bool complete() const { return m_complete; }
     // False from the first call that failed until the next that succeeds.
@@ -63,6 +77,7 @@
     std::vector<StoreItem> onList(const StorePage &page);
     std::vector<StoreItem> apply(const std::vector<StoreItem> &items);
     void startOver();
+    void dropKnown(std::vector<StoreItem> &items) const;
 
     Limits m_limits;
     std::map<std::string, std::uint64_t> m_revisions; // of the keys that exist
@@ -75,6 +90,8 @@
     std::uint64_t m_asOf = 0;
     int m_failures = 0;
     TimePoint m_notBefore{};
+    bool m_relay = false;
+    TimePoint m_heardUntil{};
 };
 
 } // namespace ibisnotch
--- a/include/ibisnotch/store.h
+++ b/include/ibisnotch/store.h
@@ -50,6 +50,11 @@
     std::string value;
     std::uint64_t revision = 0; // of the last change
     bool deleted = false;
+
+    template <typename Archive> void serialize(Archive &archive)
+    {
+        archive(key, value, revision, deleted);
+    }
     bool operator==(const StoreItem &) const = default;
 };
 
--- a/src/decide/prefix-follower.cc
+++ b/src/decide/prefix-follower.cc
@@ -8,9 +8,11 @@
 {
     if (m_underWay || now < m_notBefore)
         return std::nullopt;
+    if (m_watching && !m_relay && now < m_heardUntil)
+        return std::nullopt;
     m_underWay = true;
     if (m_watching)
-        return WatchCall{m_asOf, m_limits.watchTime};
+        return WatchCall{m_asOf, m_relay ? m_limits.relayWatchTime : m_limits.watchTime};
     return ListCall{m_after};
 }
 
@@ -40,8 +42,34 @@
     if (!m_watching)
         return onList(page);
     m_notBefore = page.items.empty() ? now : now + m_limits.gather;
+    std::vector<StoreItem> items = page.items;
+    dropKnown(items);
     m_asOf = std::max(m_asOf, page.asOf);
-    return apply(page.items);
+    return apply(items);
+}
+
+// What was heard of meanwhile. A key that was written and removed again is known as removed; the
+// write, coming late, would bring it back for good.
+void PrefixFollower::dropKnown(std::vector<StoreItem> &items) const
+{
+    std::erase_if(items, [this](const StoreItem &item) { return item.revision <= m_asOf; });
+}
+
+std::vector<StoreItem> PrefixFollower::onNews(const RangeNews &news, TimePoint now)
+{
+    if (!m_watching)
+        return {};
+    if (news.base > m_asOf) {
+        m_heardUntil = now;
+        return {};
+    }
+    if (news.asOf < m_asOf)
+        return {};
+    m_heardUntil = now + m_limits.newsLife;
+    std::vector<StoreItem> items = news.items;
+    dropKnown(items);
+    m_asOf = news.asOf;
+    return apply(items);
 }
 
 std::vector<StoreItem> PrefixFollower::onList(const StorePage &page)
--- a/src/entry/control.cc
+++ b/src/entry/control.cc
@@ -394,6 +394,22 @@
     return ahead < count;
 }
 
+std::size_t Control::regionSize() const
+{
+    const std::vector<Member> members = m_membership.usable();
+    const auto local = std::count_if(members.begin(), members.end(), [this](const Member &member) {
+        return member.region == m_state.settings.region;
+    });
+    return static_cast<std::size_t>(local) + 1;
+}
+
+void Control::tellRegion(RangeNews news)
+{
+    GossipMessage message = emptyNews();
+    message.ranges.push_back(std::move(news));
+    sendToRegion(message);
+}
+
 void Control::pollServers()
 {
     const auto config = m_state.gate.config();
@@ -443,6 +459,8 @@
             m_routingDirty |= m_state.servers.onReport(load, now);
         for (const SilenceNews &news : message.silences)
             m_silence.onNews(news);
+        for (const RangeNews &news : message.ranges)
+            m_source->onNews(news);
         if (!message.silences.empty())
             publishRouting();
     }
--- a/src/entry/control.h
+++ b/src/entry/control.h
@@ -36,6 +36,9 @@
     void offer(const ConfigDocument &document, const std::string &source);
     // Whether this instance is among the first of its region for a task.
     bool amongFirst(std::string_view key, std::size_t count) const;
+    // Instances of the region that are alive, this one included.
+    std::size_t regionSize() const;
+    void tellRegion(RangeNews news);
     // Publishes the routing table and tells a few members at once.
     void spreadNews();
     void publishRouting();
--- a/src/entry/range-source.cc
+++ b/src/entry/range-source.cc
@@ -6,6 +6,14 @@
 
 namespace ibisnotch {
 
+namespace {
+
+constexpr std::size_t allWatchUpTo = 5; // instances of a region
+// One may be cut off from the store; news then still comes from the other.
+constexpr std::size_t relaysPerRegion = 2;
+
+} // namespace
+
 RangeSource::RangeSource(EntryState &state, Control &control, std::unique_ptr<RangeStore> store,
                          std::unique_ptr<RecordFormat> format)
     : m_state(state), m_control(control), m_store(std::move(store)), m_format(std::move(format))
@@ -18,12 +26,37 @@
 
 void RangeSource::tick()
 {
+    chooseRelays();
     for (const auto &range : m_ranges)
         advance(*range);
     m_changed |= m_servers.expire(m_state.clock.now());
     publish();
 }
 
+// Each watch is a call that the platform counts, and with one of each instance their number grows
+// with the fleet: 80 instances made 6,600 calls in 58 s. So in larger regions two instances watch
+// and tell the others, who ask the store themselves once they hear nothing.
+void RangeSource::chooseRelays()
+{
+    const bool few = m_control.regionSize() <= allWatchUpTo;
+    for (const auto &range : m_ranges) {
+        range->relay = !few && m_control.amongFirst("range " + range->prefix, relaysPerRegion);
+        range->follower.setRelay(range->relay);
+    }
+}
+
+void RangeSource::onNews(const RangeNews &news)
+{
+    const TimePoint now = m_state.clock.now();
+    for (const auto &range : m_ranges) {
+        if (range->prefix != news.prefix)
+            continue;
+        for (const StoreItem &item : range->follower.onNews(news, now))
+            apply(item);
+        publish();
+    }
+}
+
 void RangeSource::advance(Range &range)
 {
     const auto call = range.follower.next(m_state.clock.now());
@@ -40,8 +73,12 @@
 
 void RangeSource::onPage(Range &range, const StorePage &page)
 {
-    for (const StoreItem &item : range.follower.onAnswer(page, m_state.clock.now()))
+    const std::uint64_t base = range.follower.asOf();
+    const auto changes = range.follower.onAnswer(page, m_state.clock.now());
+    for (const StoreItem &item : changes)
         apply(item);
+    if (range.relay && page.end == StoreEnd::ok && range.follower.complete())
+        m_control.tellRegion(makeNews(range.prefix, base, range.follower.asOf(), changes));
     noteReach(range);
     publish();
     advance(range);
--- a/src/entry/range-source.h
+++ b/src/entry/range-source.h
@@ -58,6 +58,7 @@
                 std::unique_ptr<RecordFormat> format);
 
     void tick() override;
+    void onNews(const RangeNews &news) override;
 
 private:
     struct Range
@@ -65,8 +66,11 @@
         std::string prefix;
         PrefixFollower follower;
         bool wasReachable = true;
+        bool relay = false;
     };
 
+    void chooseRelays();
+
     void advance(Range &range);
     void onPage(Range &range, const StorePage &page);
     void noteReach(Range &range);
--- a/src/net/peer-link.cc
+++ b/src/net/peer-link.cc
@@ -36,9 +36,9 @@
 {
     archive(message.protocol, message.probe, message.configVersion, message.loads,
             message.regionLoads, message.marks);
-    constexpr std::uint16_t withSilences = 2;
-    if (message.protocol >= withSilences)
-        archive(message.silences);
+    constexpr std::uint16_t withNews = 2;
+    if (message.protocol >= withNews)
+        archive(message.silences, message.ranges);
 }
 
 template <typename Archive> void serializeFields(Archive &archive, PeerRequest &request)
--- a/test/prefix-follower-test.cc
+++ b/test/prefix-follower-test.cc
@@ -79,6 +79,64 @@
     CHECK(follower.reachable());
 }
 
+// What callers see: nothing; the store gets a call less. In what order: the range is read once, then
+// an instance that watches tells of changes, then falls silent. Why: what it tells is complete from
+// one revision to the next, and silence sends the follower to the store.
+TEST_CASE_METHOD(FollowerFixture, "prefixFollower_hearsOfChanges_callsOnlyOnceItHearsNothing")
+{
+    answer(page({{"a", "1", 3, false}}, 5));
+    CHECK(follower.onNews({"", 5, 8, {{"b", "2", 7, false}}}, now).size() == 1);
+    CHECK_FALSE(follower.next(now + 1900ms));
+    CHECK(follower.onNews({"", 8, 8, {}}, now + 1900ms).empty());
+    CHECK_FALSE(follower.next(now + 3800ms));
+    const auto call = follower.next(now + 3900ms);
+    REQUIRE(call);
+    CHECK(std::get<WatchCall>(*call).afterRevision == 8);
+}
+
+// What callers see: work sent to a server that has left. In what order: a datagram with the removal
+// is lost, the next one comes. Why: it begins at a later revision than is known, so the follower
+// asks the store at once.
+TEST_CASE_METHOD(FollowerFixture, "prefixFollower_newsWithAGap_asksTheStoreAtOnce")
+{
+    answer(page({{"a", "1", 3, false}}, 5));
+    follower.onNews({"", 5, 6, {}}, now);
+    CHECK_FALSE(follower.next(now));
+    CHECK(follower.onNews({"", 7, 9, {{"c", "2", 9, false}}}, now).empty());
+    const auto call = follower.next(now);
+    REQUIRE(call);
+    CHECK(std::get<WatchCall>(*call).afterRevision == 6);
+}
+
+// What callers see: work sent to a server that has left. In what order: an own watch is under way
+// while news tells that a key was written and removed; the watch then answers with the write alone.
+TEST_CASE_METHOD(FollowerFixture, "prefixFollower_lateAnswerAfterNews_bringsNoKeyBack")
+{
+    answer(page({{"a", "1", 3, false}}, 5));
+    REQUIRE(follower.next(now));
+    CHECK(follower.onNews({"", 5, 9, {{"b", "", 9, true}, {"a", "", 8, true}}}, now).size() == 1);
+    CHECK(follower.onAnswer(page({{"b", "2", 7, false}}, 7), now).empty());
+    CHECK(follower.asOf() == 9);
+}
+
+TEST_CASE_METHOD(FollowerFixture, "prefixFollower_relayThatReadsTheRangeAgain_tellsOfRemovals")
+{
+    answer(page({{"a", "1", 3, false}, {"b", "1", 4, false}}, 5));
+    const RangeNews news = makeNews("", 5, 20, {{"a", "", 3, true}});
+    const auto changes = follower.onNews(news, now);
+    REQUIRE(changes.size() == 1);
+    CHECK(changes[0].deleted);
+}
+
+TEST_CASE_METHOD(FollowerFixture, "makeNews_changeTooLargeForADatagram_sendsOthersToTheStore")
+{
+    answer(page({{"a", "1", 3, false}}, 5));
+    follower.onNews({"", 5, 6, {}}, now);
+    CHECK(follower.onNews(makeNews("", 6, 7, {{"a", std::string(9000, 'x'), 7, false}}), now)
+              .empty());
+    CHECK(follower.next(now));
+}
+
 // Random writes, removals, lost answers and forgotten history, read in pages of two keys.
 TEST_CASE("prefixFollower_anyHistory_endsWithTheStoresKeys")
 {
