--- a/support/safeguards.sh
+++ b/support/safeguards.sh
@@ -27,6 +27,7 @@
     [ -n "$wanted" ] || continue
     file=$(field file)
     read -r program testCase <<<"$(field test)"
+    folder=$([[ $program == platform-* ]] && echo platform-test || echo test)
     cp "$copy/$file" "$copy/original"
     if ! replace "$file" "$(field with)" "$(field without)" \
         || { [ -n "$(field also)" ] && ! replace "$file" "$(field also)" "$(field alsoWithout)"; }; then
@@ -34,7 +35,7 @@
     elif ! cmake --build "$copy/build" >"$copy/build.log" 2>&1; then
         echo "DOES NOT BUILD  $name"; grep -m2 error "$copy/build.log" || true; bad=1
     elif RC_PARAMS="seed=20261203 max_success=400" timeout 200 \
-        "$copy/build/test/$program" "$testCase" --rng-seed 1 >"$copy/test.log" 2>&1; then
+        "$copy/build/$folder/$program" "$testCase" --rng-seed 1 >"$copy/test.log" 2>&1; then
         echo "STILL PASSES    $name ($testCase)"; bad=1
     else
         last=$(grep -E '^ *(RC_ASSERT|CHECK|CHECK_FALSE|REQUIRE|REQUIRE_FALSE|never:)' "$copy/test.log" \
