Tell others of the store only what a watch named

Cause: an instance that watches the store told others what had changed for itself. A key written and removed between two of its answers was never named, so another one that had heard of the write kept the key; after reading the range again the same, and a lost datagram of a first page passed for known. News carries the watch's own events; after reading again, others ask the store.

--- a/include/ibisnotch/prefix-follower.h
+++ b/include/ibisnotch/prefix-follower.h
@@ -65,6 +65,8 @@
     void setRelay(bool relay) { m_relay = relay; }
     // What another instance read. Returns what changed, as onAnswer() does.
     std::vector<StoreItem> onNews(const RangeNews &news, TimePoint now);
+    // False while the range is read page by page.
+    bool watching() const { return m_watching; }
     // The revision up to which all is known.
     std::uint64_t asOf() const { return m_asOf; }
 
@@ -94,4 +96,13 @@
     TimePoint m_heardUntil{};
 };
 
+// What to tell others after an answer of the store. `base` is what the follower knew before it, and
+// `watched` whether the answer was one to a watch. None if the answer told nothing whole.
+//
+// A watch names each change since `base`, also of keys that were written and removed in between,
+// which another instance may know. Reading the range again does not, so after that the others are
+// sent to the store.
+std::optional<RangeNews> newsOf(const std::string &prefix, std::uint64_t base, bool watched,
+                                const PrefixFollower &follower, const StorePage &page);
+
 } // namespace ibisnotch
--- a/src/decide/prefix-follower.cc
+++ b/src/decide/prefix-follower.cc
@@ -127,4 +127,14 @@
     return changes;
 }
 
+std::optional<RangeNews> newsOf(const std::string &prefix, std::uint64_t base, bool watched,
+                                const PrefixFollower &follower, const StorePage &page)
+{
+    if (page.end != StoreEnd::ok || !follower.watching())
+        return std::nullopt;
+    if (!watched)
+        return RangeNews{prefix, follower.asOf(), follower.asOf(), {}};
+    return makeNews(prefix, base, follower.asOf(), page.items);
+}
+
 } // namespace ibisnotch
--- a/src/decide/range-news.cc
+++ b/src/decide/range-news.cc
@@ -13,13 +13,8 @@
                    std::vector<StoreItem> changes)
 {
     std::size_t size = 0;
-    for (StoreItem &item : changes) {
+    for (const StoreItem &item : changes)
         size += item.key.size() + item.value.size();
-        // A removal found by reading the whole range again bears the revision of the value that was
-        // removed; one that heard of that value would take it for old.
-        if (item.deleted && item.revision <= base)
-            item.revision = asOf;
-    }
     if (size > largestNews)
         return {prefix, asOf, asOf, {}};
     return {prefix, base, asOf, std::move(changes)};
--- a/src/entry/range-source.cc
+++ b/src/entry/range-source.cc
@@ -74,11 +74,12 @@
 void RangeSource::onPage(Range &range, const StorePage &page)
 {
     const std::uint64_t base = range.follower.asOf();
-    const auto changes = range.follower.onAnswer(page, m_state.clock.now());
-    for (const StoreItem &item : changes)
+    const bool watched = range.follower.watching();
+    for (const StoreItem &item : range.follower.onAnswer(page, m_state.clock.now()))
         apply(item);
-    if (range.relay && page.end == StoreEnd::ok && range.follower.complete())
-        m_control.tellRegion(makeNews(range.prefix, base, range.follower.asOf(), changes));
+    auto news = newsOf(range.prefix, base, watched, range.follower, page);
+    if (range.relay && news)
+        m_control.tellRegion(*std::move(news));
     noteReach(range);
     publish();
     advance(range);
--- a/test/peer-link-test.cc
+++ b/test/peer-link-test.cc
@@ -16,6 +16,8 @@
     message.loads.push_back({1, 2, 3, 4, 5, 1});
     message.regionLoads.push_back({"a", "s", 8, 3, 0});
     message.marks.push_back({"f", "s", "a1", 5, false});
+    message.silences.push_back({9, true});
+    message.ranges.push_back({"servers/", 4, 6, {{"servers/a", "v", 5, false}}});
     return message;
 }
 
@@ -26,6 +28,15 @@
     CHECK(*decodeGossip(encodeGossip(sample())) == sample());
 }
 
+TEST_CASE("decodeGossip_ofTheReleaseBefore_hasNoNews")
+{
+    GossipMessage before = sample();
+    before.protocol = 1;
+    before.silences.clear();
+    before.ranges.clear();
+    CHECK(*decodeGossip(encodeGossip(before)) == before);
+}
+
 // What callers see: nothing. In what order: a datagram arrives damaged, cut, or from an instance of
 // a later version with more fields. Why: what cannot be read is dropped, what follows is ignored.
 TEST_CASE("decodeGossip_damagedOrLonger_isDroppedOrReadInPart")
