--- a/test/fleet.cc
+++ b/test/fleet.cc
@@ -1,10 +1,7 @@
 #include "fleet.h"
 
-#include <arpa/inet.h>
 #include <fcntl.h>
-#include <netinet/in.h>
 #include <spawn.h>
-#include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -18,6 +15,7 @@
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
+#include "free-ports.h"
 #include "ibisnotch/booking.h"
 #include "ibisnotch/config-admin.h"
 
@@ -30,26 +28,6 @@
 using namespace std::chrono_literals;
 
 // Ports that were free a moment ago. All are held open together, so that they differ.
-std::vector<int> freePorts(std::size_t count)
-{
-    std::vector<int> sockets;
-    std::vector<int> ports;
-    while (ports.size() < count) {
-        const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-        sockaddr_in name{};
-        name.sin_family = AF_INET;
-        name.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-        socklen_t size = sizeof name;
-        REQUIRE(bind(fd, reinterpret_cast<sockaddr *>(&name), sizeof name) == 0);
-        getsockname(fd, reinterpret_cast<sockaddr *>(&name), &size);
-        sockets.push_back(fd);
-        ports.push_back(ntohs(name.sin_port));
-    }
-    for (const int fd : sockets)
-        close(fd);
-    return ports;
-}
-
 std::string regionName(int index)
 {
     return std::string(1, static_cast<char>('a' + index));
@@ -112,7 +90,7 @@
     std::size_t count = 0;
     for (const auto &[name, ports] : wanted)
         count += static_cast<std::size_t>(ports);
-    const std::vector<int> ports = freePorts(count);
+    const std::vector<std::uint16_t> ports = freePorts(count);
     std::size_t next = 0;
     for (const auto &[name, number] : wanted) {
         for (int i = 0; i < number; ++i)
