--- a/src/decide/silence.cc
+++ b/src/decide/silence.cc
@@ -33,7 +33,7 @@
 bool isSilent(const ServerCounters &counters, TimePoint now)
 {
     // First tokens say nothing: at a full engine they take seconds, and taking 1 s for silence had
-    // instances drop one sound engine after the other (served share of a peak 0.747 to 0.727).
+    // instances drop sound engines (refused on a day with engines taken away 0.002 to 0.016).
     const bool firstTokensOnly = counters.streaming == 0 && counters.awaitingFirst > 0;
     if (counters.inFlight <= 0 || firstTokensOnly)
         return false;
