Share the bodies of requests, shrink transfers' buffers, keep fewer traces

Cause: of a busy instance's memory three parts were looked at. The server's request, the exchange and each attempt held a copy of the body (12 to 72 KB of a long prompt), each transfer a receive buffer of 16 KB, and the trace book 4,096 traces of about a kilobyte, which a platform instance shows nobody. Ruled out: the log's queue (its lines are written within milliseconds).

--- a/include/ibisnotch/http-client.h
+++ b/include/ibisnotch/http-client.h
@@ -29,7 +29,7 @@
     std::string method = "GET";
     std::string url;
     Headers headers;
-    std::string body;
+    Body body;
     TransferLimits limits;
     // Goes into the request line as it is, in place of the URL's path and query.
     std::string target;
--- a/include/ibisnotch/http.h
+++ b/include/ibisnotch/http.h
@@ -1,6 +1,7 @@
 // HTTP messages as plain values, independent of the libraries that carry them.
 #pragma once
 
+#include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -26,13 +27,34 @@
     std::vector<std::pair<std::string, std::string>> m_fields;
 };
 
+// The body of a request, shared by all that hold it. The server's request, the one that is passed
+// on and each attempt need the same bytes for as long as a request may be sent again; copies of
+// long prompts were the larger part of a busy instance's memory.
+class Body
+{
+public:
+    Body() = default;
+    Body(std::string text) : m_text(std::make_shared<const std::string>(std::move(text))) { }
+    Body(const char *text) : Body(std::string(text)) { }
+    // Shares a text that another object keeps, by a pointer that keeps that object.
+    explicit Body(std::shared_ptr<const std::string> text) : m_text(std::move(text)) { }
+
+    const std::string &text() const;
+    std::size_t size() const { return text().size(); }
+    bool empty() const { return text().empty(); }
+    bool operator==(const Body &other) const { return text() == other.text(); }
+
+private:
+    std::shared_ptr<const std::string> m_text; // null: empty
+};
+
 struct HttpRequest
 {
     std::string method;
     std::string path; // without the query
     std::string query; // without the question mark, still encoded
     Headers headers;
-    std::string body;
+    Body body;
 
     bool operator==(const HttpRequest &) const = default;
 };
--- a/src/decide/http.cc
+++ b/src/decide/http.cc
@@ -19,6 +19,12 @@
     m_fields.emplace_back(std::move(name), std::move(value));
 }
 
+const std::string &Body::text() const
+{
+    static const std::string none;
+    return m_text ? *m_text : none;
+}
+
 std::optional<std::string> queryValue(std::string_view query, std::string_view name)
 {
     const absl::string_view text(query.data(), query.size());
--- a/src/entry/filters.cc
+++ b/src/entry/filters.cc
@@ -79,9 +79,10 @@
         exchange.trace.service = exchange.service->name;
         const HttpRequest &request = exchange.request;
         const std::string &customer = exchange.customer->name;
-        exchange.fingerprint = requestFingerprint(customer, exchange.service->name, request.body);
+        exchange.fingerprint
+            = requestFingerprint(customer, exchange.service->name, request.body.text());
         if (exchange.service->kind == ServiceKind::model)
-            exchange.prefix = prefixOf(customer, exchange.service->name, request.body);
+            exchange.prefix = prefixOf(customer, exchange.service->name, request.body.text());
         const auto &allowed = exchange.customer->services;
         const bool permitted = allowed.empty()
             || std::find(allowed.begin(), allowed.end(), exchange.service->name) != allowed.end();
@@ -95,7 +96,7 @@
     {
         if (exchange.request.method != "POST")
             return Refusal{ResultCode::noSuchPath, "POST expected", {}};
-        const auto body = nlohmann::json::parse(exchange.request.body, nullptr, false);
+        const auto body = nlohmann::json::parse(exchange.request.body.text(), nullptr, false);
         if (!body.is_object() || !body.contains("model") || !body["model"].is_string()
             || !body.contains("messages") || !body["messages"].is_array())
             return Refusal{
@@ -250,8 +251,8 @@
             return Refusal{ResultCode::bookingKeyForm, "the key's time is not accepted", {}};
         exchange.bookingKey = *key;
         exchange.bookingKeyText = callerKey != nullptr ? callerKey->text : *text;
-        exchange.bodyHash
-            = hash128Hex(exchange.service->name, exchange.request.query, exchange.request.body);
+        exchange.bodyHash = hash128Hex(exchange.service->name, exchange.request.query,
+                                       exchange.request.body.text());
         exchange.cleared = isCleared(exchange);
         return std::nullopt;
     }
--- a/src/entry/rule-filters.cc
+++ b/src/entry/rule-filters.cc
@@ -37,7 +37,7 @@
             exchange.urgency = urgencyOf(*exchange.service);
         exchange.prefix = sharedPrefix(exchange.prompt);
         exchange.fingerprint
-            = hash128Hex(exchange.host + request.path, request.query, request.body);
+            = hash128Hex(exchange.host + request.path, request.query, request.body.text());
         return std::nullopt;
     }
 
--- a/src/entry/state.cc
+++ b/src/entry/state.cc
@@ -6,7 +6,8 @@
 
 namespace {
 
-constexpr std::size_t tracesKept = 4096;
+// Some ten seconds of a busy instance, at about a kilobyte each; the log has those before.
+constexpr std::size_t tracesKept = 512;
 
 // Wall time orders the incarnations of an instance that keeps nothing over a restart.
 std::uint64_t newIncarnation()
--- a/src/net/http-client.cc
+++ b/src/net/http-client.cc
@@ -22,6 +22,8 @@
 constexpr auto congestionCheck = std::chrono::milliseconds(20);
 constexpr auto askAgainAfter = std::chrono::milliseconds(100);
 constexpr long maxIdleConnections = 256;
+// Events of a stream are some hundred bytes, and each transfer under way keeps a buffer of its own.
+constexpr long receiveBufferBytes = 4096;
 
 struct SocketWatch
 {
@@ -147,11 +149,12 @@
         curl_easy_setopt(easy, CURLOPT_HTTP_VERSION, CURL_HTTP_VERSION_1_1);
         curl_easy_setopt(easy, CURLOPT_HTTPHEADER, transfer.headerList);
         curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
+        curl_easy_setopt(easy, CURLOPT_BUFFERSIZE, receiveBufferBytes);
         curl_easy_setopt(easy, CURLOPT_TCP_NODELAY, 1L);
         curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, request.method.c_str());
         if (!request.body.empty() || request.method == "POST" || request.method == "PUT") {
             curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE, static_cast<long>(request.body.size()));
-            curl_easy_setopt(easy, CURLOPT_POSTFIELDS, request.body.c_str());
+            curl_easy_setopt(easy, CURLOPT_POSTFIELDS, request.body.text().c_str());
         }
         const auto connect
             = std::chrono::duration_cast<std::chrono::milliseconds>(request.limits.connect);
--- a/src/net/http-server.cc
+++ b/src/net/http-server.cc
@@ -196,18 +196,19 @@
     std::shared_ptr<AnswerState> m_state;
 };
 
-HttpRequest toRequest(const restinio::request_t &from)
+HttpRequest toRequest(const restinio::request_handle_t &from)
 {
+    const auto &header = from->header();
     HttpRequest request;
-    request.method = from.header().method().c_str();
-    const auto path = from.header().path();
+    request.method = header.method().c_str();
+    const auto path = header.path();
     request.path.assign(path.data(), path.size());
-    const auto query = from.header().query();
+    const auto query = header.query();
     request.query.assign(query.data(), query.size());
-    from.header().for_each_field([&request](const restinio::http_header_field_t &field) {
+    header.for_each_field([&request](const restinio::http_header_field_t &field) {
         request.headers.add(field.name(), field.value());
     });
-    request.body = from.body();
+    request.body = Body(std::shared_ptr<const std::string>(from, &from->body()));
     return request;
 }
 
@@ -287,7 +288,7 @@
             options.set_option(asio::ip::tcp::acceptor::reuse_address(true));
         });
         to.request_handler([this, &handler](restinio::request_handle_t request) {
-            HttpRequest plain = toRequest(*request);
+            HttpRequest plain = toRequest(request);
             const auto connection = request->connection_id();
             auto responder = std::make_shared<RestinioResponder>(std::move(request), closing);
             m_connections->add(connection, responder->state());
--- a/src/standin-engine.cc
+++ b/src/standin-engine.cc
@@ -115,7 +115,7 @@
 private:
     void submit(const JobPtr &job)
     {
-        if (job->request.body.find(m_settings.poison) != std::string::npos)
+        if (job->request.body.text().find(m_settings.poison) != std::string::npos)
             _exit(134);
         job->fault = m_faults.take();
         if (job->fault == Fault::cross)
@@ -202,15 +202,16 @@
 
     void complete(const JobPtr &job)
     {
-        const auto body = json::parse(job->request.body, nullptr, false);
+        const auto body = json::parse(job->request.body.text(), nullptr, false);
         job->streaming = body.is_object() && body.value("stream", false);
         job->tokens = body.is_object() ? body.value("max_tokens", 16) : 16;
-        m_loop.postAfter(std::chrono::milliseconds(promptTime(job->request.body)), [this, job] {
-            if (job->streaming)
-                return stream(job);
-            m_loop.postAfter(std::chrono::milliseconds(job->tokens * m_settings.tokenMs),
-                             [this, job] { finishWhole(job); });
-        });
+        m_loop.postAfter(
+            std::chrono::milliseconds(promptTime(job->request.body.text())), [this, job] {
+                if (job->streaming)
+                    return stream(job);
+                m_loop.postAfter(std::chrono::milliseconds(job->tokens * m_settings.tokenMs),
+                                 [this, job] { finishWhole(job); });
+            });
     }
 
     void finishWhole(const JobPtr &job)
@@ -312,7 +313,7 @@
 
     void place(const HttpRequest &request, Responder &responder)
     {
-        const auto order = json::parse(request.body, nullptr, false);
+        const auto order = json::parse(request.body.text(), nullptr, false);
         if (!order.is_object())
             return responder.reply({400, {}, "{}"});
         const std::lock_guard lock(m_mutex);
--- a/src/standin-store.cc
+++ b/src/standin-store.cc
@@ -207,7 +207,7 @@
 
     void transaction(const HttpRequest &request, Responder &responder)
     {
-        const auto body = json::parse(request.body, nullptr, false);
+        const auto body = json::parse(request.body.text(), nullptr, false);
         if (!body.is_array() || body.size() != 1 || !body[0].contains("KV"))
             return responder.reply(plain(400, "one KV operation expected"));
         const auto &operation = body[0]["KV"];
@@ -238,14 +238,14 @@
             if (!free || m_sessions.count(*session) == 0)
                 return responder.reply(plain(200, "false"));
         }
-        m_values[key] = {request.body, ++m_index, session.value_or("")};
+        m_values[key] = {request.body.text(), ++m_index, session.value_or("")};
         responder.reply(plain(200, "true"));
         changed(key);
     }
 
     void createSession(const HttpRequest &request, Responder &responder)
     {
-        const auto body = json::parse(request.body, nullptr, false);
+        const auto body = json::parse(request.body.text(), nullptr, false);
         int seconds = 0;
         std::string text = body.is_object() ? body.value("TTL", "10s") : "10s";
         text.pop_back();
