Weigh the reading of shared parts by all that wait for it

The two servers that may hold a set took turns as soon as the first was behind by one reading (50 ms), and each region read each set for itself, since 50 ms of reading are less than the 160 ms to the holder's region. Both counted the new caller's time alone; a server that reads 5,000 tokens holds up all streams beside it. Ruled out: the loss of holders (the rate of such readings did not rise after a server's crash). Change: a reading counts for each request that runs at the server. A holder elsewhere is used only if the way and the wait there leave half of the target.

--- a/include/ibisnotch/region-choice.h
+++ b/include/ibisnotch/region-choice.h
@@ -76,6 +76,7 @@
     // Where a server holds the parts that the prompt shares with others; empty: anywhere.
     std::string holder;
     double sharedSeconds = 0; // in which another server reads those parts
+    double besideAtHome = 0; // requests that run at a server of the region, on average
     bool homeRefuses = false; // admission would refuse the request at home
     bool mayForward = true; // false once the request has changed regions
 };
--- a/src/decide/pick.cc
+++ b/src/decide/pick.cc
@@ -131,13 +131,16 @@
     }
     std::sort(order.rbegin(), order.rend());
     // The first two in the order may hold the prefix; a third copy would waste cache memory. The
-    // second is used once the first is further behind than the second needs to read the parts.
+    // second is used once the first is further behind than reading the parts at the second would
+    // hold up all that run there. Against its reading time alone, the two took turns under load and
+    // each read the parts anew whenever they had made room for others.
     constexpr std::size_t homes = 2;
     std::optional<std::size_t> best;
     double bestWait = 0;
     for (std::size_t rank = 0; rank < std::min(homes, order.size()); ++rank) {
         const Candidate &candidate = question.candidates[order[rank].second];
-        const double wait = candidate.delay + (rank == 0 ? 0 : question.sharedSeconds);
+        const double read = rank == 0 ? 0 : question.sharedSeconds * (1 + candidate.load);
+        const double wait = candidate.delay + read;
         if (fill(candidate) > m_bound || (best && wait >= bestWait))
             continue;
         best = order[rank].second;
--- a/src/decide/region-choice.cc
+++ b/src/decide/region-choice.cc
@@ -8,6 +8,9 @@
 namespace {
 
 constexpr Duration summaryLife = std::chrono::seconds(15);
+// What the way to a prompt's shared parts and the wait there may take of its target; the rest of
+// the prompt is still to be read.
+constexpr double mostOfTarget = 0.5;
 
 std::uint32_t ageMilliseconds(TimePoint at, TimePoint now)
 {
@@ -119,9 +122,10 @@
     return std::clamp(gainSeconds / wholeGain, leastPart, mostPart);
 }
 
-// Reading the shared parts of a long prompt again takes a server longer than the way to the region
-// where one holds them: 6,300 tokens at 38 a ms against 160 ms. So such a prompt goes there while
-// the region has free slots, whichever region its caller is in.
+// While a server reads the shared parts of a long prompt again, all that run there wait. So such a
+// prompt goes to the region where a server holds them, whichever region its caller is in: while
+// that region has free slots, if the way costs the caller less than reading would cost all of them,
+// and if its first token is still in time.
 std::optional<RegionAnswer> holderWithRoom(const RegionQuestion &question, const RegionTable &table,
                                            TimePoint now)
 {
@@ -135,11 +139,13 @@
     const auto load = table.find(holder, question.loadName, now);
     if (!load || load->outstanding + 1 > load->slots)
         return std::nullopt;
-    // Not if its engines are further behind than ours would take to read the parts.
+    const double there = load->delay + 2 * seconds(question.oneWay);
     const double atHome = question.homeLoad.slots > 0
-        ? question.homeLoad.delay + question.sharedSeconds
+        ? question.homeLoad.delay + question.sharedSeconds * (1 + question.besideAtHome)
         : std::numeric_limits<double>::infinity();
-    if (load->delay + 2 * seconds(question.oneWay) > atHome + marginSeconds(question, true))
+    const double target = seconds(question.service->target);
+    const bool late = target > 0 && there > mostOfTarget * target;
+    if (late || there > atHome + marginSeconds(question, true))
         return std::nullopt;
     return RegionAnswer{holder, 2 * seconds(question.oneWay), false};
 }
--- a/src/entry/dispatch-plan.cc
+++ b/src/entry/dispatch-plan.cc
@@ -108,6 +108,9 @@
         question.holder = affinityRegion(*table, candidates, question.home, m_exchange->pool,
                                          question.allowed, m_exchange->prefix);
     question.sharedSeconds = sharedSeconds(candidates);
+    if (!candidates.empty())
+        question.besideAtHome
+            = question.homeLoad.outstanding / static_cast<double>(candidates.size());
     question.homeRefuses = admit && !m_admitted
         && m_state.admission.ask(admissionQuestion(question.homeLoad, false), m_state.random).code
             != ResultCode::served;
--- a/test/pick-test.cc
+++ b/test/pick-test.cc
@@ -55,6 +55,32 @@
         CHECK(picker.pick(question, random) == second);
 }
 
+// What callers see: late first tokens at a peak, though nobody sends more than before. In what
+// order: prompts wait at the server that holds their shared parts; the next one goes to the second,
+// which reads the parts, then back. Why: the second server's own streams wait as long as it reads.
+// At a peak of 30 streams a server, the holder is left once its queue is longer than what all of
+// them would wait together, not once it is longer than one reading.
+TEST_CASE("affinityPicker_holderBehindByLessThanReadingCosts_staysWithTheHolder")
+{
+    RoutingFixture routing;
+    for (int i = 0; i < 4; ++i)
+        routing.add("s" + std::to_string(i), 30, 128);
+    routing.finish();
+    Random random(1);
+    PickQuestion question;
+    question.candidates = routing.candidates;
+    question.prefix = 42;
+    question.sharedSeconds = 0.05;
+    AffinityPicker picker;
+    const std::size_t holder = picker.pick(question, random);
+    routing.candidates[holder].delay = 0.4;
+    question.candidates = routing.candidates;
+    CHECK(picker.pick(question, random) == holder);
+    routing.candidates[holder].delay = 2;
+    question.candidates = routing.candidates;
+    CHECK(picker.pick(question, random) != holder);
+}
+
 TEST_CASE("prefixOf_twoCustomers_differsForTheSamePrompt")
 {
     CHECK(prefixOf("a", "s", "prompt") != prefixOf("b", "s", "prompt"));
--- a/test/region-choice-test.cc
+++ b/test/region-choice-test.cc
@@ -173,6 +173,27 @@
     CHECK(partAway() < 700);
 }
 
+// What callers see: streams that stand still while their server reads long prompts. In what order:
+// prompts that share parts held in another region arrive here, where servers run many streams; each
+// region reads the parts. Why: all who run at a server wait while it reads, not the new caller
+// alone, whose way to the other region would cost it no more than a part of its target.
+TEST_CASE_METHOD(RegionFixture,
+                 "regionChooser_manyWouldWaitWhileSharedPartsAreRead_goesToTheHolder")
+{
+    question.weights = {1, 0, 0, false};
+    service.target = 1s;
+    question.holder = "b";
+    question.sharedSeconds = 0.05;
+    question.besideAtHome = 1;
+    CHECK(choose().region == "a");
+    question.besideAtHome = 20;
+    CHECK(choose().region == "b");
+    // A first token that would come late there is not worth the servers' time saved.
+    table.onLoad({"b", "s", 8, 0, 0, 0.4}, now + 1s);
+    now += 1s;
+    CHECK(choose().region == "a");
+}
+
 TEST_CASE_METHOD(RegionFixture, "regionChooser_holderFurtherBehindThanHome_staysHome")
 {
     question.holder = "b";
