Turn prompts away by what running streams bear

Change: each instance keeps the pace of streams at each engine and the length of each service's answers. Above the pace at which long answers (twice the mean) still end, or at half of the longest pause allowed, prompts are turned away, the less urgent service first.

--- a/include/ibisnotch/event-stream.h
+++ b/include/ibisnotch/event-stream.h
@@ -19,6 +19,8 @@
     // one: a piece is doubled or belongs to another stream.
     bool take(std::string_view data, std::string &out);
 
+    // Whole events so far.
+    int count() const { return m_count; }
     // Nothing is left of an event that has begun.
     bool whole() const { return m_partial.empty(); }
     // The number of the last whole event as it was written; empty for none.
@@ -30,6 +32,7 @@
     std::string m_partial;
     std::string m_lastEvent;
     std::int64_t m_number = -1;
+    int m_count = 0;
 };
 
 } // namespace ibisnotch
--- a/include/ibisnotch/pick.h
+++ b/include/ibisnotch/pick.h
@@ -19,7 +19,9 @@
     const ServerView *view = nullptr;
     double load = 0; // corrected
     double slots = 1;
-    double delay = 0; // seconds before a prompt sent now is read; model engines only
+    // Model engines only:
+    double delay = 0; // seconds before a prompt sent now is read
+    double eventSeconds = 0; // between two events of a stream; 0: not known
 };
 
 // The servers that may run a request for a service, without those tried already. A pool, if named,
@@ -28,8 +30,8 @@
                                      const std::set<std::string> &tried,
                                      const std::string &pool = {});
 
-// Fills in how long a prompt sent now would wait.
-void addDelays(std::vector<Candidate> &candidates);
+// Fills in how long a prompt sent now would wait, and how fast streams go.
+void addDelays(std::vector<Candidate> &candidates, TimePoint now);
 
 // Leaves out servers that are cold: they bear a few requests a second, not what their slots say.
 void dropCold(std::vector<Candidate> &candidates, TimePoint now);
--- a/include/ibisnotch/server-table.h
+++ b/include/ibisnotch/server-table.h
@@ -63,6 +63,9 @@
     std::atomic<double> tokensPerMs = 0; // the engine's reading rate; 0: not known
     std::atomic<double> msPerWaiting
         = 0; // smoothed, for each request ahead of a prompt; 0: not known
+    // Of streams (stream-pace.h).
+    std::atomic<double> eventSeconds = 0; // smoothed, between two events; 0: not known
+    std::atomic<Duration::rep> eventAt = 0;
     // For telling a silent server (silence.h): streams that have begun, the last byte from it, and
     // when this instance began to wait for one.
     std::atomic<int> streaming = 0;
--- a/src/decide/admission.cc
+++ b/src/decide/admission.cc
@@ -9,6 +9,8 @@
 constexpr double shortestPause = 1;
 constexpr double longestPause = 60;
 constexpr double shareSlack = 1.25;
+// Some have to come through to show that a peak is over.
+constexpr double mostTurnedAway = 0.85;
 
 double seconds(Duration duration)
 {
@@ -36,11 +38,25 @@
 {
     constexpr double begins = 0.6; // of the target
     constexpr double whole = 1.4;
-    constexpr double mostPart = 0.85; // some have to come through to show that it is over
     if (firstSeconds <= 0 || targetSeconds <= 0)
         return 0;
     const double pressure = firstSeconds / targetSeconds;
-    return std::clamp((pressure - begins) / (whole - begins), 0.0, mostPart);
+    return std::clamp((pressure - begins) / (whole - begins), 0.0, mostTurnedAway);
+}
+
+// The part to turn away while streams are too slow for long answers to end. The least urgent
+// service gives way first, and each more urgent one only under more pressure: turned away all
+// alike, prompts that cost little and are urgent made room for those that cost most.
+double partTooSlow(const AdmissionQuestion &question)
+{
+    constexpr double begins = 1; // of what streams bear
+    constexpr double whole = 2;
+    constexpr double perService = 0.5;
+    if (question.bearableSeconds <= 0)
+        return 0;
+    const double pressure = question.eventSeconds / question.bearableSeconds;
+    const double from = begins + perService * question.lessUrgent;
+    return std::clamp((pressure - from) / (whole - begins), 0.0, mostTurnedAway);
 }
 
 } // namespace
@@ -84,7 +100,9 @@
     if (needed > remaining && (question.lateIsUndelivered || wait > 0))
         return {ResultCode::deadlineTooShort, spreadRetryAfter(wait, random)};
     const double first = question.firstDelay > 0 ? question.firstDelay + seconds(question.way) : 0;
-    if (question.draw < partTurnedAway(first, seconds(question.service->target)))
+    const double part
+        = std::max(partTurnedAway(first, seconds(question.service->target)), partTooSlow(question));
+    if (question.draw < part)
         return {ResultCode::overloaded, spreadRetryAfter(std::max(first, remaining / 6), random)};
     if (fill < 1)
         return {ResultCode::served, {}};
--- a/src/decide/event-stream.cc
+++ b/src/decide/event-stream.cc
@@ -48,6 +48,7 @@
     const auto number = parseNumber(text);
     if (!number || *number <= m_number)
         return false;
+    ++m_count;
     m_number = *number;
     m_lastEvent = std::string(text);
     return true;
--- a/src/decide/pick.cc
+++ b/src/decide/pick.cc
@@ -4,6 +4,7 @@
 
 #include "ibisnotch/hash.h"
 #include "ibisnotch/read-delay.h"
+#include "ibisnotch/stream-pace.h"
 
 namespace ibisnotch {
 
@@ -76,10 +77,12 @@
     return candidatesWhere(table, [&](const BackendServer &server) { return server.pool == pool; });
 }
 
-void addDelays(std::vector<Candidate> &candidates)
+void addDelays(std::vector<Candidate> &candidates, TimePoint now)
 {
-    for (Candidate &candidate : candidates)
+    for (Candidate &candidate : candidates) {
         candidate.delay = std::chrono::duration<double>(readDelay(*candidate.view)).count();
+        candidate.eventSeconds = eventSeconds(*candidate.view->counters, now);
+    }
 }
 
 void dropCold(std::vector<Candidate> &candidates, TimePoint now)
--- a/src/decide/region-choice.cc
+++ b/src/decide/region-choice.cc
@@ -61,12 +61,16 @@
 RegionLoad summarize(const std::string &region, const std::string &loadName,
                      std::span<const Candidate> candidates)
 {
-    RegionLoad load{region, loadName, 0, 0, 0, 0};
+    RegionLoad load{region, loadName, 0, 0, 0, 0, 0};
+    int paced = 0;
     for (const Candidate &candidate : candidates) {
         load.slots += candidate.slots;
         load.outstanding += candidate.load;
         load.delay += candidate.delay / static_cast<double>(candidates.size());
+        load.eventSeconds += candidate.eventSeconds;
+        paced += candidate.eventSeconds > 0 ? 1 : 0;
     }
+    load.eventSeconds /= std::max(1, paced);
     return load;
 }
 
--- a/src/entry/attempt.cc
+++ b/src/entry/attempt.cc
@@ -1,6 +1,7 @@
 #include "attempt.h"
 
 #include "ibisnotch/silence.h"
+#include "ibisnotch/stream-pace.h"
 
 namespace ibisnotch {
 
@@ -41,6 +42,7 @@
     if (m_target.counters)
         noteHeard(*m_target.counters, m_heard);
     const auto end = m_reader->onData(data, passed);
+    notePace();
     if (!end && !passed.empty() && !m_reader->streams() && !m_tooLong) {
         m_answer.body += passed;
         if (m_answer.body.size() <= largestKept)
@@ -57,6 +59,18 @@
     return !m_dispatch->m_exchange->responder->closed();
 }
 
+// The first event comes after the prompt is read and says nothing of the pace.
+void Dispatch::Attempt::notePace()
+{
+    const int events = m_reader->events() - m_eventsNoted;
+    if (events <= 0 || !m_target.counters)
+        return;
+    if (m_eventsNoted > 0)
+        noteEvents(*m_target.counters, events, m_heard - m_eventAt, m_heard);
+    m_eventsNoted += events;
+    m_eventAt = m_heard;
+}
+
 bool Dispatch::Attempt::waitsOn()
 {
     return m_dispatch->waitsOn(m_target, *m_reader, m_heard);
--- a/src/entry/attempt.h
+++ b/src/entry/attempt.h
@@ -26,6 +26,7 @@
     const AnswerReader &reader() const { return *m_reader; }
 
 private:
+    void notePace();
     bool stop(AttemptEnd end);
     AttemptEnd endOf(const TransferResult &result) const;
 
@@ -36,6 +37,8 @@
     bool m_tooLong = false; // to be kept whole
     std::optional<AttemptEnd> m_stoppedAs;
     TimePoint m_heard; // the last byte, or the start
+    int m_eventsNoted = 0;
+    TimePoint m_eventAt{}; // of the last event
 };
 
 } // namespace ibisnotch
--- a/src/entry/dispatch-end.cc
+++ b/src/entry/dispatch-end.cc
@@ -136,7 +136,8 @@
 }
 
 // "home:LOAD/SLOTS+DELAY", then the same for another region and for the server with the age of the
-// news; delays and ages in milliseconds.
+// news; "pace:SEEN/BEARABLE" between two events of a stream where the request would run, if known.
+// Delays, ages and paces in milliseconds.
 std::string Dispatch::inputsText() const
 {
     constexpr double toMs = 1000;
@@ -146,6 +147,9 @@
     if (const auto &away = m_inputs.away)
         text += fmt::format(";{}:{:.0f}/{:.0f}+{:.0f},age:{}", away->region, away->outstanding,
                             away->slots, away->delay * toMs, away->ageMs);
+    const double seen = m_inputs.away ? m_inputs.away->eventSeconds : home.eventSeconds;
+    if (seen > 0 && m_inputs.bearableSeconds > 0)
+        text += fmt::format(";pace:{:.0f}/{:.0f}", seen * toMs, m_inputs.bearableSeconds * toMs);
     if (m_inputs.serverSlots > 0)
         text += fmt::format(";server:{:.0f}/{:.0f}+{:.0f},age:{}", m_inputs.serverLoad,
                             m_inputs.serverSlots, m_inputs.serverDelay * toMs,
--- a/src/entry/dispatch-plan.cc
+++ b/src/entry/dispatch-plan.cc
@@ -41,7 +41,7 @@
         std::erase_if(candidates,
                       [](const Candidate &one) { return one.view->status == ServerStatus::trial; });
     if (m_exchange->prompt.tokens > 0)
-        addDelays(candidates);
+        addDelays(candidates, m_state.clock.now());
     return candidates;
 }
 
@@ -124,6 +124,8 @@
     const bool away = *answer.region != question.home;
     m_inputs = {};
     m_inputs.home = question.homeLoad;
+    if (m_exchange->prompt.tokens > 0)
+        m_inputs.bearableSeconds = m_state.habits.bearableSeconds(loadName(*m_exchange), now);
     if (away)
         m_inputs.away = m_state.regions.find(*answer.region, loadName(*m_exchange), now);
     if (admit && !m_admitted) {
@@ -156,6 +158,13 @@
     question.way = away ? 2 * config.regionOneWay : Duration(0);
     question.remaining = remaining();
     question.firstDelay = m_exchange->prompt.tokens > 0 ? load.delay : 0;
+    if (m_exchange->prompt.tokens > 0) {
+        const TimePoint now = m_state.clock.now();
+        const std::string &pool = loadName(*m_exchange);
+        question.eventSeconds = load.eventSeconds;
+        question.bearableSeconds = m_state.habits.bearableSeconds(pool, now);
+        question.lessUrgent = m_state.habits.lessUrgent(pool, question.service->priority, now);
+    }
     question.draw = m_draw;
     return question;
 }
--- a/src/entry/dispatch.cc
+++ b/src/entry/dispatch.cc
@@ -304,6 +304,10 @@
         stayHome();
         return route();
     }
+    const bool wholeStream = end == AttemptEnd::answered && attempt.reader().events() > 0;
+    if (wholeStream && !target.away && m_attempts == 1)
+        m_state.habits.onEnded(*m_exchange->service, loadName(*m_exchange),
+                               attempt.reader().events(), m_state.clock.now());
     if (end == AttemptEnd::answered)
         return deliver(attempt);
     const bool mayResume = m_exchange->service->resumable && !m_exchange->lastEvent.empty();
--- a/src/entry/dispatch.h
+++ b/src/entry/dispatch.h
@@ -28,6 +28,7 @@
 {
     RegionLoad home;
     std::optional<RegionLoad> away; // of the region chosen, if another one
+    double bearableSeconds = 0; // between two events of a stream
     double serverLoad = 0; // corrected, of the server chosen
     double serverSlots = 0;
     double serverDelay = 0; // seconds before a prompt sent now is read
--- a/src/entry/protocol.h
+++ b/src/entry/protocol.h
@@ -53,6 +53,8 @@
     virtual bool streams() const = 0;
     // The number of the last event passed on, for a stream that may go on elsewhere; else empty.
     virtual std::string lastEvent() const { return {}; }
+    // Events of a stream passed on so far.
+    virtual int events() const { return 0; }
     // What a peer said of the request; served for a backend server.
     virtual ResultCode code() const { return ResultCode::served; }
     // The server says that it is leaving.
--- a/src/entry/state.h
+++ b/src/entry/state.h
@@ -22,6 +22,7 @@
 #include "ibisnotch/region-choice.h"
 #include "ibisnotch/retry.h"
 #include "ibisnotch/server-table.h"
+#include "ibisnotch/stream-pace.h"
 #include "trace.h"
 
 namespace ibisnotch {
@@ -48,6 +49,7 @@
 
     RegionChooser chooser;
     Admission admission;
+    StreamHabits habits;
     RetryBudget retries;
     AffinityPicker picker;
 
