--- a/include/ibisnotch/pick.h
+++ b/include/ibisnotch/pick.h
@@ -21,6 +21,7 @@
     double slots = 1;
     // Model engines only:
     double delay = 0; // seconds before a prompt sent now is read
+    double tokensPerMs = 0; // at which it reads; 0: not known
     double eventSeconds = 0; // between two events of a stream; 0: not known
 };
 
@@ -30,7 +31,8 @@
                                      const std::set<std::string> &tried,
                                      const std::string &pool = {});
 
-// Fills in how long a prompt sent now would wait, and how fast streams go.
+// Fills in how fast model engines read, how long a prompt sent now would wait, and how fast streams
+// go. An engine that has not shown its pace yet is taken for the average of those that have.
 void addDelays(std::vector<Candidate> &candidates, TimePoint now);
 
 // Leaves out servers that are cold: they bear a few requests a second, not what their slots say.
--- a/include/ibisnotch/read-delay.h
+++ b/include/ibisnotch/read-delay.h
@@ -19,10 +19,10 @@
 // when it came; it had this many tokens of the prompt to read.
 void noteFirstToken(ServerCounters &counters, std::int64_t tokens, double waiting, Duration taken);
 
-// The wait that a prompt sent now would meet.
-Duration readDelay(const ServerView &view);
+// The wait that a prompt sent now would meet, at so many milliseconds for each request ahead.
+Duration readDelay(const ServerView &view, double msPerWaiting);
 
-// The time that the engine takes to read this many tokens.
-Duration readTime(const ServerCounters &counters, std::int64_t tokens);
+// The time in which this many tokens are read; none while the rate is not known (0).
+Duration readTime(double tokensPerMs, std::int64_t tokens);
 
 } // namespace ibisnotch
--- a/include/ibisnotch/server-table.h
+++ b/include/ibisnotch/server-table.h
@@ -68,7 +68,10 @@
     std::atomic<Duration::rep> eventAt = 0;
     // For telling a silent server (silence.h): streams that have begun, the last byte from it, and
     // when this instance began to wait for one.
-    std::atomic<int> streaming = 0;
+    std::atomic<int> awaited = 0; // requests under way that count
+    std::atomic<int> streaming = 0; // of those, the ones whose stream has begun
+    std::atomic<std::uint32_t> turn = 0; // rises each time the server is taken for sound again
+    std::atomic<Duration::rep> givenBackAt = 0; // when it last rose
     std::atomic<Duration::rep> heardAt = 0;
     std::atomic<Duration::rep> waitingSince = 0;
     std::atomic<bool> probing = false; // the one request that tries an ejected server again
--- a/include/ibisnotch/silence.h
+++ b/include/ibisnotch/silence.h
@@ -8,8 +8,19 @@
 
 namespace ibisnotch {
 
-// Before a request is sent, with the number of requests under way there.
-void noteSent(ServerCounters &counters, int underWay, TimePoint now);
+// Before a request is sent. Returns the server's turn, for noteStream and noteOver.
+std::uint32_t noteSent(ServerCounters &counters, TimePoint now);
+
+// A request's stream has begun. True if it counts, which noteOver is to be told.
+bool noteStream(ServerCounters &counters, std::uint32_t turn);
+
+// A request is over.
+void noteOver(ServerCounters &counters, std::uint32_t turn, bool streamCounted);
+
+// The server is taken for sound again. What was sent before may hang for good, whatever the server
+// does now: streams that a server had lost with its power made it silent again at once after each
+// health check, until none was believed.
+void noteGivenBack(ServerCounters &counters, TimePoint now);
 
 // A byte of any answer came.
 void noteHeard(ServerCounters &counters, TimePoint now);
--- a/src/decide/admission.cc
+++ b/src/decide/admission.cc
@@ -49,8 +49,10 @@
 // alike, prompts that cost little and are urgent made room for those that cost most.
 double partTooSlow(const AdmissionQuestion &question)
 {
-    constexpr double begins = 1; // of what streams bear
-    constexpr double whole = 2;
+    // Of what streams bear, below the whole: the pace is the average of servers of which some are
+    // slower.
+    constexpr double begins = 0.85;
+    constexpr double whole = 1.85;
     constexpr double perService = 0.5;
     if (question.bearableSeconds <= 0)
         return 0;
--- a/src/decide/pick.cc
+++ b/src/decide/pick.cc
@@ -77,11 +77,38 @@
     return candidatesWhere(table, [&](const BackendServer &server) { return server.pool == pool; });
 }
 
+namespace {
+
+// The mean of the values that are known, which are above 0; 0 without any.
+template <typename Value>
+double meanKnown(const std::vector<Candidate> &candidates, const Value &value)
+{
+    double sum = 0;
+    int known = 0;
+    for (const Candidate &candidate : candidates) {
+        const double one = value(*candidate.view->counters);
+        sum += one;
+        known += one > 0 ? 1 : 0;
+    }
+    return sum / std::max(1, known);
+}
+
+} // namespace
+
 void addDelays(std::vector<Candidate> &candidates, TimePoint now)
 {
+    const auto rate = [](const ServerCounters &one) { return one.tokensPerMs.load(); };
+    const auto pace = [](const ServerCounters &one) { return one.msPerWaiting.load(); };
+    const double meanRate = meanKnown(candidates, rate);
+    const double meanPace = meanKnown(candidates, pace);
     for (Candidate &candidate : candidates) {
-        candidate.delay = std::chrono::duration<double>(readDelay(*candidate.view)).count();
-        candidate.eventSeconds = eventSeconds(*candidate.view->counters, now);
+        const ServerCounters &counters = *candidate.view->counters;
+        const double ownRate = rate(counters);
+        const double ownPace = pace(counters);
+        const Duration delay = readDelay(*candidate.view, ownPace > 0 ? ownPace : meanPace);
+        candidate.delay = std::chrono::duration<double>(delay).count();
+        candidate.tokensPerMs = ownRate > 0 ? ownRate : meanRate;
+        candidate.eventSeconds = eventSeconds(counters, now);
     }
 }
 
--- a/src/decide/silence.cc
+++ b/src/decide/silence.cc
@@ -6,18 +6,53 @@
 
 namespace {
 
-// Between two events of a stream an engine makes at most a few steps of 30 ms, also while it reads
-// long prompts for others. An engine that works four times as slowly still shows within this.
-constexpr Duration longestPauseOfStreams = std::chrono::milliseconds(600);
-// Plain services answer in some tens of milliseconds.
+// All streams of a server pausing together: callers leave one that brings nothing for two seconds,
+// and going on elsewhere takes the better part of one.
+constexpr Duration shortestSilence = std::chrono::milliseconds(600);
+// A slow server's streams pause for longer than that; so many of its usual pauses show that it is
+// not merely slow.
+constexpr double usualPauses = 4;
+// An answer without a stream: half of the two seconds after which callers go elsewhere.
 constexpr Duration longestWaitForAnswer = std::chrono::milliseconds(1000);
 
+Duration longestPauseOfStreams(const ServerCounters &counters)
+{
+    const std::chrono::duration<double> pauses(usualPauses * counters.eventSeconds);
+    return std::max(shortestSilence, std::chrono::duration_cast<Duration>(pauses));
+}
+
 } // namespace
 
-void noteSent(ServerCounters &counters, int underWay, TimePoint now)
+std::uint32_t noteSent(ServerCounters &counters, TimePoint now)
 {
-    if (underWay == 0)
+    if (counters.awaited++ <= 0)
         counters.waitingSince = now.time_since_epoch().count();
+    return counters.turn;
+}
+
+bool noteStream(ServerCounters &counters, std::uint32_t turn)
+{
+    const bool counts = counters.turn == turn;
+    counters.streaming += counts ? 1 : 0;
+    return counts;
+}
+
+// A turn that rises in between leaves a count one too low until the next turn: one request less is
+// heeded, none is taken for one that hangs.
+void noteOver(ServerCounters &counters, std::uint32_t turn, bool streamCounted)
+{
+    if (counters.turn != turn)
+        return;
+    --counters.awaited;
+    counters.streaming -= streamCounted ? 1 : 0;
+}
+
+void noteGivenBack(ServerCounters &counters, TimePoint now)
+{
+    ++counters.turn;
+    counters.awaited = 0;
+    counters.streaming = 0;
+    counters.givenBackAt = now.time_since_epoch().count();
 }
 
 void noteHeard(ServerCounters &counters, TimePoint now)
@@ -32,13 +67,18 @@
 
 bool isSilent(const ServerCounters &counters, TimePoint now)
 {
+    if (counters.awaited <= 0)
+        return false;
     // First tokens say nothing: at a full engine they take seconds, and taking 1 s for silence had
-    // instances drop sound engines (refused on a day with engines taken away 0.002 to 0.016).
-    const bool firstTokensOnly = counters.streaming == 0 && counters.awaitingFirst > 0;
-    if (counters.inFlight <= 0 || firstTokensOnly)
+    // instances drop sound engines. Of an engine that is just back in use and has sent nothing yet,
+    // they do: it is not full, and the check that brought it back may have lied.
+    const bool heardSinceBack = counters.heardAt >= counters.givenBackAt;
+    const bool firstTokensOnly = counters.streaming <= 0 && counters.awaitingFirst > 0;
+    if (firstTokensOnly && heardSinceBack)
         return false;
     const Duration since(std::max(counters.heardAt.load(), counters.waitingSince.load()));
-    const Duration allowed = counters.streaming > 0 ? longestPauseOfStreams : longestWaitForAnswer;
+    const Duration allowed
+        = counters.streaming > 0 ? longestPauseOfStreams(counters) : longestWaitForAnswer;
     return now.time_since_epoch() - since >= allowed;
 }
 
--- a/src/decide/stream-pace.cc
+++ b/src/decide/stream-pace.cc
@@ -26,7 +26,9 @@
 
 double bearableFor(const Service &service, double events)
 {
-    const double left = seconds(service.deadline - service.target);
+    // First tokens come well before their target, which may lie close to the deadline.
+    const double left
+        = std::max(seconds(service.deadline - service.target), seconds(service.deadline) / 2);
     const double toEnd = left / std::max(1.0, longAnswer * events);
     const double pause = seconds(service.longestPause) * partOfLongestPause;
     return pause > 0 ? std::min(pause, toEnd) : toEnd;
--- a/src/entry/dispatch-plan.cc
+++ b/src/entry/dispatch-plan.cc
@@ -51,7 +51,7 @@
     if (candidates.empty() || m_exchange->prefix == 0)
         return 0;
     const std::int64_t shared = m_exchange->prompt.sharedTokens();
-    return seconds(readTime(*candidates.front().view->counters, shared));
+    return seconds(readTime(candidates.front().tokensPerMs, shared));
 }
 
 // Whether a server that is cold may get a request from this instance now.
--- a/src/entry/dispatch.cc
+++ b/src/entry/dispatch.cc
@@ -189,7 +189,7 @@
     m_answerLoad = reader.load();
     if (reader.streams()) {
         noteFirstByte(target);
-        target.counters->streaming += std::exchange(m_streaming, true) ? 0 : 1;
+        m_streaming = m_streaming || noteStream(*target.counters, m_turn);
     }
     if (reader.leaving())
         m_state.servers.onOwnWord(target.name);
@@ -234,7 +234,8 @@
             m_state.retries.onRequest(m_exchange->customer->name, loadName(*m_exchange),
                                       m_exchange->config().limits.retryShare);
         target.counters->probing = target.trial;
-        noteSent(*target.counters, target.counters->inFlight++, m_attemptStarted);
+        m_turn = noteSent(*target.counters, m_attemptStarted);
+        ++target.counters->inFlight;
         ++target.counters->sentSinceReport;
         m_awaitingFirst = m_exchange->prompt.tokens > 0;
         target.counters->awaitingFirst += m_awaitingFirst ? 1 : 0;
@@ -257,7 +258,7 @@
     const Duration taken = m_state.clock.now() - m_attemptStarted;
     m_cost += target.cost * std::chrono::duration<double>(taken).count();
     dropPending(target);
-    target.counters->streaming -= std::exchange(m_streaming, false) ? 1 : 0;
+    noteOver(*target.counters, m_turn, std::exchange(m_streaming, false));
     --target.counters->inFlight;
     ++target.counters->endedSinceReport;
     const bool refused = end == AttemptEnd::refusedNotRun || end == AttemptEnd::refusedForGood;
--- a/src/entry/dispatch.h
+++ b/src/entry/dispatch.h
@@ -135,7 +135,8 @@
     int m_runs = 0; // attempts that may have run
     std::weak_ptr<Attempt> m_current;
     bool m_callerLeft = false;
-    bool m_streaming = false; // counted at the server of the attempt under way
+    std::uint32_t m_turn = 0; // of the server of the attempt under way (silence.h)
+    bool m_streaming = false; // counted at that server
     bool m_awaitingFirst = false; // counted at the server of the attempt under way
     bool m_streamed = false; // the caller has the head of a stream
     // A whole failure answer of a backend server, for the caller if nothing better comes.
--- a/src/entry/silence-watch.cc
+++ b/src/entry/silence-watch.cc
@@ -100,6 +100,13 @@
             {{"server", name}, {"source", std::string(source)}});
 }
 
+// Taken back without a word that it sent to a request of this instance.
+void SilenceWatch::trust(const ServerView &view, std::string_view source)
+{
+    noteGivenBack(*view.counters, m_state.clock.now());
+    giveBack(view.server.name, source);
+}
+
 // Servers that have left the table, and those of which an answer came after all.
 void SilenceWatch::forgetOver(const RoutingTable &table, std::vector<SilenceNews> &news)
 {
@@ -129,7 +136,7 @@
             continue;
         const bool known = m_silent.count(view.server.name) > 0;
         if (!news.silent && known)
-            return giveBack(view.server.name, "peer");
+            return trust(view, "peer");
         // Own evidence goes first: the server may be cut off from the other instance alone.
         if (news.silent && !known && !heardWithin(*view.counters, othersHeard, now))
             take(view, "peer");
@@ -173,7 +180,7 @@
         = answer.response.status == statusOk && m_protocol.showsSameRun(target, answer);
     if (!healthy || m_silent.count(name) == 0)
         return {};
-    giveBack(name, "health check");
+    trust(view, "health check");
     return {{serverId(name), false}};
 }
 
--- a/src/entry/silence-watch.h
+++ b/src/entry/silence-watch.h
@@ -38,6 +38,7 @@
 
     bool stoodStill(TimePoint now);
     void take(const ServerView &view, std::string_view source);
+    void trust(const ServerView &view, std::string_view source);
     void giveBack(const std::string &name, std::string_view source);
     void forgetOver(const RoutingTable &table, std::vector<SilenceNews> &news);
 
--- a/test/read-delay-test.cc
+++ b/test/read-delay-test.cc
@@ -27,8 +27,8 @@
 TEST_CASE_METHOD(ReadDelayFixture, "readDelay_nobodyWaits_isNone")
 {
     firstTokens(50, 3000, 0, 75ms);
-    CHECK(readDelay(view) == 0ms);
-    CHECK(readTime(*view.counters, 4000) == 100ms);
+    CHECK(readDelay(view, 60) == 0ms);
+    CHECK(readTime(view.counters->tokensPerMs, 4000) == 100ms);
 }
 
 // What callers see: first tokens of seconds, while their instance takes the engine for idle. In
@@ -39,8 +39,9 @@
     firstTokens(1, 3000, 0, 75ms);
     firstTokens(60, 800, 8, 820ms);
     view.waiting = 8;
-    CHECK(readDelay(view) > 700ms);
-    CHECK(readDelay(view) < 900ms);
+    const double learnt = view.counters->msPerWaiting;
+    CHECK(readDelay(view, learnt) > 700ms);
+    CHECK(readDelay(view, learnt) < 900ms);
 }
 
 TEST_CASE_METHOD(ReadDelayFixture, "readDelay_sentSinceTheReport_countsWhatStillWaits")
@@ -48,7 +49,27 @@
     view.waiting = 2;
     view.counters->sentSinceReport = 3;
     view.counters->awaitingFirst = 1;
-    CHECK(readDelay(view) == 180ms);
+    CHECK(readDelay(view, 60) == 180ms);
+}
+
+// What callers see: prompts sent to an engine that has just joined, though many wait there. Why:
+// how long each takes is learnt from first tokens, of which it has made none; the others' show it.
+TEST_CASE_METHOD(RoutingFixture, "addDelays_engineWithoutFirstTokens_isTakenForTheAverage")
+{
+    add("known", 1, 64);
+    add("new", 1, 64);
+    finish();
+    for (ServerView &view : views)
+        view.waiting = 4;
+    addDelays(candidates, TimePoint{1h});
+    CHECK(candidates[0].delay == 0);
+    CHECK(candidates[1].delay == 0);
+    noteFirstToken(*views[0].counters, 1000, 0, 25ms);
+    noteFirstToken(*views[0].counters, 1000, 2, 225ms);
+    addDelays(candidates, TimePoint{1h});
+    CHECK(candidates[0].delay > 0.3);
+    CHECK(candidates[1].delay == candidates[0].delay);
+    CHECK(candidates[1].tokensPerMs == candidates[0].tokensPerMs);
 }
 
 // What callers see: first tokens of 1.3 s in the region at its peak, while another has room. In
@@ -57,8 +78,9 @@
 TEST_CASE_METHOD(RoutingFixture,
                  "affinityPicker_holderFarBehind_takesTheSecondThatReadsThePartsItself")
 {
-    add("a", 10, 64);
-    add("b", 10, 64);
+    // Nobody runs at either, so reading the parts costs the new caller alone.
+    add("a", 0, 64);
+    add("b", 0, 64);
     finish();
     PickQuestion question;
     question.candidates = candidates;
--- a/test/silence-test.cc
+++ b/test/silence-test.cc
@@ -12,13 +12,14 @@
     ServerCounters counters;
     TimePoint now{100s};
 
-    void send() { noteSent(counters, counters.inFlight++, now); }
+    std::uint32_t send() { return noteSent(counters, now); }
 
-    void beginStream()
+    std::uint32_t beginStream()
     {
-        send();
+        const std::uint32_t turn = send();
         noteHeard(counters, now);
-        ++counters.streaming;
+        noteStream(counters, turn);
+        return turn;
     }
 };
 
@@ -26,9 +27,7 @@
 
 TEST_CASE_METHOD(SilenceFixture, "silence_nothingUnderWay_isNotSilent")
 {
-    beginStream();
-    --counters.streaming;
-    --counters.inFlight;
+    noteOver(counters, beginStream(), true);
     CHECK_FALSE(isSilent(counters, now + 10s));
 }
 
@@ -64,10 +63,50 @@
 
 TEST_CASE_METHOD(SilenceFixture, "silence_sentAfterALongRest_countsFromTheSend")
 {
-    beginStream();
-    --counters.streaming;
-    --counters.inFlight;
+    noteOver(counters, beginStream(), true);
     now += 20s;
     send();
     CHECK_FALSE(isSilent(counters, now + 900ms));
 }
+
+// What callers see: a server that is back gets no request that may run once, for a minute. In what
+// order: it loses power, its streams hang; it is back and answers a health check; the hung streams,
+// which their callers still wait for, make it silent again; its next check is not believed. Why:
+// what was sent before the check says nothing of the server as it is now.
+TEST_CASE_METHOD(SilenceFixture, "silence_streamsHangSinceBefore_sayNothingOnceTheServerIsBack")
+{
+    const std::uint32_t hung = beginStream();
+    CHECK(isSilent(counters, now + 600ms));
+    now += 1s;
+    noteGivenBack(counters, now);
+    CHECK_FALSE(isSilent(counters, now + 10s));
+    beginStream();
+    noteOver(counters, hung, true);
+    CHECK_FALSE(isSilent(counters, now + 500ms));
+    CHECK(isSilent(counters, now + 600ms));
+}
+
+// What callers see: prompts sent to a server that is still dark. In what order: a health check
+// lies, prompts are sent, nothing comes. Why: late first tokens are taken for a full engine, which
+// one that was just given back is not.
+TEST_CASE_METHOD(SilenceFixture, "silence_nothingHeardSinceItIsBack_isSilentDespiteFirstTokens")
+{
+    beginStream();
+    now += 1s;
+    noteGivenBack(counters, now);
+    send();
+    counters.awaitingFirst = 1;
+    CHECK_FALSE(isSilent(counters, now + 900ms));
+    CHECK(isSilent(counters, now + 1s));
+    noteHeard(counters, now + 1s);
+    CHECK_FALSE(isSilent(counters, now + 3s));
+}
+
+// Why: a server that works several times as slowly makes its events that much further apart.
+TEST_CASE_METHOD(SilenceFixture, "silence_slowServer_isGivenSomeOfItsUsualPauses")
+{
+    beginStream();
+    counters.eventSeconds = 0.3;
+    CHECK_FALSE(isSilent(counters, now + 1100ms));
+    CHECK(isSilent(counters, now + 1200ms));
+}
--- a/test/stream-pace-test.cc
+++ b/test/stream-pace-test.cc
@@ -154,6 +154,17 @@
     CHECK(habits.bearableSeconds("pool", now + 1min) == 0);
 }
 
+// What callers see: prompts refused by idle engines. In what order: an operator shortens a
+// service's deadline to just above its target; the streams of its pool seem to bear no pace at all.
+// Why: half of the deadline is left to a stream whatever the target says.
+TEST_CASE_METHOD(PaceFixture, "streamHabits_targetNearTheDeadline_leavesHalfOfIt")
+{
+    answers.deadline = 2600ms;
+    answers.target = 2500ms;
+    ended(answers, 2);
+    CHECK(habits.bearableSeconds("pool", now) == Approx(0.325)); // 1.3 s for 4 events
+}
+
 TEST_CASE_METHOD(PaceFixture, "streamHabits_pausesMakeLate_bearHalfOfTheLongest")
 {
     answers.longestPause = 100ms;
