Weigh a first sample of an engine's pace; take the pool's best rate

Cause: at 64 and 80 instances each sees few first tokens of an engine. Change: a pace starts from a prompt like the caller's for each that waits; until one is known, from the mean prompt over the rate; the best rate of the pool counts for all its engines, since first tokens show it from below.

--- a/include/ibisnotch/pick.h
+++ b/include/ibisnotch/pick.h
@@ -32,8 +32,10 @@
                                      const std::string &pool = {});
 
 // Fills in how fast model engines read, how long a prompt sent now would wait, and how fast streams
-// go. An engine that has not shown its pace yet is taken for the average of those that have.
-void addDelays(std::vector<Candidate> &candidates, TimePoint now);
+// go. First tokens show a rate from below, so the best one of the pool counts for all its engines.
+// An engine whose queue has shown no pace yet is taken for the average of those that have; without
+// any, each that waits counts as a prompt of `meanTokens`.
+void addDelays(std::vector<Candidate> &candidates, double meanTokens, TimePoint now);
 
 // Leaves out servers that are cold: they bear a few requests a second, not what their slots say.
 void dropCold(std::vector<Candidate> &candidates, TimePoint now);
--- a/include/ibisnotch/read-delay.h
+++ b/include/ibisnotch/read-delay.h
@@ -2,6 +2,9 @@
 #pragma once
 
 #include <cstdint>
+#include <map>
+#include <mutex>
+#include <string>
 
 #include "ibisnotch/clock.h"
 #include "ibisnotch/server-table.h"
@@ -15,9 +18,27 @@
 // tenth of the real ones (median 170 against 1,360 ms in a region short of engines): an instance of
 // 27 sees too few first tokens of an engine.
 
-// A first token came `taken` after its prompt was sent. `waiting` requests waited at the engine
-// when it came; it had this many tokens of the prompt to read.
-void noteFirstToken(ServerCounters &counters, std::int64_t tokens, double waiting, Duration taken);
+struct FirstToken
+{
+    std::int64_t tokens = 0; // that the engine had to read
+    double waiting = 0; // requests that waited at the engine when it came
+    Duration taken{}; // since the prompt was sent
+    double tokensPerMs = 0; // the best rate known of the engine's pool; 0: none yet
+};
+
+void noteFirstToken(ServerCounters &counters, const FirstToken &first);
+
+// How much engines have to read of a pool's prompts. Thread safe.
+class PromptLengths
+{
+public:
+    void onPrompt(const std::string &pool, std::int64_t tokens);
+    double mean(const std::string &pool) const; // 0 before the first
+
+private:
+    mutable std::mutex m_mutex;
+    std::map<std::string, double> m_means; // smoothed
+};
 
 // The wait that a prompt sent now would meet, at so many milliseconds for each request ahead.
 Duration readDelay(const ServerView &view, double msPerWaiting);
--- a/src/decide/pick.cc
+++ b/src/decide/pick.cc
@@ -79,35 +79,41 @@
 
 namespace {
 
-// The mean of the values that are known, which are above 0; 0 without any.
-template <typename Value>
-double meanKnown(const std::vector<Candidate> &candidates, const Value &value)
+// Of the engines whose queue has shown a pace; 0 without any.
+double meanMsPerWaiting(const std::vector<Candidate> &candidates)
 {
     double sum = 0;
     int known = 0;
     for (const Candidate &candidate : candidates) {
-        const double one = value(*candidate.view->counters);
-        sum += one;
-        known += one > 0 ? 1 : 0;
+        const double pace = candidate.view->counters->msPerWaiting;
+        sum += pace;
+        known += pace > 0 ? 1 : 0;
     }
     return sum / std::max(1, known);
 }
 
+double bestRate(const std::vector<Candidate> &candidates)
+{
+    double best = 0;
+    for (const Candidate &candidate : candidates)
+        best = std::max(best, candidate.view->counters->tokensPerMs.load());
+    return best;
+}
+
 } // namespace
 
-void addDelays(std::vector<Candidate> &candidates, TimePoint now)
+void addDelays(std::vector<Candidate> &candidates, double meanTokens, TimePoint now)
 {
-    const auto rate = [](const ServerCounters &one) { return one.tokensPerMs.load(); };
-    const auto pace = [](const ServerCounters &one) { return one.msPerWaiting.load(); };
-    const double meanRate = meanKnown(candidates, rate);
-    const double meanPace = meanKnown(candidates, pace);
+    const double rate = bestRate(candidates);
+    const double known = meanMsPerWaiting(candidates);
+    const double prompt = rate > 0 ? meanTokens / rate : 0;
+    const double usual = known > 0 ? known : prompt;
     for (Candidate &candidate : candidates) {
         const ServerCounters &counters = *candidate.view->counters;
-        const double ownRate = rate(counters);
-        const double ownPace = pace(counters);
-        const Duration delay = readDelay(*candidate.view, ownPace > 0 ? ownPace : meanPace);
+        const double own = counters.msPerWaiting;
+        const Duration delay = readDelay(*candidate.view, own > 0 ? own : usual);
         candidate.delay = std::chrono::duration<double>(delay).count();
-        candidate.tokensPerMs = ownRate > 0 ? ownRate : meanRate;
+        candidate.tokensPerMs = rate;
         candidate.eventSeconds = eventSeconds(counters, now);
     }
 }
--- a/src/decide/read-delay.cc
+++ b/src/decide/read-delay.cc
@@ -28,20 +28,39 @@
 } // namespace
 
 // Two threads that note at the same moment may lose one sample of many, which does no harm.
-void noteFirstToken(ServerCounters &counters, std::int64_t tokens, double waiting, Duration taken)
+void noteFirstToken(ServerCounters &counters, const FirstToken &first)
 {
-    const double ms = std::max(0.1, milliseconds(taken));
+    const double ms = std::max(0.1, milliseconds(first.taken));
     // A first token that others made wait tells a rate only beside better ones.
-    const bool tellsRate = waiting < 1 || counters.tokensPerMs > 0;
-    if (tokens >= leastTokens && tellsRate)
+    const bool tellsRate = first.waiting < 1 || counters.tokensPerMs > 0;
+    if (first.tokens >= leastTokens && tellsRate)
         counters.tokensPerMs
-            = std::max(counters.tokensPerMs * rateKept, static_cast<double>(tokens) / ms);
-    if (waiting < 1)
+            = std::max(counters.tokensPerMs * rateKept, static_cast<double>(first.tokens) / ms);
+    if (first.waiting < 1)
         return;
-    const double read = milliseconds(readTime(counters.tokensPerMs, tokens));
-    const double each = std::min(std::max(0.0, ms - read) / waiting, mostMsPerWaiting);
-    const double known = counters.msPerWaiting;
-    counters.msPerWaiting = known > 0 ? paceKept * known + (1 - paceKept) * each : each;
+    const double rate = std::max(first.tokensPerMs, counters.tokensPerMs.load());
+    const double read = milliseconds(readTime(rate, first.tokens));
+    const double each = std::min(std::max(0.0, ms - read) / first.waiting, mostMsPerWaiting);
+    // The first sample of an instance that sees few says little: it is weighed against a prompt
+    // like this one for each that waits.
+    const double known = counters.msPerWaiting > 0 ? counters.msPerWaiting.load() : read;
+    counters.msPerWaiting = paceKept * known + (1 - paceKept) * each;
+}
+
+void PromptLengths::onPrompt(const std::string &pool, std::int64_t tokens)
+{
+    constexpr double kept = 0.98; // some fifty prompts
+    const std::lock_guard lock(m_mutex);
+    const auto [found, added] = m_means.try_emplace(pool, static_cast<double>(tokens));
+    if (!added)
+        found->second = kept * found->second + (1 - kept) * static_cast<double>(tokens);
+}
+
+double PromptLengths::mean(const std::string &pool) const
+{
+    const std::lock_guard lock(m_mutex);
+    const auto found = m_means.find(pool);
+    return found == m_means.end() ? 0 : found->second;
 }
 
 Duration readDelay(const ServerView &view, double msPerWaiting)
--- a/src/entry/control-loads.cc
+++ b/src/entry/control-loads.cc
@@ -55,7 +55,7 @@
         // With cold servers counted in, the other regions sent their prompts to a region whose
         // servers had all just come back, and 324 requests were refused in two seconds.
         dropCold(candidates, now);
-        addDelays(candidates, now);
+        addDelays(candidates, m_state.prompts.mean(loadName), now);
         if (loads.size() < regionLoadsPerMessage)
             loads.push_back(summarize(m_state.settings.region, loadName, candidates));
     };
--- a/src/entry/dispatch-plan.cc
+++ b/src/entry/dispatch-plan.cc
@@ -41,7 +41,7 @@
         std::erase_if(candidates,
                       [](const Candidate &one) { return one.view->status == ServerStatus::trial; });
     if (m_exchange->prompt.tokens > 0)
-        addDelays(candidates, m_state.clock.now());
+        addDelays(candidates, m_state.prompts.mean(loadName(*m_exchange)), m_state.clock.now());
     return candidates;
 }
 
@@ -213,6 +213,7 @@
     m_inputs.serverLoad = chosen.load;
     m_inputs.serverSlots = chosen.slots;
     m_inputs.serverDelay = chosen.delay;
+    m_inputs.tokensPerMs = chosen.tokensPerMs;
     if (chosen.view->reportedAt != TimePoint{})
         m_inputs.reportAge = now - chosen.view->reportedAt;
     if (now < chosen.view->coldUntil) {
--- a/src/entry/dispatch.cc
+++ b/src/entry/dispatch.cc
@@ -176,8 +176,10 @@
     if (m_exchange->prompt.tokens == 0)
         return;
     const double waiting = m_answerLoad ? m_answerLoad->waiting : 0;
-    noteFirstToken(*target.counters, tokensToRead(), waiting,
-                   m_state.clock.now() - m_attemptStarted);
+    noteFirstToken(
+        *target.counters,
+        {tokensToRead(), waiting, m_state.clock.now() - m_attemptStarted, m_inputs.tokensPerMs});
+    m_state.prompts.onPrompt(loadName(*m_exchange), tokensToRead());
     dropPending(target);
 }
 
--- a/src/entry/dispatch.h
+++ b/src/entry/dispatch.h
@@ -32,6 +32,7 @@
     double serverLoad = 0; // corrected, of the server chosen
     double serverSlots = 0;
     double serverDelay = 0; // seconds before a prompt sent now is read
+    double tokensPerMs = 0; // at which servers of its pool read; 0: not known
     std::optional<Duration> reportAge; // of that server's last report; none: it never reported
 };
 
--- a/src/entry/state.h
+++ b/src/entry/state.h
@@ -19,6 +19,7 @@
 #include "ibisnotch/process-settings.h"
 #include "ibisnotch/quarantine.h"
 #include "ibisnotch/rcu.h"
+#include "ibisnotch/read-delay.h"
 #include "ibisnotch/region-choice.h"
 #include "ibisnotch/retry.h"
 #include "ibisnotch/server-table.h"
@@ -50,6 +51,7 @@
     RegionChooser chooser;
     Admission admission;
     StreamHabits habits;
+    PromptLengths prompts;
     RetryBudget retries;
     AffinityPicker picker;
 
