--- a/include/ibisnotch/read-delay.h
+++ b/include/ibisnotch/read-delay.h
@@ -12,11 +12,9 @@
 namespace ibisnotch {
 
 // Engines read prompts one after the other, so under load it is the prompts ahead that make a first
-// token late, while slots are still free: at a region's peak 50 of 64 slots were taken and first
-// tokens took 1.3 s. Engines say with each answer how many requests wait; what one of them takes is
-// learnt from first tokens. Waits measured by each instance alone, without those counts, were a
-// tenth of the real ones (median 170 against 1,360 ms in a region short of engines): an instance of
-// 27 sees too few first tokens of an engine.
+// token late, while slots are still free. Engines say with each answer how many requests wait; what
+// one of them takes is learnt from first tokens. One instance of many sees too few first tokens of
+// an engine to know the wait from them alone: what it measured was a tenth of the real one.
 
 struct FirstToken
 {
--- a/src/entry/dispatch.cc
+++ b/src/entry/dispatch.cc
@@ -17,7 +17,8 @@
 // callers leave a stream that brings nothing after two seconds at the earliest.
 constexpr int patienceFactor = 8;
 constexpr Duration leastPatience = std::chrono::seconds(2);
-// Between two pieces of an answer; ten times the longest pause that the deployments allow.
+// Between two pieces of an answer. Callers leave a stream that brings nothing for two seconds at
+// the earliest; whoever waits on after three waits for a server that is gone.
 constexpr Duration longestSilence = std::chrono::seconds(3);
 // When an attempt that brings nothing is first looked at.
 constexpr Duration firstLook = std::chrono::milliseconds(600);
--- a/src/net/metrics.cc
+++ b/src/net/metrics.cc
@@ -19,7 +19,7 @@
 
 namespace hist = boost::histogram;
 
-// Upper bounds in seconds: twice as fine around the deployments' targets of 0.4 to 1.5 s, and up to
+// Upper bounds in seconds: twice as fine around targets of 0.4 to 1.5 s, the usual ones, and up to
 // their longest deadline.
 constexpr std::array<double, 14> bounds{0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.3,
                                         0.4,   0.5,  0.8,   1,    1.5, 5,   15};
