--- a/include/ibisnotch/clock.h
+++ b/include/ibisnotch/clock.h
@@ -11,6 +11,11 @@
 // Monotonic time since an arbitrary start. Only differences mean anything.
 using TimePoint = std::chrono::time_point<std::chrono::steady_clock, Duration>;
 
+inline double seconds(Duration duration)
+{
+    return std::chrono::duration<double>(duration).count();
+}
+
 // Wall time. Used only where two instances must compare dates: booking keys and callers' deadlines.
 using WallTime = std::chrono::time_point<std::chrono::system_clock, Duration>;
 
--- a/src/decide/admission.cc
+++ b/src/decide/admission.cc
@@ -12,11 +12,6 @@
 // Some have to come through to show that a peak is over.
 constexpr double mostTurnedAway = 0.85;
 
-double seconds(Duration duration)
-{
-    return std::chrono::duration<double>(duration).count();
-}
-
 // How full the queue may be for a service: less urgent ones and those worth less give way first, so
 // that what is left of the queue goes to the others.
 double queueLimit(const AdmissionQuestion &question)
--- a/src/decide/region-choice.cc
+++ b/src/decide/region-choice.cc
@@ -23,11 +23,6 @@
     return std::find(list.begin(), list.end(), item) != list.end();
 }
 
-double seconds(Duration duration)
-{
-    return std::chrono::duration<double>(duration).count();
-}
-
 // How much the margin counts under a deployment's weights: sending away costs share and link, so a
 // deployment that weighs those more asks for a longer wait at home first.
 double shareAgainst(const Weights &weights)
--- a/src/decide/stream-pace.cc
+++ b/src/decide/stream-pace.cc
@@ -19,11 +19,6 @@
 // Pauses differ within a stream: at half of the longest one on average, few exceed it.
 constexpr double partOfLongestPause = 0.5;
 
-double seconds(Duration duration)
-{
-    return std::chrono::duration<double>(duration).count();
-}
-
 double bearableFor(const Service &service, double events)
 {
     // First tokens come well before their target, which may lie close to the deadline.
--- a/src/entry/dispatch-plan.cc
+++ b/src/entry/dispatch-plan.cc
@@ -16,11 +16,6 @@
 // Two rounds of probes; a member that joins is told the others in its first.
 constexpr Duration membersKnownAfter = std::chrono::seconds(2);
 
-double seconds(Duration duration)
-{
-    return std::chrono::duration<double>(duration).count();
-}
-
 } // namespace
 
 std::vector<Candidate> Dispatch::candidatesIn(const RoutingTable &table) const
--- a/src/net/metrics.cc
+++ b/src/net/metrics.cc
@@ -70,11 +70,6 @@
     double worthDelivered = 0;
 };
 
-double seconds(Duration duration)
-{
-    return std::chrono::duration<double>(duration).count();
-}
-
 } // namespace
 
 class Metrics::Private
