Say in each request's line how old the list of servers was

An instance that the store turned away sent to servers which were evacuated and cold; its lines told the age of a server's load, but not that of the list, so 'did not know' had to be worked out from lines that were missing. A request's line now has the list's revision and age, and for how long the chosen server was still taken for cold; two gauges say the same without requests.

--- a/include/ibisnotch/prefix-follower.h
+++ b/include/ibisnotch/prefix-follower.h
@@ -70,6 +70,9 @@
     // The revision up to which all is known.
     std::uint64_t asOf() const { return m_asOf; }
 
+    // When the store, or another instance that had asked it, last said up to where all is known.
+    TimePoint heardAt() const { return m_heardAt; }
+
     // Once the whole range has been read.
     bool complete() const { return m_complete; }
     // False from the first call that failed until the next that succeeds.
@@ -94,6 +97,7 @@
     TimePoint m_notBefore{};
     bool m_relay = false;
     TimePoint m_heardUntil{};
+    TimePoint m_heardAt{};
 };
 
 // What to tell others after an answer of the store. `base` is what the follower knew before it, and
--- a/include/ibisnotch/server-table.h
+++ b/include/ibisnotch/server-table.h
@@ -98,6 +98,14 @@
     bool operator==(const ListedServer &) const = default;
 };
 
+// How new the list of servers is.
+struct ListState
+{
+    std::uint64_t revision = 0; // up to which all changes are known
+    TimePoint heardAt{}; // when that was last confirmed
+    bool operator==(const ListState &) const = default;
+};
+
 enum class ServerStatus { usable, trial, ejected, leaving, unreachable };
 
 // What an attempt tells about its server.
@@ -137,6 +145,7 @@
     std::shared_ptr<const FleetConfig> config;
     std::vector<ServerView> servers;
     std::vector<RemoteServer> remote; // that may get work
+    ListState list;
     // How much traffic all instances of the region send to these servers, for each request of this
     // one.
     double trafficFactor = 1;
@@ -166,6 +175,7 @@
     void setConfig(std::shared_ptr<const FleetConfig> config);
     // Replaces the servers of the platform's list; those that stay keep what is known of them.
     void setListed(std::map<std::string, ListedServer> listed, TimePoint now);
+    void setListState(const ListState &state);
     void setRemote(std::vector<RemoteServer> remote);
     // Data centres whose servers get nothing for now.
     void setEvacuated(std::set<std::string> dataCentres);
@@ -236,6 +246,7 @@
 
     std::shared_ptr<const FleetConfig> m_config;
     std::map<std::string, ListedServer> m_listed;
+    ListState m_listState;
     std::vector<RemoteServer> m_remote;
     std::set<std::string> m_evacuated;
     std::map<std::string, Record> m_records;
--- a/src/decide/prefix-follower.cc
+++ b/src/decide/prefix-follower.cc
@@ -39,6 +39,7 @@
         return {};
     }
     m_failures = 0;
+    m_heardAt = now;
     if (!m_watching)
         return onList(page);
     m_notBefore = page.items.empty() ? now : now + m_limits.gather;
@@ -66,6 +67,7 @@
     if (news.asOf < m_asOf)
         return {};
     m_heardUntil = now + m_limits.newsLife;
+    m_heardAt = now;
     std::vector<StoreItem> items = news.items;
     dropKnown(items);
     m_asOf = news.asOf;
--- a/src/decide/server-table.cc
+++ b/src/decide/server-table.cc
@@ -75,6 +75,12 @@
     rebuild(now);
 }
 
+void ServerTable::setListState(const ListState &state)
+{
+    const std::lock_guard lock(m_mutex);
+    m_listState = state;
+}
+
 void ServerTable::setRemote(std::vector<RemoteServer> remote)
 {
     const std::lock_guard lock(m_mutex);
@@ -345,6 +351,7 @@
     result.config = m_config;
     result.senders = m_senders;
     result.remote = m_remote;
+    result.list = m_listState;
     constexpr double leastTraffic = 0.05;
     if (m_ownTraffic > leastTraffic)
         result.trafficFactor = std::clamp(m_reportedTraffic / m_ownTraffic, 1.0,
--- a/src/entry/dispatch-end.cc
+++ b/src/entry/dispatch-end.cc
@@ -136,8 +136,9 @@
 }
 
 // "home:LOAD/SLOTS+DELAY", then the same for another region and for the server with the age of the
-// news; "pace:SEEN/BEARABLE" between two events of a stream where the request would run, if known.
-// Delays, ages and paces in milliseconds.
+// news, and how long it was still taken for cold; "pace:SEEN/BEARABLE" between two events of a
+// stream where the request would run, if known; "list:REVISION,age" of the list of servers. Delays,
+// ages and paces in milliseconds.
 std::string Dispatch::inputsText() const
 {
     constexpr double toMs = 1000;
@@ -154,6 +155,11 @@
         text += fmt::format(";server:{:.0f}/{:.0f}+{:.0f},age:{}", m_inputs.serverLoad,
                             m_inputs.serverSlots, m_inputs.serverDelay * toMs,
                             m_inputs.reportAge ? millisecondsText(*m_inputs.reportAge) : "never");
+    if (m_inputs.coldFor)
+        text += ",cold:" + millisecondsText(*m_inputs.coldFor);
+    if (m_inputs.listAge)
+        text += fmt::format(";list:{},age:{}", m_inputs.listRevision,
+                            millisecondsText(*m_inputs.listAge));
     return text;
 }
 
--- a/src/entry/dispatch-plan.cc
+++ b/src/entry/dispatch-plan.cc
@@ -119,6 +119,9 @@
     const bool away = *answer.region != question.home;
     m_inputs = {};
     m_inputs.home = question.homeLoad;
+    m_inputs.listRevision = table->list.revision;
+    if (table->list.heardAt != TimePoint{})
+        m_inputs.listAge = now - table->list.heardAt;
     if (m_exchange->prompt.tokens > 0)
         m_inputs.bearableSeconds = m_state.habits.bearableSeconds(loadName(*m_exchange), now);
     if (away)
@@ -212,6 +215,7 @@
     if (chosen.view->reportedAt != TimePoint{})
         m_inputs.reportAge = now - chosen.view->reportedAt;
     if (now < chosen.view->coldUntil) {
+        m_inputs.coldFor = chosen.view->coldUntil - now;
         const auto pause = warmingPause(table, *chosen.view);
         // Another thread took the right in between.
         if (!pause || !takeWarmup(*chosen.view->counters, *pause, now))
--- a/src/entry/dispatch.h
+++ b/src/entry/dispatch.h
@@ -34,6 +34,9 @@
     double serverDelay = 0; // seconds before a prompt sent now is read
     double tokensPerMs = 0; // at which servers of its pool read; 0: not known
     std::optional<Duration> reportAge; // of that server's last report; none: it never reported
+    std::optional<Duration> coldFor; // how much longer that server was taken for cold
+    std::uint64_t listRevision = 0;
+    std::optional<Duration> listAge; // none: no list has been read
 };
 
 // Lives until the request is over, on the loop of one HTTP client.
--- a/src/entry/range-source.cc
+++ b/src/entry/range-source.cc
@@ -30,9 +30,25 @@
     for (const auto &range : m_ranges)
         advance(*range);
     m_changed |= m_servers.expire(m_state.clock.now());
+    noteListState();
     publish();
 }
 
+void RangeSource::noteListState()
+{
+    for (const auto &range : m_ranges) {
+        if (range->prefix != m_format->serverPrefix())
+            continue;
+        const PrefixFollower &follower = range->follower;
+        m_state.servers.setListState({follower.asOf(), follower.heardAt()});
+        if (follower.heardAt() != TimePoint{})
+            m_state.metrics.setGauge("ibisnotch_server_list_age_seconds",
+                                     seconds(m_state.clock.now() - follower.heardAt()));
+        m_state.metrics.setGauge("ibisnotch_server_list_revision",
+                                 static_cast<double>(follower.asOf()));
+    }
+}
+
 // Each watch is a call that the platform counts, and with one of each instance their number grows
 // with the fleet: 80 instances made 6,600 calls in 58 s. So in larger regions two instances watch
 // and tell the others, who ask the store themselves once they hear nothing.
--- a/src/entry/range-source.h
+++ b/src/entry/range-source.h
@@ -49,6 +49,8 @@
     virtual Record read(const StoreItem &item) const = 0;
     // The server or data centre that a key is about.
     virtual std::string subject(const std::string &key) const = 0;
+    // The range that holds the backend servers.
+    virtual std::string serverPrefix() const = 0;
 };
 
 class RangeSource final : public StateSource
@@ -74,6 +76,7 @@
     void advance(Range &range);
     void onPage(Range &range, const StorePage &page);
     void noteReach(Range &range);
+    void noteListState();
     void apply(const StoreItem &item);
     void applyServer(const StoreItem &item, ListedServer server);
     void remove(const StoreItem &item);
