Pass the store's news to instances that the store turns away

What callers saw: streams cut as six cold engines were flooded and crashed together, in a data centre that had been evacuated six seconds before.

Cause: in regions of up to five instances each learnt of servers, evacuations and leaving from the store alone, while configuration also travelled between instances. One that the store does not answer kept its old list, however much its neighbours knew. Bounds that hold for all instances together (a cold server's rate) then fail for one that is out of date.

Now whoever reads a change tells its region; probes and reports between regions name the last change known, and whoever is behind asks the sender for what it missed, from its memory, without a call to the store. Removals are remembered by revision, so that an answer is complete or says that it is the whole range.

Ruled out: disagreement on who shares the bound (the senders had no line of the cold state), and late news (one knew at once, the others 2.5 s later).

--- a/include/ibisnotch/peer-link.h
+++ b/include/ibisnotch/peer-link.h
@@ -22,7 +22,7 @@
 
 // Raised when fields are appended. A reader ignores what follows the fields it knows, so instances
 // of neighbouring versions understand each other while a fleet is being replaced.
-constexpr std::uint16_t peerProtocol = 2;
+constexpr std::uint16_t peerProtocol = 3;
 
 struct GossipMessage
 {
@@ -34,6 +34,7 @@
     std::vector<CrashMark> marks;
     std::vector<SilenceNews> silences; // since protocol 2, as the next
     std::vector<RangeNews> ranges;
+    std::vector<RangeMark> rangeMarks; // since protocol 3
 
     bool operator==(const GossipMessage &) const = default;
 };
@@ -49,6 +50,7 @@
     std::uint16_t protocol = peerProtocol;
     std::uint64_t haveVersion = 0;
     bool wantMembers = false;
+    std::vector<RangeQuestion> ranges; // since protocol 3
     bool operator==(const PeerRequest &) const = default;
 };
 
@@ -57,6 +59,7 @@
     std::uint16_t protocol = peerProtocol;
     ConfigDelta delta; // toVersion 0: nothing newer
     std::vector<Member> members;
+    std::vector<RangeReply> ranges; // since protocol 3
     bool operator==(const PeerReply &) const = default;
 };
 
--- a/include/ibisnotch/prefix-follower.h
+++ b/include/ibisnotch/prefix-follower.h
@@ -31,6 +31,13 @@
 
 using FollowCall = std::variant<ListCall, WatchCall>;
 
+// How an instance shares the watching of a range with the others of its region.
+enum class FollowRole {
+    alone, // it watches, whatever it hears
+    relay, // it watches for others, who hear from it often
+    listener, // it makes no call while it hears from a relay
+};
+
 // Decides calls and reports changes. No I/O; not thread safe.
 class PrefixFollower
 {
@@ -50,6 +57,8 @@
         Duration newsLife = std::chrono::seconds(2);
         Duration firstPause = std::chrono::milliseconds(250);
         Duration longestPause = std::chrono::milliseconds(1000);
+        // Removals that are remembered; who has missed more is told all keys that exist.
+        std::size_t mostRemoved = 1024;
     };
 
     PrefixFollower() : PrefixFollower(Limits{}) { }
@@ -61,16 +70,22 @@
     // The answer to the call under way. Returns what changed, each key once, oldest first.
     std::vector<StoreItem> onAnswer(const StorePage &page, TimePoint now);
 
-    // Whether this instance tells others of the range. If not, it makes no call while it hears.
-    void setRelay(bool relay) { m_relay = relay; }
-    // What another instance read. Returns what changed, as onAnswer() does.
-    std::vector<StoreItem> onNews(const RangeNews &news, TimePoint now);
+    void setRole(FollowRole role) { m_role = role; }
+    // What another instance knew at a moment. Returns what changed, as onAnswer() does.
+    std::vector<StoreItem> onNews(const RangeNews &news, TimePoint at);
+    // Another instance knew at a moment that nothing has changed since this revision. False if this
+    // instance has missed that change.
+    bool onMark(std::uint64_t lastChange, TimePoint at);
+    // For an instance that knows all up to the revision; none while the range is read page by page.
+    std::optional<RangeNews> newsSince(const std::string &prefix, std::uint64_t revision) const;
+    // No change since is known. 0 before the range has been read.
+    std::uint64_t lastChange() const { return m_lastChange; }
     // False while the range is read page by page.
     bool watching() const { return m_watching; }
     // The revision up to which all is known.
     std::uint64_t asOf() const { return m_asOf; }
 
-    // When the store, or another instance that had asked it, last said up to where all is known.
+    // When the store last said up to where all is known, here or to another instance.
     TimePoint heardAt() const { return m_heardAt; }
 
     // Once the whole range has been read.
@@ -80,13 +95,22 @@
 
 private:
     std::vector<StoreItem> onList(const StorePage &page);
+    std::vector<StoreItem> onWhole(const RangeNews &news);
     std::vector<StoreItem> apply(const std::vector<StoreItem> &items);
+    void noteRemoved(const StoreItem &item);
+    // The keys that are not in `listed`, as removals; nothing older than `asOf` is remembered.
+    std::vector<StoreItem> removeOthers(const std::set<std::string> &listed, std::uint64_t asOf);
     void startOver();
     void dropKnown(std::vector<StoreItem> &items) const;
 
     Limits m_limits;
-    std::map<std::string, std::uint64_t> m_revisions; // of the keys that exist
+    std::map<std::string, StoreItem> m_items; // of the keys that exist
+    // Keys removed since the revision, with those of their removals.
+    std::map<std::string, std::uint64_t> m_removed;
+    std::uint64_t m_removedSince = 0;
+    std::uint64_t m_lastChange = 0;
     bool m_underWay = false;
+    bool m_listUnderWay = false;
     bool m_watching = false;
     bool m_complete = false;
     std::string m_after;
@@ -95,7 +119,7 @@
     std::uint64_t m_asOf = 0;
     int m_failures = 0;
     TimePoint m_notBefore{};
-    bool m_relay = false;
+    FollowRole m_role = FollowRole::listener;
     TimePoint m_heardUntil{};
     TimePoint m_heardAt{};
 };
--- a/include/ibisnotch/range-news.h
+++ b/include/ibisnotch/range-news.h
@@ -1,8 +1,9 @@
-// What the instances of a region that watch the store tell the others of it.
+// What instances tell each other of a range of the store.
 #pragma once
 
 #include <cstdint>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "ibisnotch/store.h"
@@ -12,7 +13,7 @@
 struct RangeNews
 {
     std::string prefix;
-    // All changes with revisions above `base`, up to `asOf`.
+    // All changes with revisions above `base`, up to `asOf`. 0: all keys that exist.
     std::uint64_t base = 0;
     std::uint64_t asOf = 0;
     std::vector<StoreItem> items;
@@ -24,6 +25,42 @@
     bool operator==(const RangeNews &) const = default;
 };
 
+// How far an instance knows a range. Goes with probes, so it names the range by a hash.
+struct RangeMark
+{
+    std::uint32_t range = 0; // rangeId of its prefix
+    std::uint64_t lastChange = 0; // revision of the last change that is known
+    std::uint32_t ageMs = 0; // when sent, since the store or a peer confirmed it
+
+    template <typename Archive> void serialize(Archive &archive)
+    {
+        archive(range, lastChange, ageMs);
+    }
+    bool operator==(const RangeMark &) const = default;
+};
+
+// Asks for the changes of a range.
+struct RangeQuestion
+{
+    std::uint32_t range = 0;
+    std::uint64_t known = 0; // the revision up to which the asker knows all
+
+    template <typename Archive> void serialize(Archive &archive) { archive(range, known); }
+    bool operator==(const RangeQuestion &) const = default;
+};
+
+// What an instance that asks for a range is told.
+struct RangeReply
+{
+    RangeNews news;
+    std::uint32_t ageMs = 0; // as in RangeMark
+
+    template <typename Archive> void serialize(Archive &archive) { archive(news, ageMs); }
+    bool operator==(const RangeReply &) const = default;
+};
+
+std::uint32_t rangeId(std::string_view prefix);
+
 // Makes the news of one answer of the store. Changes that are too large for a datagram are left
 // out and `base` raised, so that whoever hears of it asks the store.
 RangeNews makeNews(const std::string &prefix, std::uint64_t base, std::uint64_t asOf,
--- a/src/decide/prefix-follower.cc
+++ b/src/decide/prefix-follower.cc
@@ -8,12 +8,14 @@
 {
     if (m_underWay || now < m_notBefore)
         return std::nullopt;
-    if (m_watching && !m_relay && now < m_heardUntil)
+    if (m_watching && m_role == FollowRole::listener && now < m_heardUntil)
         return std::nullopt;
     m_underWay = true;
-    if (m_watching)
-        return WatchCall{m_asOf, m_relay ? m_limits.relayWatchTime : m_limits.watchTime};
-    return ListCall{m_after};
+    m_listUnderWay = !m_watching;
+    if (!m_watching)
+        return ListCall{m_after};
+    const bool relay = m_role == FollowRole::relay;
+    return WatchCall{m_asOf, relay ? m_limits.relayWatchTime : m_limits.watchTime};
 }
 
 void PrefixFollower::startOver()
@@ -42,6 +44,10 @@
     m_heardAt = now;
     if (!m_watching)
         return onList(page);
+    // Another instance told the whole range while a page of it was under way. A page does not name
+    // the keys that were removed since.
+    if (m_listUnderWay)
+        return {};
     m_notBefore = page.items.empty() ? now : now + m_limits.gather;
     std::vector<StoreItem> items = page.items;
     dropKnown(items);
@@ -56,24 +62,72 @@
     std::erase_if(items, [this](const StoreItem &item) { return item.revision <= m_asOf; });
 }
 
-std::vector<StoreItem> PrefixFollower::onNews(const RangeNews &news, TimePoint now)
+std::vector<StoreItem> PrefixFollower::onNews(const RangeNews &news, TimePoint at)
 {
+    if (news.base == 0 && (news.asOf > m_asOf || !m_watching)) {
+        m_heardAt = std::max(m_heardAt, at);
+        return onWhole(news);
+    }
     if (!m_watching)
         return {};
     if (news.base > m_asOf) {
-        m_heardUntil = now;
+        m_heardUntil = at;
         return {};
     }
     if (news.asOf < m_asOf)
         return {};
-    m_heardUntil = now + m_limits.newsLife;
-    m_heardAt = now;
+    m_heardUntil = at + m_limits.newsLife;
+    m_heardAt = std::max(m_heardAt, at);
     std::vector<StoreItem> items = news.items;
     dropKnown(items);
     m_asOf = news.asOf;
     return apply(items);
 }
 
+std::vector<StoreItem> PrefixFollower::onWhole(const RangeNews &news)
+{
+    // What was read itself before the reading was broken off may be newer.
+    if (news.asOf < m_asOf)
+        return {};
+    std::set<std::string> listed;
+    for (const StoreItem &item : news.items)
+        listed.insert(item.key);
+    std::vector<StoreItem> changes = apply(news.items);
+    for (StoreItem &item : removeOthers(listed, news.asOf))
+        changes.push_back(std::move(item));
+    m_asOf = news.asOf;
+    m_complete = true;
+    startOver();
+    m_watching = true;
+    return changes;
+}
+
+bool PrefixFollower::onMark(std::uint64_t lastChange, TimePoint at)
+{
+    if (!m_watching || lastChange > m_asOf)
+        return lastChange == 0;
+    m_heardAt = std::max(m_heardAt, at);
+    return true;
+}
+
+std::optional<RangeNews> PrefixFollower::newsSince(const std::string &prefix,
+                                                   std::uint64_t revision) const
+{
+    if (!m_watching)
+        return std::nullopt;
+    const bool whole = revision < m_removedSince;
+    RangeNews news{prefix, whole ? 0 : revision, m_asOf, {}};
+    for (const auto &[key, item] : m_items) {
+        if (item.revision > news.base)
+            news.items.push_back(item);
+    }
+    for (const auto &[key, removal] : m_removed) {
+        if (!whole && removal > revision)
+            news.items.push_back({key, "", removal, true});
+    }
+    return news;
+}
+
 std::vector<StoreItem> PrefixFollower::onList(const StorePage &page)
 {
     // Pages are read one after the other while keys change. Watching from the first page's revision
@@ -87,15 +141,8 @@
         m_after = page.items.back().key;
         return changes;
     }
-    for (const auto &[key, revision] : m_revisions) {
-        // A key that is newer than the first page was written while the pages were read.
-        if (m_listed.count(key) == 0 && revision <= m_listAsOf)
-            changes.push_back({key, "", revision, true});
-    }
-    for (const StoreItem &item : changes) {
-        if (item.deleted)
-            m_revisions.erase(item.key);
-    }
+    for (StoreItem &item : removeOthers(m_listed, m_listAsOf))
+        changes.push_back(std::move(item));
     m_asOf = m_listAsOf;
     m_complete = true;
     startOver();
@@ -103,14 +150,36 @@
     return changes;
 }
 
+std::vector<StoreItem> PrefixFollower::removeOthers(const std::set<std::string> &listed,
+                                                    std::uint64_t asOf)
+{
+    std::vector<StoreItem> removals;
+    for (const auto &[key, item] : m_items) {
+        // A key that is newer was written while the others were read.
+        if (listed.count(key) == 0 && item.revision <= asOf)
+            removals.push_back({key, "", item.revision, true});
+    }
+    for (const StoreItem &item : removals)
+        m_items.erase(item.key);
+    m_removed.clear();
+    m_removedSince = asOf;
+    // When they were removed is not known.
+    m_lastChange = std::max(m_lastChange, removals.empty() ? 0 : asOf);
+    return removals;
+}
+
 std::vector<StoreItem> PrefixFollower::apply(const std::vector<StoreItem> &items)
 {
     std::map<std::string, StoreItem> latest;
     for (const StoreItem &item : items) {
-        const auto known = m_revisions.find(item.key);
+        m_lastChange = std::max(m_lastChange, item.revision);
+        const auto known = m_items.find(item.key);
         // An answer that took long on its way must not bring back an older value.
-        const bool old = known != m_revisions.end() && item.revision <= known->second;
-        if (old || (item.deleted && known == m_revisions.end() && latest.count(item.key) == 0))
+        if (known != m_items.end() && item.revision <= known->second.revision)
+            continue;
+        if (item.deleted)
+            noteRemoved(item);
+        if (item.deleted && known == m_items.end() && latest.count(item.key) == 0)
             continue;
         auto &kept = latest[item.key];
         if (kept.revision <= item.revision)
@@ -119,9 +188,9 @@
     std::vector<StoreItem> changes;
     for (auto &[key, item] : latest) {
         if (item.deleted)
-            m_revisions.erase(key);
+            m_items.erase(key);
         else
-            m_revisions[key] = item.revision;
+            m_items[key] = item;
         changes.push_back(std::move(item));
     }
     std::sort(changes.begin(), changes.end(),
@@ -129,6 +198,20 @@
     return changes;
 }
 
+// Also of a key that was not known here; another instance may know it.
+void PrefixFollower::noteRemoved(const StoreItem &item)
+{
+    auto &removal = m_removed[item.key];
+    removal = std::max(removal, item.revision);
+    if (m_removed.size() <= m_limits.mostRemoved)
+        return;
+    const auto oldest
+        = std::min_element(m_removed.begin(), m_removed.end(),
+                           [](const auto &a, const auto &b) { return a.second < b.second; });
+    m_removedSince = std::max(m_removedSince, oldest->second);
+    m_removed.erase(oldest);
+}
+
 std::optional<RangeNews> newsOf(const std::string &prefix, std::uint64_t base, bool watched,
                                 const PrefixFollower &follower, const StorePage &page)
 {
--- a/src/decide/range-news.cc
+++ b/src/decide/range-news.cc
@@ -1,5 +1,7 @@
 #include "ibisnotch/range-news.h"
 
+#include "ibisnotch/hash.h"
+
 namespace ibisnotch {
 
 namespace {
@@ -9,6 +11,11 @@
 
 } // namespace
 
+std::uint32_t rangeId(std::string_view prefix)
+{
+    return static_cast<std::uint32_t>(hash64(prefix));
+}
+
 RangeNews makeNews(const std::string &prefix, std::uint64_t base, std::uint64_t asOf,
                    std::vector<StoreItem> changes)
 {
--- a/src/entry/control-loads.cc
+++ b/src/entry/control-loads.cc
@@ -98,6 +98,7 @@
     const TimePoint now = m_state.clock.now();
     GossipMessage report = emptyNews();
     report.regionLoads = ownRegionLoads(*table);
+    report.rangeMarks = m_source->marks();
     for (const auto &[region, reporter] : reportersByRegion(m_membership.usable())) {
         if (region != m_state.settings.region)
             m_link.sendGossip(reporter.gossipAddress, report);
--- a/src/entry/control.cc
+++ b/src/entry/control.cc
@@ -65,7 +65,10 @@
 
 void Control::start()
 {
-    m_link.post([this] { tick(); });
+    m_link.post([this] {
+        m_started = true;
+        tick();
+    });
 }
 
 void Control::setSeeds(std::vector<std::string> seeds)
@@ -159,6 +162,7 @@
     GossipMessage message;
     message.probe = std::move(probe);
     message.configVersion = m_state.gate.version();
+    message.rangeMarks = m_source->marks();
     const TimePoint now = m_state.clock.now();
     {
         const std::lock_guard lock(m_state.quarantineMutex);
@@ -293,6 +297,9 @@
 
 void Control::onGossip(const GossipMessage &message, const std::string &from)
 {
+    // The link takes messages in before the instance is whole.
+    if (!m_started)
+        return;
     const TimePoint now = m_state.clock.now();
     send(m_membership.onProbe(message.probe, from, now, m_state.random));
     if (message.probe.sender.region == m_state.settings.region) {
@@ -301,7 +308,7 @@
         for (const SilenceNews &news : message.silences)
             m_silence.onNews(news);
         for (const RangeNews &news : message.ranges)
-            m_source->onNews(news);
+            m_source->onNews(news, from);
         if (!message.silences.empty())
             publishRouting();
     }
@@ -312,6 +319,7 @@
         for (const CrashMark &mark : message.marks)
             m_state.quarantine.onMark(mark, now);
     }
+    m_source->onMarks(message.rangeMarks, from);
     // A version that this instance cannot take would otherwise be pulled again with every probe.
     if (message.configVersion > std::max(m_state.gate.version(), m_turnedDown))
         pullFrom(from);
@@ -320,15 +328,27 @@
 PeerReply Control::onRequest(const PeerRequest &request)
 {
     PeerReply reply;
+    if (!m_started)
+        return reply;
     if (m_state.gate.version() > request.haveVersion)
         reply.delta = m_state.gate.deltaSince(request.haveVersion);
     if (request.wantMembers) {
         reply.members = m_membership.members();
         reply.members.push_back(m_membership.self());
     }
+    reply.ranges = m_source->newsSince(request.ranges);
     return reply;
 }
 
+void Control::askPeer(const std::string &gossipAddress, std::vector<RangeQuestion> questions,
+                      std::function<void(std::optional<PeerReply>)> done)
+{
+    PeerRequest request;
+    request.haveVersion = m_state.gate.version();
+    request.ranges = std::move(questions);
+    m_link.exchange(gossipAddress, request, std::move(done));
+}
+
 void Control::pullFrom(const std::string &gossipAddress)
 {
     if (m_pulling)
--- a/src/entry/control.h
+++ b/src/entry/control.h
@@ -1,8 +1,11 @@
 // The control loop of an entry instance: membership, configuration, load reports and crash marks.
 #pragma once
 
+#include <functional>
 #include <memory>
+#include <optional>
 #include <string>
+#include <vector>
 
 #include "ibisnotch/http-client.h"
 #include "ibisnotch/membership.h"
@@ -39,6 +42,9 @@
     // Instances of the region that are alive, this one included.
     std::size_t regionSize() const;
     void tellRegion(RangeNews news);
+    // Asks another instance for what is newer of these ranges; null if it does not answer.
+    void askPeer(const std::string &gossipAddress, std::vector<RangeQuestion> questions,
+                 std::function<void(std::optional<PeerReply>)> done);
     // Publishes the routing table and tells a few members at once.
     void spreadNews();
     void publishRouting();
@@ -86,6 +92,7 @@
     SilenceWatch m_silence;
     std::size_t m_loadCursor = 0;
     std::size_t m_pollCursor = 0;
+    bool m_started = false;
     bool m_pulling = false;
     std::uint64_t m_turnedDown = 0; // the latest version that was not valid here
     bool m_routingDirty = true;
--- a/src/entry/range-source.cc
+++ b/src/entry/range-source.cc
@@ -11,6 +11,18 @@
 constexpr std::size_t allWatchUpTo = 5; // instances of a region
 // One may be cut off from the store; news then still comes from the other.
 constexpr std::size_t relaysPerRegion = 2;
+// The store tells all instances of a region within milliseconds of each other, and a little more
+// where it gathers changes.
+constexpr Duration storeIsFirst = std::chrono::milliseconds(250);
+// Where a change was heard of, in log lines.
+constexpr std::string_view sourceStore = "store";
+constexpr std::string_view sourcePeer = "peer";
+
+std::uint32_t ageMs(TimePoint at, TimePoint now)
+{
+    const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(now - at).count();
+    return static_cast<std::uint32_t>(std::clamp<std::int64_t>(age, 0, UINT32_MAX));
+}
 
 } // namespace
 
@@ -21,12 +33,13 @@
     for (const std::string &prefix : m_format->prefixes()) {
         m_ranges.push_back(std::make_unique<Range>());
         m_ranges.back()->prefix = prefix;
+        m_ranges.back()->id = rangeId(prefix);
     }
 }
 
 void RangeSource::tick()
 {
-    chooseRelays();
+    chooseRoles();
     for (const auto &range : m_ranges)
         advance(*range);
     m_changed |= m_servers.expire(m_state.clock.now());
@@ -52,27 +65,129 @@
 // Each watch is a call that the platform counts, and with one of each instance their number grows
 // with the fleet: 80 instances made 6,600 calls in 58 s. So in larger regions two instances watch
 // and tell the others, who ask the store themselves once they hear nothing.
-void RangeSource::chooseRelays()
+void RangeSource::chooseRoles()
 {
     const bool few = m_control.regionSize() <= allWatchUpTo;
     for (const auto &range : m_ranges) {
-        range->relay = !few && m_control.amongFirst("range " + range->prefix, relaysPerRegion);
-        range->follower.setRelay(range->relay);
+        const bool first = m_control.amongFirst("range " + range->prefix, relaysPerRegion);
+        range->role = first ? FollowRole::relay : FollowRole::listener;
+        if (few)
+            range->role = FollowRole::alone;
+        range->follower.setRole(range->role);
     }
 }
 
-void RangeSource::onNews(const RangeNews &news)
+RangeSource::Range *RangeSource::findRange(std::uint32_t id)
+{
+    const auto found = std::find_if(m_ranges.begin(), m_ranges.end(),
+                                    [id](const auto &range) { return range->id == id; });
+    return found == m_ranges.end() ? nullptr : found->get();
+}
+
+void RangeSource::onNews(const RangeNews &news, const std::string &from)
+{
+    Range *range = findRange(rangeId(news.prefix));
+    if (range == nullptr)
+        return;
+    takeNews(*range, news, m_state.clock.now());
+    if (news.asOf > range->follower.asOf() && !range->follower.reachable())
+        askPeer(*range, from);
+}
+
+bool RangeSource::takeNews(Range &range, const RangeNews &news, TimePoint at)
 {
+    const std::vector<StoreItem> changes = range.follower.onNews(news, at);
+    for (const StoreItem &item : changes)
+        apply(item, sourcePeer);
+    publish();
+    return !changes.empty();
+}
+
+std::vector<RangeMark> RangeSource::marks() const
+{
+    std::vector<RangeMark> marks;
     const TimePoint now = m_state.clock.now();
     for (const auto &range : m_ranges) {
-        if (range->prefix != news.prefix)
-            continue;
-        for (const StoreItem &item : range->follower.onNews(news, now))
-            apply(item);
-        publish();
+        if (range->follower.lastChange() > 0)
+            marks.push_back(
+                {range->id, range->follower.lastChange(), ageMs(range->follower.heardAt(), now)});
+    }
+    return marks;
+}
+
+void RangeSource::onMarks(const std::vector<RangeMark> &marks, const std::string &from)
+{
+    for (const RangeMark &mark : marks) {
+        if (Range *range = findRange(mark.range))
+            onMark(*range, mark, from);
     }
 }
 
+// The store may turn single instances away, or its answers may be lost, for as long as it likes.
+// Without its neighbours' knowledge an instance would go on sending to servers that have been
+// evacuated, are leaving or bear little since they turned cold.
+void RangeSource::onMark(Range &range, const RangeMark &mark, const std::string &from)
+{
+    const TimePoint now = m_state.clock.now();
+    if (range.follower.onMark(mark.lastChange, now - std::chrono::milliseconds(mark.ageMs)))
+        return;
+    if (!range.follower.reachable())
+        return askPeer(range, from);
+    // The store's own answer is likely to be on its way.
+    m_control.postAfter(storeIsFirst, [this, &range, from, missed = mark.lastChange] {
+        if (range.follower.asOf() < missed)
+            askPeer(range, from);
+    });
+}
+
+void RangeSource::askPeer(Range &range, const std::string &from)
+{
+    if (range.asking)
+        return;
+    range.asking = true;
+    const bool watching = range.follower.watching();
+    const std::uint64_t known = watching ? range.follower.asOf() : 0;
+    logLine(LogPart::store, LogLevel::info, "Changes asked of a peer.",
+            {{"range", range.prefix},
+             {"peer", from},
+             {"known", std::to_string(known)},
+             {"storeReachable", range.follower.reachable() ? "yes" : "no"}});
+    m_control.askPeer(from, {{range.id, known}}, [this, &range](const auto &reply) {
+        range.asking = false;
+        if (!reply)
+            return;
+        for (const RangeReply &one : reply->ranges) {
+            if (rangeId(one.news.prefix) == range.id)
+                takeReply(range, one);
+        }
+    });
+}
+
+void RangeSource::takeReply(Range &range, const RangeReply &reply)
+{
+    const TimePoint at = m_state.clock.now() - std::chrono::milliseconds(reply.ageMs);
+    const RangeNews &news = reply.news;
+    const bool changed = takeNews(range, news, at);
+    // The store may answer nobody in the region, so that this is the first to hear it.
+    if (changed && news.base > 0)
+        m_control.tellRegion(makeNews(news.prefix, news.base, news.asOf, news.items));
+}
+
+std::vector<RangeReply> RangeSource::newsSince(const std::vector<RangeQuestion> &questions) const
+{
+    std::vector<RangeReply> replies;
+    const TimePoint now = m_state.clock.now();
+    for (const RangeQuestion &question : questions) {
+        for (const auto &range : m_ranges) {
+            if (range->id != question.range)
+                continue;
+            if (auto news = range->follower.newsSince(range->prefix, question.known))
+                replies.push_back({*std::move(news), ageMs(range->follower.heardAt(), now)});
+        }
+    }
+    return replies;
+}
+
 void RangeSource::advance(Range &range)
 {
     const auto call = range.follower.next(m_state.clock.now());
@@ -92,9 +207,12 @@
     const std::uint64_t base = range.follower.asOf();
     const bool watched = range.follower.watching();
     for (const StoreItem &item : range.follower.onAnswer(page, m_state.clock.now()))
-        apply(item);
+        apply(item, sourceStore);
     auto news = newsOf(range.prefix, base, watched, range.follower, page);
-    if (range.relay && news)
+    // Where all watch, each still tells what changed: the store may not answer the others.
+    const bool tells = range.role == FollowRole::relay
+        || (range.role == FollowRole::alone && !page.items.empty());
+    if (tells && news)
         m_control.tellRegion(*std::move(news));
     noteReach(range);
     publish();
@@ -111,19 +229,21 @@
             reachable ? "Store back." : "Store lost.", {{"range", range.prefix}});
 }
 
-void RangeSource::apply(const StoreItem &item)
+void RangeSource::apply(const StoreItem &item, std::string_view source)
 {
     if (item.deleted)
-        return remove(item);
+        return remove(item, source);
     Record record = m_format->read(item);
     if (const auto *document = std::get_if<ConfigDocument>(&record))
-        return m_control.offer(*document, "store");
+        return m_control.offer(*document, std::string(source));
     if (auto *server = std::get_if<ListedServer>(&record))
-        return applyServer(item, std::move(*server));
+        return applyServer(item, std::move(*server), source);
     if (const auto *evacuated = std::get_if<EvacuatedDataCentre>(&record)) {
         m_changed |= m_evacuated.insert(evacuated->name).second;
         logLine(LogPart::load, LogLevel::info, "Data centre evacuated.",
-                {{"dataCentre", evacuated->name}, {"revision", std::to_string(item.revision)}});
+                {{"dataCentre", evacuated->name},
+                 {"revision", std::to_string(item.revision)},
+                 {"source", std::string(source)}});
         return;
     }
     if (const auto *bad = std::get_if<BadRecord>(&record)) {
@@ -132,11 +252,11 @@
                  {"revision", std::to_string(item.revision)},
                  {"reason", bad->reason}});
         // Whoever wrote it, it names no server to use any more.
-        remove(item);
+        remove(item, source);
     }
 }
 
-void RangeSource::applyServer(const StoreItem &item, ListedServer server)
+void RangeSource::applyServer(const StoreItem &item, ListedServer server, std::string_view source)
 {
     if (isLocal(server.server.dataCentre))
         logLine(LogPart::load, LogLevel::info, "Backend server listed.",
@@ -145,20 +265,23 @@
                  {"address", server.server.address},
                  {"leaving", server.leaving ? "yes" : "no"},
                  {"warmupMs", std::to_string(server.warmup.count() / 1000)},
-                 {"revision", std::to_string(item.revision)}});
+                 {"revision", std::to_string(item.revision)},
+                 {"source", std::string(source)}});
     server.revision = item.revision;
     m_servers.put(std::move(server));
     m_changed = true;
 }
 
-void RangeSource::remove(const StoreItem &item)
+void RangeSource::remove(const StoreItem &item, std::string_view source)
 {
     const std::string subject = m_format->subject(item.key);
     m_servers.remove(subject, m_state.clock.now());
     m_evacuated.erase(subject);
     m_changed = true;
     logLine(LogPart::load, LogLevel::info, "Record removed.",
-            {{"key", item.key}, {"revision", std::to_string(item.revision)}});
+            {{"key", item.key},
+             {"revision", std::to_string(item.revision)},
+             {"source", std::string(source)}});
 }
 
 std::string RangeSource::regionOf(const std::string &dataCentre) const
--- a/src/entry/range-source.h
+++ b/src/entry/range-source.h
@@ -6,6 +6,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 #include <variant>
 #include <vector>
 
@@ -60,26 +61,37 @@
                 std::unique_ptr<RecordFormat> format);
 
     void tick() override;
-    void onNews(const RangeNews &news) override;
+    void onNews(const RangeNews &news, const std::string &from) override;
+    std::vector<RangeMark> marks() const override;
+    void onMarks(const std::vector<RangeMark> &marks, const std::string &from) override;
+    std::vector<RangeReply> newsSince(const std::vector<RangeQuestion> &questions) const override;
 
 private:
     struct Range
     {
         std::string prefix;
+        std::uint32_t id = 0;
         PrefixFollower follower;
         bool wasReachable = true;
-        bool relay = false;
+        FollowRole role = FollowRole::alone;
+        bool asking = false; // another instance, for what it missed
     };
 
-    void chooseRelays();
+    void chooseRoles();
+    Range *findRange(std::uint32_t id);
 
     void advance(Range &range);
     void onPage(Range &range, const StorePage &page);
+    void onMark(Range &range, const RangeMark &mark, const std::string &from);
+    void askPeer(Range &range, const std::string &from);
+    // True if it changed anything.
+    bool takeNews(Range &range, const RangeNews &news, TimePoint at);
+    void takeReply(Range &range, const RangeReply &reply);
     void noteReach(Range &range);
     void noteListState();
-    void apply(const StoreItem &item);
-    void applyServer(const StoreItem &item, ListedServer server);
-    void remove(const StoreItem &item);
+    void apply(const StoreItem &item, std::string_view source);
+    void applyServer(const StoreItem &item, ListedServer server, std::string_view source);
+    void remove(const StoreItem &item, std::string_view source);
     void publish();
     std::string regionOf(const std::string &dataCentre) const; // empty if unknown
     bool isLocal(const std::string &dataCentre) const;
--- a/src/net/peer-link.cc
+++ b/src/net/peer-link.cc
@@ -32,23 +32,31 @@
 constexpr std::uint32_t largestFrame = 8U << 20;
 constexpr auto exchangeTimeout = std::chrono::seconds(3);
 
+constexpr std::uint16_t protocolWithNews = 2;
+constexpr std::uint16_t protocolWithMarks = 3;
+
 template <typename Archive> void serializeFields(Archive &archive, GossipMessage &message)
 {
     archive(message.protocol, message.probe, message.configVersion, message.loads,
             message.regionLoads, message.marks);
-    constexpr std::uint16_t withNews = 2;
-    if (message.protocol >= withNews)
+    if (message.protocol >= protocolWithNews)
         archive(message.silences, message.ranges);
+    if (message.protocol >= protocolWithMarks)
+        archive(message.rangeMarks);
 }
 
 template <typename Archive> void serializeFields(Archive &archive, PeerRequest &request)
 {
     archive(request.protocol, request.haveVersion, request.wantMembers);
+    if (request.protocol >= protocolWithMarks)
+        archive(request.ranges);
 }
 
 template <typename Archive> void serializeFields(Archive &archive, PeerReply &reply)
 {
     archive(reply.protocol, reply.delta, reply.members);
+    if (reply.protocol >= protocolWithMarks)
+        archive(reply.ranges);
 }
 
 constexpr std::size_t checksumBytes = 8;
--- a/test/peer-link-test.cc
+++ b/test/peer-link-test.cc
@@ -18,6 +18,7 @@
     message.marks.push_back({"f", "s", "a1", 5, false});
     message.silences.push_back({9, true});
     message.ranges.push_back({"servers/", 4, 6, {{"servers/a", "v", 5, false}}});
+    message.rangeMarks.push_back({rangeId("servers/"), 5, 40});
     return message;
 }
 
@@ -34,6 +35,7 @@
     before.protocol = 1;
     before.silences.clear();
     before.ranges.clear();
+    before.rangeMarks.clear();
     CHECK(*decodeGossip(encodeGossip(before)) == before);
 }
 
--- a/test/prefix-follower-test.cc
+++ b/test/prefix-follower-test.cc
@@ -1,5 +1,7 @@
 #include "ibisnotch/prefix-follower.h"
 
+#include <array>
+
 #include <catch2/catch.hpp>
 #include <rapidcheck/catch.h>
 
@@ -87,7 +89,7 @@
 // A follower and what it has reported.
 struct Followed
 {
-    PrefixFollower follower;
+    PrefixFollower follower{};
     std::map<std::string, std::string> seen;
 
     void note(const std::vector<StoreItem> &changes)
@@ -259,7 +261,7 @@
         StoreModel store;
         Followed relay;
         Followed told;
-        relay.follower.setRelay(true);
+        relay.follower.setRole(FollowRole::relay);
         std::vector<RangeNews> onTheWay;
         std::optional<StorePage> late; // the answer to a call of the one that is told
         TimePoint now{1s};
@@ -306,3 +308,73 @@
         RC_ASSERT(told.seen == store.values());
     });
 }
+
+TEST_CASE_METHOD(FollowerFixture, "prefixFollower_markOfALaterChange_showsThatItWasMissed")
+{
+    CHECK_FALSE(follower.onMark(3, now));
+    CHECK(follower.onMark(0, now));
+    answer(page({{"a", "1", 3, false}}, 5));
+    CHECK(follower.lastChange() == 3);
+    CHECK(follower.onMark(5, now));
+    CHECK(follower.heardAt() == now);
+    CHECK_FALSE(follower.onMark(6, now + 1s));
+    CHECK(follower.heardAt() == now);
+}
+
+TEST_CASE_METHOD(FollowerFixture, "prefixFollower_wholeRangeToldWhileAPageIsUnderWay_dropsThePage")
+{
+    REQUIRE(follower.next(now));
+    CHECK(follower.onNews({"", 0, 7, {{"a", "1", 3, false}}}, now).size() == 1);
+    CHECK(follower.onAnswer(page({{"b", "2", 8, false}}, 9), now).empty());
+    CHECK(follower.next(now + 3s) == FollowCall(WatchCall{7, 4s}));
+}
+
+// Guards against keys that an instance misses, or keeps, once it lives on what its peers know.
+TEST_CASE("prefixFollower_storeTurnsItAway_peersGiveItTheStoresKeys")
+{
+    rc::prop("the keys of both are the store's", [] {
+        StoreModel store;
+        PrefixFollower::Limits limits;
+        limits.mostRemoved = 2;
+        std::array<Followed, 2> both{Followed{PrefixFollower(limits), {}},
+                                     Followed{PrefixFollower(limits), {}}};
+        std::vector<RangeNews> onTheWay;
+        TimePoint now{1s};
+        const auto callStore = [&](Followed &one, bool calm) {
+            const auto call = one.follower.next(now);
+            if (!call)
+                return;
+            const StorePage page = store.answer(*call);
+            one.note(one.follower.onAnswer(calm ? page : withFate(page), now));
+        };
+        const auto ask = [&](Followed &one, const Followed &other) {
+            const std::uint64_t known = one.follower.watching() ? one.follower.asOf() : 0;
+            return other.follower.newsSince("", known);
+        };
+        const int rounds = *rc::gen::inRange(5, 60);
+        for (int i = 0; i < rounds; ++i) {
+            now += 2s;
+            store.writeSome();
+            const auto index = *rc::gen::inRange<std::size_t>(0, 2);
+            if (*rc::gen::inRange(0, 3) > 0)
+                callStore(both[index], false);
+            if (auto news = ask(both[1 - index], both[index]))
+                onTheWay.push_back(*std::move(news));
+            if (onTheWay.empty() || *rc::gen::inRange(0, 2) == 0)
+                continue;
+            // Late, doubled, and to whichever of the two.
+            const auto which = *rc::gen::inRange<std::size_t>(0, onTheWay.size());
+            both[index].note(both[index].follower.onNews(onTheWay[which], now));
+        }
+        for (int i = 0; i < 8; ++i) {
+            now += 2s;
+            callStore(both[0], true);
+        }
+        RC_ASSERT(both[0].seen == store.values());
+        const auto news = ask(both[1], both[0]);
+        RC_ASSERT(news.has_value());
+        both[1].note(both[1].follower.onNews(*news, now));
+        RC_ASSERT(both[1].seen == store.values());
+        RC_ASSERT(both[1].follower.onMark(both[0].follower.lastChange(), now));
+    });
+}
