Count requests sent before the news of a cold server against its bound

What callers would see: streams cut as a cold server is flooded by instances that did hear of it.

Cause: only requests sent in the knowledge that a server is cold counted. What was sent in the moments between its turning cold and the news came on top: each instance then sent one at once, and the next after its usual pause.

Now the last request counts whatever was known, and an instance that sent within the last second before the news waits out that second.

--- a/include/ibisnotch/server-table.h
+++ b/include/ibisnotch/server-table.h
@@ -57,7 +57,7 @@
     std::atomic<int> inFlight = 0; // sent by this instance and not yet over
     std::atomic<int> sentSinceReport = 0;
     std::atomic<int> endedSinceReport = 0;
-    std::atomic<Duration::rep> warmedAt = 0; // the last request to the server while it was cold
+    std::atomic<Duration::rep> sentAt = 0; // the last request to the server
     // Of prompts sent whose first token is not there yet, and what first tokens have shown.
     std::atomic<int> awaitingFirst = 0;
     std::atomic<double> tokensPerMs = 0; // the engine's reading rate; 0: not known
@@ -126,6 +126,7 @@
     double waiting = 0; // of those, the ones whose prompts were still to be read
     TimePoint reportedAt{};
     std::uint64_t incarnation = 0;
+    TimePoint coldSince{}; // when this instance heard of it
     TimePoint coldUntil{};
     std::shared_ptr<ServerCounters> counters;
 };
@@ -229,6 +230,7 @@
         TimePoint heardAgainAt{};
         bool needsTrial = false;
         std::uint64_t revision = 0; // of the platform's list
+        TimePoint coldSince{};
         TimePoint coldUntil{};
         std::shared_ptr<ServerCounters> counters;
     };
@@ -238,6 +240,7 @@
     void eject(Record &record, TimePoint now);
     Record *find(std::uint32_t server); // with the lock held; null if unknown
     ServerStatus statusOf(const Record &record, TimePoint now) const;
+    static void noteCold(Record &record, Duration left, TimePoint now);
     static void startIncarnation(Record &record, const LoadReport &report);
 
     Limits m_limits;
--- a/include/ibisnotch/warmup.h
+++ b/include/ibisnotch/warmup.h
@@ -25,7 +25,12 @@
                                     const std::vector<std::string> &senders,
                                     const std::string &self, const std::string &server);
 
-// Takes the right to send one request now. False if the last one was too short a time ago.
-bool takeWarmup(ServerCounters &counters, Duration pause, TimePoint now);
+// Whether one request may be sent now to a server that this instance has taken for cold since
+// `coldSince`. What was sent shortly before that may have met a server that was cold already, so it
+// counts against the bound too.
+bool mayWarm(const ServerCounters &counters, Duration pause, TimePoint coldSince, TimePoint now);
+
+// Takes the right to do so. False if another thread took it in between.
+bool takeWarmup(ServerCounters &counters, Duration pause, TimePoint coldSince, TimePoint now);
 
 } // namespace ibisnotch
--- a/src/decide/server-table.cc
+++ b/src/decide/server-table.cc
@@ -119,7 +119,7 @@
         // was started again under its name.
         record.revision = listed.revision;
         record.leaving = listed.leaving;
-        record.coldUntil = listed.warmup.count() > 0 ? now + listed.warmup : TimePoint{};
+        noteCold(record, listed.warmup, now);
     }
     m_records = std::move(records);
     m_names.clear();
@@ -127,6 +127,13 @@
         m_names[serverId(name)] = name;
 }
 
+void ServerTable::noteCold(Record &record, Duration left, TimePoint now)
+{
+    if (left.count() > 0 && now >= record.coldUntil)
+        record.coldSince = now;
+    record.coldUntil = left.count() > 0 ? now + left : TimePoint{};
+}
+
 void ServerTable::onAnswerLoad(const std::string &server, std::uint32_t running,
                                std::uint32_t waiting, TimePoint now)
 {
@@ -364,6 +371,7 @@
         view.waiting = record.report.waiting;
         view.reportedAt = record.reportedAt;
         view.incarnation = record.report.incarnation;
+        view.coldSince = record.coldSince;
         view.coldUntil = record.coldUntil;
         view.counters = record.counters;
         result.servers.push_back(std::move(view));
--- a/src/decide/silence.cc
+++ b/src/decide/silence.cc
@@ -25,6 +25,7 @@
 
 std::uint32_t noteSent(ServerCounters &counters, TimePoint now)
 {
+    counters.sentAt = now.time_since_epoch().count();
     if (counters.awaited++ <= 0)
         counters.waitingSince = now.time_since_epoch().count();
     return counters.turn;
--- a/src/decide/warmup.cc
+++ b/src/decide/warmup.cc
@@ -11,6 +11,17 @@
 
 // Requests that leave a second apart may arrive a little closer.
 constexpr double jitterFactor = 1.06;
+// Within which a cold server's requests are counted.
+constexpr auto window
+    = std::chrono::duration_cast<Duration>(std::chrono::duration<double>(jitterFactor));
+
+bool mayFollow(Duration::rep last, Duration pause, TimePoint coldSince, TimePoint now)
+{
+    if (last == 0)
+        return true;
+    const TimePoint sentAt{Duration(last)};
+    return now - sentAt >= (sentAt < coldSince ? std::max(pause, window) : pause);
+}
 
 } // namespace
 
@@ -35,14 +46,19 @@
     return std::chrono::duration_cast<Duration>(pause);
 }
 
-bool takeWarmup(ServerCounters &counters, Duration pause, TimePoint now)
+bool mayWarm(const ServerCounters &counters, Duration pause, TimePoint coldSince, TimePoint now)
+{
+    return mayFollow(counters.sentAt, pause, coldSince, now);
+}
+
+bool takeWarmup(ServerCounters &counters, Duration pause, TimePoint coldSince, TimePoint now)
 {
-    Duration::rep last = counters.warmedAt;
+    Duration::rep last = counters.sentAt;
     const Duration::rep at = now.time_since_epoch().count();
     do {
-        if (last != 0 && at - last < pause.count())
+        if (!mayFollow(last, pause, coldSince, now))
             return false;
-    } while (!counters.warmedAt.compare_exchange_weak(last, at));
+    } while (!counters.sentAt.compare_exchange_weak(last, at));
     return true;
 }
 
--- a/src/entry/dispatch-plan.cc
+++ b/src/entry/dispatch-plan.cc
@@ -26,7 +26,7 @@
     if (candidates.empty() && m_failure)
         candidates = candidatesFor(table, *m_exchange->service, {}, m_exchange->pool);
     std::erase_if(candidates,
-                  [&](const Candidate &candidate) { return !mayWarm(table, *candidate.view); });
+                  [&](const Candidate &candidate) { return !mayWarmNow(table, *candidate.view); });
     // A request that may run once only is lost if the server on trial is still out of order.
     const bool othersUsable
         = std::any_of(candidates.begin(), candidates.end(), [](const Candidate &one) {
@@ -50,7 +50,7 @@
 }
 
 // Whether a server that is cold may get a request from this instance now.
-bool Dispatch::mayWarm(const RoutingTable &table, const ServerView &view) const
+bool Dispatch::mayWarmNow(const RoutingTable &table, const ServerView &view) const
 {
     const TimePoint now = m_state.clock.now();
     if (now >= view.coldUntil)
@@ -59,8 +59,7 @@
     if (now < m_state.startedAt + membersKnownAfter)
         return false;
     const auto pause = warmingPause(table, view);
-    const Duration::rep last = view.counters->warmedAt;
-    return pause && (last == 0 || now.time_since_epoch().count() - last >= pause->count());
+    return pause && mayWarm(*view.counters, *pause, view.coldSince, now);
 }
 
 std::optional<Duration> Dispatch::warmingPause(const RoutingTable &table,
@@ -218,7 +217,9 @@
         m_inputs.coldFor = chosen.view->coldUntil - now;
         const auto pause = warmingPause(table, *chosen.view);
         // Another thread took the right in between.
-        if (!pause || !takeWarmup(*chosen.view->counters, *pause, now))
+        const bool taken
+            = pause && takeWarmup(*chosen.view->counters, *pause, chosen.view->coldSince, now);
+        if (!taken)
             return Refusal{ResultCode::noBackendServer, "",
                            spreadRetryAfter(noServerPause, m_state.random)};
     }
--- a/src/entry/dispatch.h
+++ b/src/entry/dispatch.h
@@ -67,7 +67,7 @@
     std::variant<Target, Refusal> plan(bool admit);
     std::vector<Candidate> candidatesIn(const RoutingTable &table) const;
     double sharedSeconds(std::span<const Candidate> candidates) const;
-    bool mayWarm(const RoutingTable &table, const ServerView &view) const;
+    bool mayWarmNow(const RoutingTable &table, const ServerView &view) const;
     std::optional<Duration> warmingPause(const RoutingTable &table, const ServerView &view) const;
     AdmissionQuestion admissionQuestion(const RegionLoad &load, bool away) const;
     std::variant<Target, Refusal> planAway(const std::string &region);
--- a/test/warmup-test.cc
+++ b/test/warmup-test.cc
@@ -5,6 +5,8 @@
 #include <catch2/catch.hpp>
 #include <rapidcheck/catch.h>
 
+#include "ibisnotch/silence.h"
+
 using namespace ibisnotch;
 using namespace std::chrono_literals;
 
@@ -37,7 +39,7 @@
                 sent.pop_front();
             for (std::size_t i = 0; i < senders.size(); ++i) {
                 const auto pause = warmupPause(rate, bound, senders, senders[i], "server");
-                if (pause && takeWarmup(counters[i], *pause, now))
+                if (pause && takeWarmup(counters[i], *pause, TimePoint{}, now))
                     sent.push_back(now);
             }
             RC_ASSERT(static_cast<double>(sent.size()) <= rate * bound.factor + bound.slack);
@@ -52,3 +54,36 @@
     CHECK_FALSE(warmupPause(0.2, {1, 0}, {"a"}, "a", "server"));
     CHECK(warmupPause(2, {1, 0}, {"a"}, "a", "server") == 530ms);
 }
+
+// Guards against a server that turned cold and gets its bound on top of what was sent before the
+// news.
+TEST_CASE("takeWarmup_newsOfAColdServerComesLate_countsWhatWasSentBefore")
+{
+    rc::prop("in any second since it turned cold", [] {
+        const WarmupBound bound{1.5, 3};
+        const double rate = 2.4;
+        const auto senders = names(3);
+        const TimePoint cold{2s};
+        const TimePoint known = cold + std::chrono::milliseconds(*rc::gen::inRange(0, 200));
+        std::vector<ServerCounters> counters(senders.size());
+        std::deque<TimePoint> sent;
+        // Up to two requests of each sender reach it before the news.
+        std::vector<int> unaware(senders.size(), 0);
+        for (TimePoint now{1s}; now < TimePoint{6s}; now += 10ms) {
+            while (!sent.empty() && now - sent.front() > 1s)
+                sent.pop_front();
+            for (std::size_t i = 0; i < senders.size(); ++i) {
+                const auto pause = warmupPause(rate, bound, senders, senders[i], "server");
+                const bool sends = now < known
+                    ? now >= cold && unaware[i] < 2 && *rc::gen::inRange(0, 4) == 0
+                    : pause && takeWarmup(counters[i], *pause, known, now);
+                if (!sends)
+                    continue;
+                unaware[i] += now < known ? 1 : 0;
+                noteSent(counters[i], now);
+                sent.push_back(now);
+            }
+            RC_ASSERT(static_cast<double>(sent.size()) <= rate * bound.factor + bound.slack);
+        }
+    });
+}
