Ask servers whether they are cold while nobody else tells

An instance whose list of servers was not confirmed for five seconds (a watch ends after four) now asks the region's servers for their health, one instance a server, four times a second; the answer says for how long the server is cold, and the region is told. The checks that look after silent servers tell it too.

Messages from peers are taken in only once the instance is whole; those that come before wait in the socket. Until now one that came in between would have reached a source that was not there yet.

--- a/include/ibisnotch/peer-link.h
+++ b/include/ibisnotch/peer-link.h
@@ -34,7 +34,8 @@
     std::vector<CrashMark> marks;
     std::vector<SilenceNews> silences; // since protocol 2, as the next
     std::vector<RangeNews> ranges;
-    std::vector<RangeMark> rangeMarks; // since protocol 3
+    std::vector<RangeMark> rangeMarks; // since protocol 3, as the next
+    std::vector<ColdNews> colds;
 
     bool operator==(const GossipMessage &) const = default;
 };
@@ -89,6 +90,9 @@
     PeerLink(const PeerLink &) = delete;
     PeerLink &operator=(const PeerLink &) = delete;
 
+    // From now on messages are taken in; those that came before wait in the sockets.
+    void start();
+
     // From the loop's thread only.
     void sendGossip(const std::string &address, const GossipMessage &message);
     void exchange(const std::string &address, const PeerRequest &request,
--- a/include/ibisnotch/server-table.h
+++ b/include/ibisnotch/server-table.h
@@ -98,6 +98,16 @@
     bool operator==(const ListedServer &) const = default;
 };
 
+// A server is cold, as it told the instance that asked it.
+struct ColdNews
+{
+    std::uint32_t server = 0; // serverId of its name
+    std::uint32_t leftMs = 0;
+
+    template <typename Archive> void serialize(Archive &archive) { archive(server, leftMs); }
+    bool operator==(const ColdNews &) const = default;
+};
+
 // How new the list of servers is.
 struct ListState
 {
@@ -206,6 +216,9 @@
     // is not believed, and the server has to show itself by a trial.
     void onHeardAgain(std::uint32_t server, TimePoint now);
 
+    // A server bears only its pool's warm-up rate for this long. True if it was not known as cold.
+    bool onCold(std::uint32_t server, Duration left, TimePoint now);
+
     // The state of an operator's drain.
     void setDrained(const std::string &server, bool drained);
 
--- a/src/decide/server-table.cc
+++ b/src/decide/server-table.cc
@@ -321,6 +321,17 @@
     record->ejectedUntil = {};
 }
 
+bool ServerTable::onCold(std::uint32_t server, Duration left, TimePoint now)
+{
+    const std::lock_guard lock(m_mutex);
+    Record *record = find(server);
+    if (record == nullptr)
+        return false;
+    const bool known = now < record->coldUntil;
+    noteCold(*record, std::max(left, record->coldUntil - now), now);
+    return !known;
+}
+
 void ServerTable::setDrained(const std::string &server, bool drained)
 {
     const std::lock_guard lock(m_mutex);
--- a/src/entry/control-loads.cc
+++ b/src/entry/control-loads.cc
@@ -2,6 +2,7 @@
 #include <map>
 
 #include "control.h"
+#include "health-check.h"
 #include "ibisnotch/hash.h"
 #include "ibisnotch/load-metrics.h"
 #include "ibisnotch/log.h"
@@ -113,15 +114,39 @@
     for (const ServerView &view : m_silence.dueForCheck()) {
         if (!amongFirst(view.server.name, checkersPerServer))
             continue;
-        sendWhole(m_client, m_silence.healthCheck(view.server),
+        sendWhole(m_client, shortHealthCheck(m_state, m_protocol, view.server),
                   [this, view](const WholeAnswer &answer) {
                       m_link.post([this, view, answer] {
+                          shareCold(m_cold.onChecked(view, answer));
                           shareSilence(m_silence.onChecked(view, answer));
                       });
                   });
     }
 }
 
+void Control::watchCold()
+{
+    for (const ServerView &view : m_cold.dueForCheck()) {
+        if (!amongFirst(view.server.name, checkersPerServer))
+            continue;
+        sendWhole(m_client, shortHealthCheck(m_state, m_protocol, view.server),
+                  [this, view](const WholeAnswer &answer) {
+                      m_link.post(
+                          [this, view, answer] { shareCold(m_cold.onChecked(view, answer)); });
+                  });
+    }
+}
+
+void Control::shareCold(const std::optional<ColdNews> &news)
+{
+    if (!news)
+        return;
+    publishRouting();
+    GossipMessage message = emptyNews();
+    message.colds.push_back(*news);
+    sendToRegion(message);
+}
+
 void Control::shareSilence(std::vector<SilenceNews> news)
 {
     if (news.empty())
--- a/src/entry/control.cc
+++ b/src/entry/control.cc
@@ -43,7 +43,8 @@
 Control::Control(EntryState &state, const Protocol &protocol, HttpClient &client)
     : m_state(state), m_client(client),
       m_membership(selfMember(state), state.settings.seeds, MembershipSettings{}),
-      m_silence(state, protocol), m_link(state.settings.gossip, *this)
+      m_silence(state, protocol), m_cold(state, protocol), m_protocol(protocol),
+      m_link(state.settings.gossip, *this)
 {
 }
 
@@ -65,10 +66,8 @@
 
 void Control::start()
 {
-    m_link.post([this] {
-        m_started = true;
-        tick();
-    });
+    m_link.start();
+    m_link.post([this] { tick(); });
 }
 
 void Control::setSeeds(std::vector<std::string> seeds)
@@ -135,6 +134,7 @@
     }
     m_source->tick();
     watchSilence();
+    watchCold();
     if (now >= m_nextLoads) {
         m_nextLoads = now + loadPeriod;
         shareLoads();
@@ -297,9 +297,6 @@
 
 void Control::onGossip(const GossipMessage &message, const std::string &from)
 {
-    // The link takes messages in before the instance is whole.
-    if (!m_started)
-        return;
     const TimePoint now = m_state.clock.now();
     send(m_membership.onProbe(message.probe, from, now, m_state.random));
     if (message.probe.sender.region == m_state.settings.region) {
@@ -309,7 +306,9 @@
             m_silence.onNews(news);
         for (const RangeNews &news : message.ranges)
             m_source->onNews(news, from);
-        if (!message.silences.empty())
+        for (const ColdNews &news : message.colds)
+            m_cold.onNews(news);
+        if (!message.silences.empty() || !message.colds.empty())
             publishRouting();
     }
     for (const RegionLoad &load : message.regionLoads)
@@ -328,8 +327,6 @@
 PeerReply Control::onRequest(const PeerRequest &request)
 {
     PeerReply reply;
-    if (!m_started)
-        return reply;
     if (m_state.gate.version() > request.haveVersion)
         reply.delta = m_state.gate.deltaSince(request.haveVersion);
     if (request.wantMembers) {
--- a/src/entry/control.h
+++ b/src/entry/control.h
@@ -7,6 +7,7 @@
 #include <string>
 #include <vector>
 
+#include "cold-watch.h"
 #include "ibisnotch/http-client.h"
 #include "ibisnotch/membership.h"
 #include "ibisnotch/peer-link.h"
@@ -76,6 +77,8 @@
     void shareRetries(std::size_t members);
     void updateOwnLoad();
 
+    void watchCold();
+    void shareCold(const std::optional<ColdNews> &news);
     void watchSilence();
     void shareSilence(std::vector<SilenceNews> news);
     void sendToRegion(const GossipMessage &message);
@@ -90,9 +93,10 @@
     HttpClient &m_client;
     Membership m_membership;
     SilenceWatch m_silence;
+    ColdWatch m_cold;
+    const Protocol &m_protocol;
     std::size_t m_loadCursor = 0;
     std::size_t m_pollCursor = 0;
-    bool m_started = false;
     bool m_pulling = false;
     std::uint64_t m_turnedDown = 0; // the latest version that was not valid here
     bool m_routingDirty = true;
--- a/src/entry/protocol.h
+++ b/src/entry/protocol.h
@@ -98,6 +98,8 @@
                                         const BackendServer &server) const = 0;
     // Whether the answer to that shows the very run of the server that the target names.
     virtual bool showsSameRun(const Target &target, const WholeAnswer &answer) const = 0;
+    // How much longer the server is cold, by that answer.
+    virtual std::optional<Duration> coldFor(const WholeAnswer &) const { return std::nullopt; }
 
     // A whole failure answer of a backend server reaches the caller as it is.
     virtual bool passesFailures() const = 0;
--- a/src/entry/silence-watch.cc
+++ b/src/entry/silence-watch.cc
@@ -16,8 +16,6 @@
 // A server that is back is in use again after half of this in the mean; a check is counted by the
 // platform.
 constexpr Duration checkPeriod = std::chrono::milliseconds(500);
-// Servers of the region answer a check in a millisecond, or wait for a slot.
-constexpr Duration checkTime = std::chrono::milliseconds(400);
 
 std::string millisecondsSince(Duration::rep at, TimePoint now)
 {
@@ -161,14 +159,6 @@
     return due;
 }
 
-OutgoingRequest SilenceWatch::healthCheck(const BackendServer &server) const
-{
-    OutgoingRequest request = m_protocol.healthCheck(*m_state.gate.config(), server);
-    request.limits = {checkTime, checkTime, checkTime, checkTime};
-    request.freshConnection = true;
-    return request;
-}
-
 std::vector<SilenceNews> SilenceWatch::onChecked(const ServerView &view, const WholeAnswer &answer)
 {
     constexpr int statusOk = 200;
--- a/src/entry/silence-watch.h
+++ b/src/entry/silence-watch.h
@@ -25,8 +25,7 @@
 
     // Servers to ask whether they live again, now. The caller says which are its to ask.
     std::vector<ServerView> dueForCheck();
-    OutgoingRequest healthCheck(const BackendServer &server) const;
-    // The answer to that.
+    // The answer to a health check of such a server.
     std::vector<SilenceNews> onChecked(const ServerView &view, const WholeAnswer &answer);
 
 private:
--- a/src/net/peer-link.cc
+++ b/src/net/peer-link.cc
@@ -42,7 +42,7 @@
     if (message.protocol >= protocolWithNews)
         archive(message.silences, message.ranges);
     if (message.protocol >= protocolWithMarks)
-        archive(message.rangeMarks);
+        archive(message.rangeMarks, message.colds);
 }
 
 template <typename Archive> void serializeFields(Archive &archive, PeerRequest &request)
@@ -191,8 +191,6 @@
           m_udp(m_io, udp::endpoint(asio::ip::make_address(address.host), address.port)),
           m_acceptor(m_io, tcp::endpoint(asio::ip::make_address(address.host), address.port))
     {
-        receive();
-        accept();
         m_thread = std::thread([this] {
             const auto guard = asio::make_work_guard(m_io);
             m_io.run();
@@ -208,6 +206,14 @@
             m_thread.join();
     }
 
+    void start()
+    {
+        asio::post(m_io, [this] {
+            receive();
+            accept();
+        });
+    }
+
     void send(const std::string &address, const std::string &bytes)
     {
         const auto parsed = parseAddress(address);
@@ -318,6 +324,11 @@
 
 PeerLink::~PeerLink() = default;
 
+void PeerLink::start()
+{
+    m_d->start();
+}
+
 void PeerLink::sendGossip(const std::string &address, const GossipMessage &message)
 {
     m_d->send(address, encode(message));
--- a/test/peer-link-test.cc
+++ b/test/peer-link-test.cc
@@ -19,6 +19,7 @@
     message.silences.push_back({9, true});
     message.ranges.push_back({"servers/", 4, 6, {{"servers/a", "v", 5, false}}});
     message.rangeMarks.push_back({rangeId("servers/"), 5, 40});
+    message.colds.push_back({9, 3000});
     return message;
 }
 
@@ -36,6 +37,7 @@
     before.silences.clear();
     before.ranges.clear();
     before.rangeMarks.clear();
+    before.colds.clear();
     CHECK(*decodeGossip(encodeGossip(before)) == before);
 }
 
