Send to an allowed region whose load is not known yet, rather than refuse

What callers saw: 503 with 3002 from an instance whose region cannot run the request, though another allowed region has free servers.

Cause: an instance knows its peers before their loads, which come every half second. A region of which no load has been heard was left out, so nothing was left. It is now chosen where home cannot run the request and no known region can; it refuses by itself if it has no room.

The new test fails without the choice (two of its checks).

--- a/src/decide/region-choice.cc
+++ b/src/decide/region-choice.cc
@@ -175,6 +175,7 @@
         = waitSeconds(question.homeLoad.slots, question.homeLoad.outstanding, expected);
     const double homeWait = std::max(slotWait, question.homeLoad.delay);
     RegionAnswer best;
+    std::optional<std::string> unknown; // a region of which no load has been heard
     double bestAway = std::numeric_limits<double>::infinity();
     bool bestIsFree = false;
     for (const std::string &region : question.allowed) {
@@ -183,6 +184,8 @@
         if (!open)
             continue;
         const auto load = table.find(region, question.loadName, now);
+        if (!load)
+            unknown = region;
         if (!load || load->slots <= 0)
             continue;
         // A little noise spreads senders over regions that look alike.
@@ -198,9 +201,13 @@
     }
     if (const auto holder = holderWithRoom(question, table, now))
         return *holder;
+    const bool homeRuns = homeAllowed && question.homeLoad.slots > 0;
+    // An instance that has just started knows its peers before their loads. They can refuse
+    // themselves, but a refusal here would be for nothing.
+    if (!best.region && !homeRuns && unknown)
+        return {unknown, 2 * seconds(question.oneWay), false};
     if (!homeAllowed)
         return best;
-    const bool homeRuns = question.homeLoad.slots > 0;
     const std::lock_guard lock(m_mutex);
     bool &sendingAway = m_sendingAway[question.loadName];
     const double whole = marginSeconds(question, bestIsFree);
--- a/src/entry/operators.cc
+++ b/src/entry/operators.cc
@@ -65,6 +65,18 @@
     return list;
 }
 
+json regionsOf(const EntryState &state)
+{
+    json list = json::array();
+    for (const RegionLoad &load : state.regions.all(state.clock.now()))
+        list.push_back({{"region", load.region},
+                        {"load", load.service},
+                        {"slots", load.slots},
+                        {"outstanding", load.outstanding},
+                        {"ageMs", load.ageMs}});
+    return list;
+}
+
 HttpResponse status(DispatchServices &services)
 {
     const EntryState &state = services.state;
@@ -83,7 +95,8 @@
                     {"bytesSent", traffic.bytesSent},
                     {"bytesReceived", traffic.bytesReceived}}},
                   {"members", membersOf(state)},
-                  {"servers", serversOf(state)}});
+                  {"servers", serversOf(state)},
+                  {"regions", regionsOf(state)}});
 }
 
 HttpResponse explain(const EntryState &state, const HttpRequest &request)
--- a/test/fleet.cc
+++ b/test/fleet.cc
@@ -8,6 +8,7 @@
 #include <csignal>
 #include <filesystem>
 #include <fstream>
+#include <set>
 #include <thread>
 
 #include <absl/strings/numbers.h>
@@ -161,7 +162,8 @@
     });
     for (const std::string &name : entryNames())
         waitReady(name);
-    // Every instance knows every other, so that a test starts from a settled fleet.
+    // Every instance knows every other and the load of every other region, so that a test starts
+    // from a settled fleet.
     const std::size_t all = entryNames().size();
     for (const std::string &name : entryNames())
         eventually(name + " knows the others", [&] {
@@ -176,7 +178,13 @@
                 if (server["status"] != "usable")
                     return false;
             }
-            return true;
+            std::set<std::string> regions;
+            for (const auto &region : body["regions"]) {
+                if (region["slots"] <= 0)
+                    return false;
+                regions.insert(region["region"].get<std::string>());
+            }
+            return regions.size() + 1 == static_cast<std::size_t>(m_shape.regions);
         });
 }
 
--- a/test/region-choice-test.cc
+++ b/test/region-choice-test.cc
@@ -204,3 +204,20 @@
     now += 1s;
     CHECK(choose().region == "a");
 }
+
+// Guards against refusals for want of news of a region that could serve.
+TEST_CASE_METHOD(RegionFixture, "regionChooser_noLoadHeardOfTheOnlyOtherRegion_sendsThere")
+{
+    now += 1h;
+    question.allowed = {"b"};
+    CHECK(choose().region == "b");
+    question.allowed = {"a", "b"};
+    CHECK(choose().region == "a");
+    question.homeLoad.slots = 0;
+    CHECK(choose().region == "b");
+    question.reachable = {};
+    CHECK_FALSE(choose().region);
+    question.reachable = {"b"};
+    table.onLoad({"b", "s", 0, 0, 0}, now);
+    CHECK_FALSE(choose().region);
+}
