--- a/include/ibisnotch/server-table.h
+++ b/include/ibisnotch/server-table.h
@@ -138,6 +138,7 @@
     std::uint64_t incarnation = 0;
     TimePoint coldSince{}; // when this instance heard of it
     TimePoint coldUntil{};
+    TimePoint restUntil{}; // gets nothing before
     std::shared_ptr<ServerCounters> counters;
 };
 
@@ -179,6 +180,8 @@
         Duration reportLife = std::chrono::seconds(10);
         // A server that is silent again so soon after a health check has a check that lies.
         Duration believedAfter = std::chrono::seconds(10);
+        // Of a server that was found cold late: what others sent in the last second is not known.
+        Duration rest = std::chrono::milliseconds(1060);
     };
 
     explicit ServerTable(Limits limits) : m_limits(limits) { }
@@ -245,6 +248,7 @@
         std::uint64_t revision = 0; // of the platform's list
         TimePoint coldSince{};
         TimePoint coldUntil{};
+        TimePoint restUntil{};
         std::shared_ptr<ServerCounters> counters;
     };
 
--- a/include/ibisnotch/warmup.h
+++ b/include/ibisnotch/warmup.h
@@ -33,4 +33,12 @@
 // Takes the right to do so. False if another thread took it in between.
 bool takeWarmup(ServerCounters &counters, Duration pause, TimePoint coldSince, TimePoint now);
 
+// Whether so long has passed since anyone confirmed the list that it may miss a server's turning
+// cold; the servers themselves are then asked.
+bool isOld(const ListState &list, TimePoint now);
+
+// The time that this instance leaves between two requests to a server that may have turned cold
+// since it was last asked, so that a burst from all senders stays within what a cold one bears.
+Duration pauseWhileUnsure(double rate, const WarmupBound &bound, std::size_t senders);
+
 } // namespace ibisnotch
--- a/src/decide/server-table.cc
+++ b/src/decide/server-table.cc
@@ -329,6 +329,8 @@
         return false;
     const bool known = now < record->coldUntil;
     noteCold(*record, std::max(left, record->coldUntil - now), now);
+    if (!known)
+        record->restUntil = now + m_limits.rest;
     return !known;
 }
 
@@ -384,6 +386,7 @@
         view.incarnation = record.report.incarnation;
         view.coldSince = record.coldSince;
         view.coldUntil = record.coldUntil;
+        view.restUntil = record.restUntil;
         view.counters = record.counters;
         result.servers.push_back(std::move(view));
     }
--- a/src/decide/warmup.cc
+++ b/src/decide/warmup.cc
@@ -15,6 +15,16 @@
 constexpr auto window
     = std::chrono::duration_cast<Duration>(std::chrono::duration<double>(jitterFactor));
 
+// A watch of the store ends after four seconds, also when nothing has changed.
+constexpr Duration listLife = std::chrono::seconds(5);
+// Between two looks at a server while the list is old, with the time of an answer.
+constexpr Duration coldNoticedWithin = std::chrono::milliseconds(110);
+
+std::size_t wholeRequests(double rate, const WarmupBound &bound)
+{
+    return static_cast<std::size_t>(std::floor(rate * bound.factor + bound.slack));
+}
+
 bool mayFollow(Duration::rep last, Duration pause, TimePoint coldSince, TimePoint now)
 {
     if (last == 0)
@@ -29,7 +39,7 @@
                                     const std::vector<std::string> &senders,
                                     const std::string &self, const std::string &server)
 {
-    const auto whole = static_cast<std::size_t>(std::floor(rate * bound.factor + bound.slack));
+    const std::size_t whole = wholeRequests(rate, bound);
     if (whole == 0)
         return std::nullopt;
     const std::uint64_t hash = hash64(server);
@@ -51,6 +61,20 @@
     return mayFollow(counters.sentAt, pause, coldSince, now);
 }
 
+bool isOld(const ListState &list, TimePoint now)
+{
+    return list.heardAt != TimePoint{} && now - list.heardAt > listLife;
+}
+
+Duration pauseWhileUnsure(double rate, const WarmupBound &bound, std::size_t senders)
+{
+    const std::size_t whole = std::max<std::size_t>(wholeRequests(rate, bound), 1);
+    const std::size_t sharing = std::max<std::size_t>(senders, 1);
+    if (sharing > whole)
+        return coldNoticedWithin * sharing / whole;
+    return coldNoticedWithin / (whole / sharing);
+}
+
 bool takeWarmup(ServerCounters &counters, Duration pause, TimePoint coldSince, TimePoint now)
 {
     Duration::rep last = counters.sentAt;
--- a/src/entry/cold-watch.cc
+++ b/src/entry/cold-watch.cc
@@ -1,17 +1,15 @@
 #include "cold-watch.h"
 
 #include "ibisnotch/log.h"
+#include "ibisnotch/warmup.h"
 
 namespace ibisnotch {
 
 namespace {
 
-// A watch of the store ends after four seconds, also when nothing has changed. A list that nobody
-// confirmed for longer may miss that a server turned cold; the servers themselves then tell.
-constexpr Duration listIsOld = std::chrono::seconds(5);
-// A cold server bears a few requests a second, which a warm one gets in half of one. The platform
-// counts each check.
-constexpr Duration checkPeriod = std::chrono::milliseconds(250);
+// A server that has answered is asked again with the next tick: in a burst a warm server gets
+// within a quarter of a second what a cold one bears in a whole one.
+constexpr Duration givenUpAfter = std::chrono::milliseconds(500);
 
 } // namespace
 
@@ -20,9 +18,7 @@
     std::vector<ServerView> due;
     const TimePoint now = m_state.clock.now();
     const auto table = m_state.routing.read();
-    const bool old = table && table->config && table->list.heardAt != TimePoint{}
-        && now - table->list.heardAt > listIsOld;
-    if (!old) {
+    if (!table || !table->config || !isOld(table->list, now)) {
         m_nextCheck.clear();
         return due;
     }
@@ -32,7 +28,7 @@
         TimePoint &next = m_nextCheck[view.server.name];
         if (!inUse || now < next || now < view.coldUntil)
             continue;
-        next = now + checkPeriod;
+        next = now + givenUpAfter;
         due.push_back(view);
     }
     return due;
@@ -40,6 +36,8 @@
 
 std::optional<ColdNews> ColdWatch::onChecked(const ServerView &view, const WholeAnswer &answer)
 {
+    if (const auto asked = m_nextCheck.find(view.server.name); asked != m_nextCheck.end())
+        asked->second = m_state.clock.now();
     Target target;
     target.name = view.server.name;
     target.incarnation = view.incarnation;
--- a/src/entry/dispatch-plan.cc
+++ b/src/entry/dispatch-plan.cc
@@ -55,6 +55,8 @@
     const TimePoint now = m_state.clock.now();
     if (now >= view.coldUntil)
         return true;
+    if (now < view.restUntil)
+        return false;
     // An instance that has just started does not yet know with whom it shares.
     if (now < m_state.startedAt + membersKnownAfter)
         return false;
@@ -72,6 +74,28 @@
                        m_state.settings.name, view.server.name);
 }
 
+// While nobody tells which servers are cold, a burst could reach one that turned cold a moment ago.
+void Dispatch::spreadWhileUnsure(const RoutingTable &table,
+                                 std::vector<Candidate> &candidates) const
+{
+    const TimePoint now = m_state.clock.now();
+    if (!isOld(table.list, now))
+        return;
+    std::vector<Candidate> rested;
+    for (const Candidate &candidate : candidates) {
+        const auto pool = table.config->pools.find(candidate.view->server.pool);
+        const double rate = pool == table.config->pools.end() ? 0 : pool->second.warmupRate;
+        const Duration pause
+            = pauseWhileUnsure(rate, m_state.settings.warmup, table.senders.size());
+        const TimePoint sentAt{Duration(candidate.view->counters->sentAt.load())};
+        if (rate <= 0 || now - sentAt >= pause)
+            rested.push_back(candidate);
+    }
+    // A refusal would be certain harm.
+    if (!rested.empty())
+        candidates = std::move(rested);
+}
+
 std::variant<Target, Refusal> Dispatch::plan(bool admit)
 {
     const TimePoint now = m_state.clock.now();
@@ -194,7 +218,8 @@
 std::variant<Target, Refusal> Dispatch::pickServer(const RoutingTable &table)
 {
     const TimePoint now = m_state.clock.now();
-    const auto candidates = candidatesIn(table);
+    auto candidates = candidatesIn(table);
+    spreadWhileUnsure(table, candidates);
     if (candidates.empty())
         return Refusal{ResultCode::noBackendServer, "",
                        spreadRetryAfter(noServerPause, m_state.random)};
--- a/src/entry/dispatch.h
+++ b/src/entry/dispatch.h
@@ -67,6 +67,7 @@
     std::variant<Target, Refusal> plan(bool admit);
     std::vector<Candidate> candidatesIn(const RoutingTable &table) const;
     double sharedSeconds(std::span<const Candidate> candidates) const;
+    void spreadWhileUnsure(const RoutingTable &table, std::vector<Candidate> &candidates) const;
     bool mayWarmNow(const RoutingTable &table, const ServerView &view) const;
     std::optional<Duration> warmingPause(const RoutingTable &table, const ServerView &view) const;
     AdmissionQuestion admissionQuestion(const RegionLoad &load, bool away) const;
--- a/test/server-table-test.cc
+++ b/test/server-table-test.cc
@@ -207,3 +207,19 @@
     CHECK(learn(10, 5) == Approx(2).epsilon(0.05));
     CHECK(learn(40, 4) == Approx(3).epsilon(0.05));
 }
+
+// Guards against a server being sent its cold bound on top of what others sent before the check.
+TEST_CASE_METHOD(TableFixture, "coldServer_foundByACheck_restsForASecond")
+{
+    CHECK(table.onCold(serverId("a-m"), 3s, now));
+    CHECK_FALSE(table.onCold(serverId("a-m"), 1s, now + 100ms));
+    for (const ServerView &view : table.table(now).servers) {
+        if (view.server.name != "a-m")
+            continue;
+        CHECK(view.coldSince == now);
+        CHECK(view.coldUntil == now + 3s);
+        CHECK(view.restUntil > now + 1s);
+        CHECK(view.restUntil < now + 2s);
+    }
+    CHECK_FALSE(table.onCold(serverId("nobody"), 3s, now));
+}
--- a/test/warmup-test.cc
+++ b/test/warmup-test.cc
@@ -87,3 +87,30 @@
         }
     });
 }
+
+// Guards against a burst that reaches a server between its turning cold and the next look at it.
+TEST_CASE("pauseWhileUnsure_burstOfAFewSenders_staysWithinTheBoundBetweenTwoLooks")
+{
+    rc::prop("whatever each sender's phase", [] {
+        const WarmupBound bound{1.5, 3};
+        const double rate = 2.4;
+        const int senders = *rc::gen::inRange(1, 7);
+        const Duration pause = pauseWhileUnsure(rate, bound, static_cast<std::size_t>(senders));
+        const TimePoint lastLook{1s};
+        const TimePoint nextLook = lastLook + 105ms;
+        int sent = 0;
+        for (int i = 0; i < senders; ++i) {
+            const Duration phase = std::chrono::microseconds(*rc::gen::inRange(0, 100'000));
+            for (TimePoint at = lastLook + phase; at < nextLook; at += pause)
+                ++sent;
+        }
+        RC_ASSERT(sent <= rate * bound.factor + bound.slack);
+    });
+}
+
+TEST_CASE("isOld_listNobodyConfirmsForLongerThanAWatch_isOld")
+{
+    CHECK_FALSE(isOld({7, TimePoint{}}, TimePoint{1h}));
+    CHECK_FALSE(isOld({7, TimePoint{1h}}, TimePoint{1h} + 4s));
+    CHECK(isOld({7, TimePoint{1h}}, TimePoint{1h} + 6s));
+}
