Tell changes twice, and let the longest-rested server take a burst

What callers would see: streams cut as a cold server is flooded by the one instance whose datagram with the news was lost; marks would tell it up to a second later, and for a server that a check found cold nothing would tell it again. Changes of a range and news of a cold server now go out a second time after 20 ms; what is known already changes nothing.

Beside it: where all servers of a cut-off region have been used since the last look, the request goes to the one used longest ago, not to any of them.

--- a/src/entry/control-loads.cc
+++ b/src/entry/control-loads.cc
@@ -144,7 +144,7 @@
     publishRouting();
     GossipMessage message = emptyNews();
     message.colds.push_back(*news);
-    sendToRegion(message);
+    sendTwiceToRegion(std::move(message));
 }
 
 void Control::shareSilence(std::vector<SilenceNews> news)
--- a/src/entry/control.cc
+++ b/src/entry/control.cc
@@ -23,6 +23,8 @@
 constexpr Duration publishAtLeast = std::chrono::milliseconds(500);
 constexpr std::size_t marksPerMessage = 8;
 constexpr int newsFanout = 4;
+// Long enough not to be lost with the first, short enough to come while it matters.
+constexpr Duration repeatAfter = std::chrono::milliseconds(20);
 
 Member selfMember(const EntryState &state)
 {
@@ -290,11 +292,21 @@
 
 void Control::tellRegion(RangeNews news)
 {
+    const bool changes = !news.items.empty();
     GossipMessage message = emptyNews();
     message.ranges.push_back(std::move(news));
+    if (changes)
+        return sendTwiceToRegion(std::move(message));
     sendToRegion(message);
 }
 
+// A datagram may be lost, and who misses one of these sends to a server that bears no more.
+void Control::sendTwiceToRegion(GossipMessage message)
+{
+    sendToRegion(message);
+    m_link.postAfter(repeatAfter, [this, message = std::move(message)] { sendToRegion(message); });
+}
+
 void Control::onGossip(const GossipMessage &message, const std::string &from)
 {
     const TimePoint now = m_state.clock.now();
--- a/src/entry/control.h
+++ b/src/entry/control.h
@@ -82,6 +82,7 @@
     void watchSilence();
     void shareSilence(std::vector<SilenceNews> news);
     void sendToRegion(const GossipMessage &message);
+    void sendTwiceToRegion(GossipMessage message);
     GossipMessage emptyNews();
     void pollServers();
     void pollServer(const BackendServer &server);
--- a/src/entry/dispatch-plan.cc
+++ b/src/entry/dispatch-plan.cc
@@ -81,19 +81,24 @@
     const TimePoint now = m_state.clock.now();
     if (!isOld(table.list, now))
         return;
+    const auto lastSent = [](const Candidate &candidate) {
+        return TimePoint(Duration(candidate.view->counters->sentAt.load()));
+    };
     std::vector<Candidate> rested;
     for (const Candidate &candidate : candidates) {
         const auto pool = table.config->pools.find(candidate.view->server.pool);
         const double rate = pool == table.config->pools.end() ? 0 : pool->second.warmupRate;
         const Duration pause
             = pauseWhileUnsure(rate, m_state.settings.warmup, table.senders.size());
-        const TimePoint sentAt{Duration(candidate.view->counters->sentAt.load())};
-        if (rate <= 0 || now - sentAt >= pause)
+        if (rate <= 0 || now - lastSent(candidate) >= pause)
             rested.push_back(candidate);
     }
-    // A refusal would be certain harm.
-    if (!rested.empty())
-        candidates = std::move(rested);
+    // A refusal would be certain harm, so the one that has rested longest takes the request.
+    if (rested.empty() && !candidates.empty())
+        rested.push_back(*std::min_element(
+            candidates.begin(), candidates.end(),
+            [&](const Candidate &a, const Candidate &b) { return lastSent(a) < lastSent(b); }));
+    candidates = std::move(rested);
 }
 
 std::variant<Target, Refusal> Dispatch::plan(bool admit)
--- a/test/control-test.cc
+++ b/test/control-test.cc
@@ -41,7 +41,11 @@
         });
     }
 
-    void onGossip(const GossipMessage &, const std::string &) override { }
+    void onGossip(const GossipMessage &message, const std::string &) override
+    {
+        newsHeard += static_cast<int>(message.ranges.size());
+    }
+    std::atomic<int> newsHeard = 0;
     PeerReply onRequest(const PeerRequest &) override
     {
         PeerReply reply;
@@ -88,3 +92,30 @@
     CHECK(state.gate.version() == 9);
     control.stop();
 }
+
+// Guards against an instance that misses a change because one datagram was lost.
+TEST_CASE("control_changeOfARange_isToldTwice")
+{
+    const auto ports = freePorts(2);
+    ProcessSettings settings;
+    settings.name = "e1";
+    settings.region = "a";
+    settings.gossip = {"127.0.0.1", ports[0]};
+    EntryState state(settings);
+    HttpClient client;
+    const auto protocol = makeChatProtocol();
+    NewerPeer peer({"127.0.0.1", ports[1]}, ConfigFixture().document);
+    Control control(state, *protocol, client);
+    control.setSource(std::make_unique<NoSource>());
+    control.start();
+    peer.greet(settings.gossip.text());
+    for (int i = 0; i < 100 && (!state.members.read() || state.members.read()->size() < 2); ++i)
+        std::this_thread::sleep_for(20ms);
+    control.post([&control] {
+        control.tellRegion({"servers/", 4, 5, {{"servers/a", "", 5, true}}});
+    });
+    for (int i = 0; i < 100 && peer.newsHeard < 2; ++i)
+        std::this_thread::sleep_for(20ms);
+    CHECK(peer.newsHeard == 2);
+    control.stop();
+}
