--- a/test/control-test.cc
+++ b/test/control-test.cc
@@ -2,6 +2,7 @@
 #include "entry/control.h"
 
 #include <atomic>
+#include <functional>
 #include <thread>
 
 #include <catch2/catch.hpp>
@@ -65,57 +66,73 @@
     void tick() override { }
 };
 
+// An instance's control loop that is not started yet, and its peer.
+struct ControlFixture
+{
+    ControlFixture()
+        : ports(freePorts(2)), state(settingsAt(ports[0])),
+          peer({"127.0.0.1", ports[1]}, newerDocument()), control(state, *protocol, client)
+    {
+    }
+
+    static ProcessSettings settingsAt(std::uint16_t gossip)
+    {
+        ProcessSettings settings;
+        settings.name = "e1";
+        settings.region = "a";
+        settings.gossip = {"127.0.0.1", gossip};
+        return settings;
+    }
+
+    static ConfigDocument newerDocument()
+    {
+        ConfigDocument document = ConfigFixture().document;
+        document.version = 9;
+        return document;
+    }
+
+    void start()
+    {
+        control.setSource(std::make_unique<NoSource>());
+        control.start();
+    }
+
+    static void waitFor(const std::function<bool()> &condition)
+    {
+        for (int i = 0; i < 100 && !condition(); ++i)
+            std::this_thread::sleep_for(20ms);
+    }
+
+    std::vector<std::uint16_t> ports;
+    EntryState state;
+    HttpClient client;
+    std::unique_ptr<Protocol> protocol = makeChatProtocol();
+    NewerPeer peer;
+    Control control;
+};
+
 } // namespace
 
 // Guards against an instance that dies without a word while it starts beside peers that run.
-TEST_CASE("control_peerSpeaksBeforeItsStart_takesItsConfigurationOnceStarted")
+TEST_CASE_METHOD(ControlFixture,
+                 "control_peerSpeaksBeforeItsStart_takesItsConfigurationOnceStarted")
 {
-    const auto ports = freePorts(2);
-    ProcessSettings settings;
-    settings.name = "e1";
-    settings.region = "a";
-    settings.gossip = {"127.0.0.1", ports[0]};
-    EntryState state(settings);
-    HttpClient client;
-    const auto protocol = makeChatProtocol();
-    ConfigDocument document = ConfigFixture().document;
-    document.version = 9;
-    NewerPeer peer({"127.0.0.1", ports[1]}, document);
-    Control control(state, *protocol, client);
-    peer.greet(settings.gossip.text());
+    peer.greet(state.settings.gossip.text());
     std::this_thread::sleep_for(300ms);
     CHECK(state.gate.version() == 0);
-    control.setSource(std::make_unique<NoSource>());
-    control.start();
-    for (int i = 0; i < 100 && state.gate.version() == 0; ++i)
-        std::this_thread::sleep_for(20ms);
+    start();
+    waitFor([this] { return state.gate.version() > 0; });
     CHECK(state.gate.version() == 9);
-    control.stop();
 }
 
 // Guards against an instance that misses a change because one datagram was lost.
-TEST_CASE("control_changeOfARange_isToldTwice")
+TEST_CASE_METHOD(ControlFixture, "control_changeOfARange_isToldTwice")
 {
-    const auto ports = freePorts(2);
-    ProcessSettings settings;
-    settings.name = "e1";
-    settings.region = "a";
-    settings.gossip = {"127.0.0.1", ports[0]};
-    EntryState state(settings);
-    HttpClient client;
-    const auto protocol = makeChatProtocol();
-    NewerPeer peer({"127.0.0.1", ports[1]}, ConfigFixture().document);
-    Control control(state, *protocol, client);
-    control.setSource(std::make_unique<NoSource>());
-    control.start();
-    peer.greet(settings.gossip.text());
-    for (int i = 0; i < 100 && (!state.members.read() || state.members.read()->size() < 2); ++i)
-        std::this_thread::sleep_for(20ms);
-    control.post([&control] {
-        control.tellRegion({"servers/", 4, 5, {{"servers/a", "", 5, true}}});
-    });
-    for (int i = 0; i < 100 && peer.newsHeard < 2; ++i)
-        std::this_thread::sleep_for(20ms);
+    start();
+    peer.greet(state.settings.gossip.text());
+    waitFor([this] { return state.members.read() && state.members.read()->size() == 2; });
+    control.post([this] { control.tellRegion({"servers/", 4, 5, {{"servers/a", "", 5, true}}}); });
+    waitFor([this] { return peer.newsHeard >= 2; });
+    std::this_thread::sleep_for(100ms);
     CHECK(peer.newsHeard == 2);
-    control.stop();
 }
