Keep a server cold until the time that it told itself

At 18.71 s the region reached the store and read the server's entry of revision 130, warmupMs=0, written before it turned cold; the newer entry decided, the server counted as warm, and instances without the mark cold: in their lines sent to it beside those with it. The entry that says so, revision 150, came at 20.1 s.

Ruled out: that the dealing out of a cold server's bound let too much through (requests with cold: came 1 s apart and from its own senders only).

Now what a server said itself holds until it is over, also where its entry is removed and comes back meanwhile; an entry may only add to it. Restarted servers are cold anyway.

--- a/include/ibisnotch/server-table.h
+++ b/include/ibisnotch/server-table.h
@@ -271,6 +271,9 @@
     std::set<std::string> m_evacuated;
     std::map<std::string, Record> m_records;
     std::map<std::uint32_t, std::string> m_names;
+    // Servers that said themselves until when they are cold. An entry of the list that is read late
+    // may be older than that, and may be gone and back meanwhile.
+    std::map<std::string, TimePoint> m_toldCold;
     std::vector<std::string> m_senders;
     double m_reportedTraffic = 0; // both smoothed over reports
     double m_ownTraffic = 0;
--- a/src/decide/server-table.cc
+++ b/src/decide/server-table.cc
@@ -119,7 +119,9 @@
         // was started again under its name.
         record.revision = listed.revision;
         record.leaving = listed.leaving;
-        noteCold(record, listed.warmup, now);
+        const auto told = m_toldCold.find(name);
+        const Duration toldLeft = told == m_toldCold.end() ? Duration(0) : told->second - now;
+        noteCold(record, std::max(listed.warmup, toldLeft), now);
     }
     m_records = std::move(records);
     m_names.clear();
@@ -329,6 +331,8 @@
         return false;
     const bool known = now < record->coldUntil;
     noteCold(*record, std::max(left, record->coldUntil - now), now);
+    std::erase_if(m_toldCold, [now](const auto &told) { return told.second <= now; });
+    m_toldCold[record->server.name] = record->coldUntil;
     if (!known)
         record->restUntil = now + m_limits.rest;
     return !known;
--- a/test/server-table-test.cc
+++ b/test/server-table-test.cc
@@ -223,3 +223,35 @@
     }
     CHECK_FALSE(table.onCold(serverId("nobody"), 3s, now));
 }
+
+// Guards against an entry of the list that is older than what the server said itself: a region that
+// has just reached the store again reads entries from before its servers turned cold.
+TEST_CASE_METHOD(TableFixture, "coldServer_olderEntryIsReadLate_staysCold")
+{
+    const auto listed = [](std::uint64_t revision, Duration warmup) {
+        ListedServer entry;
+        entry.server.name = "s";
+        entry.server.address = "127.0.0.1:1";
+        entry.warmup = warmup;
+        entry.revision = revision;
+        return std::map<std::string, ListedServer>{{"s", entry}};
+    };
+    const auto coldUntil = [&] {
+        for (const ServerView &view : table.table(now).servers) {
+            if (view.server.name == "s")
+                return view.coldUntil;
+        }
+        return TimePoint{};
+    };
+    table.setListed(listed(1, 0s), now);
+    CHECK(table.onCold(serverId("s"), 3s, now));
+    table.setListed(listed(2, 0s), now + 1s);
+    CHECK(coldUntil() == now + 3s);
+    table.setListed({}, now + 1s);
+    table.setListed(listed(3, 0s), now + 1s);
+    CHECK(coldUntil() == now + 3s);
+    table.setListed(listed(4, 5s), now + 1s);
+    CHECK(coldUntil() == now + 6s);
+    table.setListed(listed(5, 0s), now + 4s);
+    CHECK(coldUntil() <= now + 4s);
+}
