Let news of the store reach a large region without its instances asking

(1) News of more than 8 KB, some 32 servers, was left out, so all asked. (2) An instance asked at once after its first reading. (3) A relay that read the range again after its history was lost sent all others to the store. (5) News began at the store's revision, which rises with every other range, not at the range's own last change, so it seemed to have gaps.

Now news goes in up to three pieces; a reading and a neighbour's mark count as heard of, with the age that they have; a relay that read again tells what changed since; news begins at the last change.

What makes this safe: news names each key that changed since its base, so keys known with a change in that span that it does not name, or names with an older one, are gone (they were written and removed while the teller did not watch).

Also tried and taken out: no watching before the members are known (an instance of a small region would learn late).

Tests changed: the mark of an instance that has just read the range is the range's revision, not its newest key's, since removals before are not in it; a relay that read again brings others up to date, where they had to ask; a removal found by reading has the revision of the reading, where it had the key's last.

--- a/include/ibisnotch/prefix-follower.h
+++ b/include/ibisnotch/prefix-follower.h
@@ -2,6 +2,7 @@
 // when the store no longer has the history in between.
 #pragma once
 
+#include <algorithm>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -84,6 +85,8 @@
     bool watching() const { return m_watching; }
     // The revision up to which all is known.
     std::uint64_t asOf() const { return m_asOf; }
+    // Whoever knows all up to here lacks only what the next answer tells.
+    std::uint64_t base() const { return std::min(m_asOf, m_lastChange); }
 
     // When the store last said up to where all is known, here or to another instance.
     TimePoint heardAt() const { return m_heardAt; }
@@ -98,16 +101,28 @@
     std::vector<StoreItem> onWhole(const RangeNews &news);
     std::vector<StoreItem> apply(const std::vector<StoreItem> &items);
     void noteRemoved(const StoreItem &item);
-    // The keys that are not in `listed`, as removals; nothing older than `asOf` is remembered.
-    std::vector<StoreItem> removeOthers(const std::set<std::string> &listed, std::uint64_t asOf);
+    // News names each key that changed since its base, but for those that were written and removed
+    // again before its teller heard of them. They may be known here.
+    std::vector<StoreItem> removeUnnamed(const RangeNews &news);
+    // The keys that are not in `listed`, as removals; each was removed by `asOf`. Pages are a
+    // snapshot of the store if nothing changed while they were read.
+    std::vector<StoreItem> removeOthers(const std::set<std::string> &listed, std::uint64_t asOf,
+                                        bool snapshot);
     void startOver();
     void dropKnown(std::vector<StoreItem> &items) const;
 
     Limits m_limits;
     std::map<std::string, StoreItem> m_items; // of the keys that exist
-    // Keys removed since the revision, with those of their removals.
+    // Keys removed since the revision, with those by which they were.
     std::map<std::string, std::uint64_t> m_removed;
     std::uint64_t m_removedSince = 0;
+    // Of the last page read. Pages are no snapshot: a key that was there at the first one may be
+    // removed before its own is read. So until the watch has come here, nothing whole is told.
+    std::uint64_t m_pagesAsOf = 0;
+    // Between these revisions it did not watch: keys that were written and removed again were never
+    // known here. Remembered of the last such time, if all was known at its begin and its end.
+    std::uint64_t m_blindFrom = 0;
+    std::uint64_t m_blindUntil = 0;
     std::uint64_t m_lastChange = 0;
     bool m_underWay = false;
     bool m_listUnderWay = false;
@@ -124,13 +139,10 @@
     TimePoint m_heardAt{};
 };
 
-// What to tell others after an answer of the store. `base` is what the follower knew before it, and
-// `watched` whether the answer was one to a watch. None if the answer told nothing whole.
-//
-// A watch names each change since `base`, also of keys that were written and removed in between,
-// which another instance may know. Reading the range again does not, so after that the others are
-// sent to the store.
-std::optional<RangeNews> newsOf(const std::string &prefix, std::uint64_t base, bool watched,
-                                const PrefixFollower &follower, const StorePage &page);
+// What to tell others after an answer of the store. `base` is the follower's base() before it, and
+// `watched` whether the answer was one to a watch. Empty if the answer told nothing whole, or
+// nothing was known before it.
+std::vector<RangeNews> newsOf(const std::string &prefix, std::uint64_t base, bool watched,
+                              const PrefixFollower &follower, const StorePage &page);
 
 } // namespace ibisnotch
--- a/src/decide/prefix-follower.cc
+++ b/src/decide/prefix-follower.cc
@@ -42,8 +42,10 @@
     }
     m_failures = 0;
     m_heardAt = now;
-    if (!m_watching)
+    if (!m_watching) {
+        m_heardUntil = now + m_limits.newsLife;
         return onList(page);
+    }
     // Another instance told the whole range while a page of it was under way. A page does not name
     // the keys that were removed since.
     if (m_listUnderWay)
@@ -80,8 +82,25 @@
     m_heardAt = std::max(m_heardAt, at);
     std::vector<StoreItem> items = news.items;
     dropKnown(items);
+    std::vector<StoreItem> changes = apply(items);
+    for (StoreItem &item : removeUnnamed(news))
+        changes.push_back(std::move(item));
     m_asOf = news.asOf;
-    return apply(items);
+    return changes;
+}
+
+std::vector<StoreItem> PrefixFollower::removeUnnamed(const RangeNews &news)
+{
+    std::map<std::string, std::uint64_t> named; // with the last change that is told
+    for (const StoreItem &item : news.items)
+        named[item.key] = std::max(named[item.key], item.revision);
+    std::vector<StoreItem> removals;
+    for (const auto &[key, item] : m_items) {
+        const bool changedSince = item.revision > news.base && item.revision <= news.asOf;
+        if (changedSince && named[key] < item.revision)
+            removals.push_back({key, "", news.asOf, true});
+    }
+    return apply(removals);
 }
 
 std::vector<StoreItem> PrefixFollower::onWhole(const RangeNews &news)
@@ -93,8 +112,9 @@
     for (const StoreItem &item : news.items)
         listed.insert(item.key);
     std::vector<StoreItem> changes = apply(news.items);
-    for (StoreItem &item : removeOthers(listed, news.asOf))
+    for (StoreItem &item : removeOthers(listed, news.asOf, true))
         changes.push_back(std::move(item));
+    m_pagesAsOf = news.asOf;
     m_asOf = news.asOf;
     m_complete = true;
     startOver();
@@ -107,22 +127,25 @@
     if (!m_watching || lastChange > m_asOf)
         return lastChange == 0;
     m_heardAt = std::max(m_heardAt, at);
+    m_heardUntil = std::max(m_heardUntil, at + m_limits.newsLife);
     return true;
 }
 
 std::optional<RangeNews> PrefixFollower::newsSince(const std::string &prefix,
                                                    std::uint64_t revision) const
 {
-    if (!m_watching)
+    if (!m_watching || m_asOf < m_pagesAsOf)
         return std::nullopt;
-    const bool whole = revision < m_removedSince;
-    RangeNews news{prefix, whole ? 0 : revision, m_asOf, {}};
+    const bool blind = revision >= m_blindFrom && revision < m_blindUntil;
+    const std::uint64_t base = blind ? m_blindFrom : revision;
+    const bool whole = base < m_removedSince;
+    RangeNews news{prefix, whole ? 0 : base, m_asOf, {}};
     for (const auto &[key, item] : m_items) {
         if (item.revision > news.base)
             news.items.push_back(item);
     }
     for (const auto &[key, removal] : m_removed) {
-        if (!whole && removal > revision)
+        if (!whole && removal > base)
             news.items.push_back({key, "", removal, true});
     }
     return news;
@@ -141,8 +164,9 @@
         m_after = page.items.back().key;
         return changes;
     }
-    for (StoreItem &item : removeOthers(m_listed, m_listAsOf))
+    for (StoreItem &item : removeOthers(m_listed, m_listAsOf, page.asOf == m_listAsOf))
         changes.push_back(std::move(item));
+    m_pagesAsOf = page.asOf;
     m_asOf = m_listAsOf;
     m_complete = true;
     startOver();
@@ -151,21 +175,27 @@
 }
 
 std::vector<StoreItem> PrefixFollower::removeOthers(const std::set<std::string> &listed,
-                                                    std::uint64_t asOf)
+                                                    std::uint64_t asOf, bool snapshot)
 {
     std::vector<StoreItem> removals;
     for (const auto &[key, item] : m_items) {
         // A key that is newer was written while the others were read.
         if (listed.count(key) == 0 && item.revision <= asOf)
-            removals.push_back({key, "", item.revision, true});
+            removals.push_back({key, "", asOf, true});
+    }
+    const bool knowsGap = m_complete && snapshot && m_asOf >= m_pagesAsOf;
+    if (knowsGap) {
+        m_removedSince = std::max(m_removedSince, m_blindUntil);
+        m_blindFrom = m_asOf;
+        m_blindUntil = asOf;
+    } else {
+        m_removed.clear();
+        m_removedSince = asOf;
+        m_blindFrom = m_blindUntil = 0;
     }
-    for (const StoreItem &item : removals)
-        m_items.erase(item.key);
-    m_removed.clear();
-    m_removedSince = asOf;
-    // When they were removed is not known.
-    m_lastChange = std::max(m_lastChange, removals.empty() ? 0 : asOf);
-    return removals;
+    // Others may know keys that were written and removed again since this instance last heard.
+    m_lastChange = std::max(m_lastChange, asOf);
+    return apply(removals);
 }
 
 std::vector<StoreItem> PrefixFollower::apply(const std::vector<StoreItem> &items)
@@ -187,10 +217,12 @@
     }
     std::vector<StoreItem> changes;
     for (auto &[key, item] : latest) {
-        if (item.deleted)
+        if (item.deleted) {
             m_items.erase(key);
-        else
+        } else {
             m_items[key] = item;
+            m_removed.erase(key);
+        }
         changes.push_back(std::move(item));
     }
     std::sort(changes.begin(), changes.end(),
@@ -212,14 +244,17 @@
     m_removed.erase(oldest);
 }
 
-std::optional<RangeNews> newsOf(const std::string &prefix, std::uint64_t base, bool watched,
-                                const PrefixFollower &follower, const StorePage &page)
+std::vector<RangeNews> newsOf(const std::string &prefix, std::uint64_t base, bool watched,
+                              const PrefixFollower &follower, const StorePage &page)
 {
-    if (page.end != StoreEnd::ok || !follower.watching())
-        return std::nullopt;
-    if (!watched)
-        return RangeNews{prefix, follower.asOf(), follower.asOf(), {}};
-    return makeNews(prefix, base, follower.asOf(), page.items);
+    if (page.end != StoreEnd::ok || !follower.watching() || base == 0)
+        return {};
+    if (watched)
+        return newsOfWatch(prefix, base, follower.asOf(), page.items);
+    const auto news = follower.newsSince(prefix, base);
+    if (!news)
+        return {};
+    return {makeNews(prefix, news->base, news->asOf, news->items)};
 }
 
 } // namespace ibisnotch
--- a/src/decide/range-news.cc
+++ b/src/decide/range-news.cc
@@ -8,6 +8,16 @@
 
 // Half of the largest datagram between instances; a server's entry takes about 250 bytes.
 constexpr std::size_t largestNews = 8192;
+// What all members of a large region are sent takes its time on a slow link; beyond this the store
+// tells them sooner.
+constexpr std::size_t mostPieces = 3;
+// Leaves room for the other changes of the last revision.
+constexpr std::size_t fullPiece = largestNews / 2;
+
+std::size_t sizeOf(const StoreItem &item)
+{
+    return item.key.size() + item.value.size();
+}
 
 } // namespace
 
@@ -21,10 +31,35 @@
 {
     std::size_t size = 0;
     for (const StoreItem &item : changes)
-        size += item.key.size() + item.value.size();
+        size += sizeOf(item);
     if (size > largestNews)
         return {prefix, asOf, asOf, {}};
     return {prefix, base, asOf, std::move(changes)};
 }
 
+std::vector<RangeNews> newsOfWatch(const std::string &prefix, std::uint64_t base,
+                                   std::uint64_t asOf, const std::vector<StoreItem> &changes)
+{
+    std::vector<RangeNews> pieces{{prefix, base, asOf, {}}};
+    std::size_t size = 0;
+    for (const StoreItem &item : changes) {
+        RangeNews &piece = pieces.back();
+        // Changes of one revision belong together.
+        const bool begins = !piece.items.empty() && piece.items.back().revision < item.revision;
+        if (begins && size > fullPiece) {
+            const std::uint64_t last = piece.items.back().revision;
+            piece.asOf = last;
+            pieces.push_back({prefix, last, asOf, {}});
+            size = 0;
+        }
+        size += sizeOf(item);
+        pieces.back().items.push_back(item);
+    }
+    if (pieces.size() > mostPieces)
+        return {{prefix, asOf, asOf, {}}};
+    for (RangeNews &piece : pieces)
+        piece = makeNews(prefix, piece.base, piece.asOf, std::move(piece.items));
+    return pieces;
+}
+
 } // namespace ibisnotch
--- a/src/entry/range-source.cc
+++ b/src/entry/range-source.cc
@@ -204,16 +204,17 @@
 
 void RangeSource::onPage(Range &range, const StorePage &page)
 {
-    const std::uint64_t base = range.follower.asOf();
+    const std::uint64_t base = range.follower.base();
     const bool watched = range.follower.watching();
     for (const StoreItem &item : range.follower.onAnswer(page, m_state.clock.now()))
         apply(item, sourceStore);
-    auto news = newsOf(range.prefix, base, watched, range.follower, page);
     // Where all watch, each still tells what changed: the store may not answer the others.
     const bool tells = range.role == FollowRole::relay
         || (range.role == FollowRole::alone && !page.items.empty());
-    if (tells && news)
-        m_control.tellRegion(*std::move(news));
+    if (tells) {
+        for (RangeNews &news : newsOf(range.prefix, base, watched, range.follower, page))
+            m_control.tellRegion(std::move(news));
+    }
     noteReach(range);
     publish();
     advance(range);
