Tie what a server that may be cold gets to looks that were answered

Ruled out: too many senders (b-1, b-5, b-8, a-1, a-5: within the six), the list (not read yet).

Now time plays no part. Each sender that a server falls to may send its share since the last look of its own that found the server warm, and looks again only at servers that it has used; what it sent while the look was under way counts after it. So however late looks are, what reaches the server after it turned cold is within what it bears. A request for which no server is ready waits, half a second at most. A check that is turned away tells nothing. The load pattern (all senders all the time, looks that take up to 0.4 s) is a property test.

--- a/include/ibisnotch/server-table.h
+++ b/include/ibisnotch/server-table.h
@@ -58,6 +58,11 @@
     std::atomic<int> sentSinceReport = 0;
     std::atomic<int> endedSinceReport = 0;
     std::atomic<Duration::rep> sentAt = 0; // the last request to the server
+    // While it may have turned cold unnoticed (warmup.h): requests sent, how many of them were sent
+    // before the last look that found it warm, and when that look was answered.
+    std::atomic<std::uint32_t> unsureSent = 0;
+    std::atomic<std::uint32_t> unsureChecked = 0;
+    std::atomic<Duration::rep> foundWarmAt = 0;
     // Of prompts sent whose first token is not there yet, and what first tokens have shown.
     std::atomic<int> awaitingFirst = 0;
     std::atomic<double> tokensPerMs = 0; // the engine's reading rate; 0: not known
--- a/include/ibisnotch/warmup.h
+++ b/include/ibisnotch/warmup.h
@@ -1,6 +1,7 @@
 // How much of what a cold backend server bears falls to one instance.
 #pragma once
 
+#include <cstdint>
 #include <optional>
 #include <span>
 #include <string>
@@ -38,31 +39,48 @@
 // cold; the servers themselves are then asked.
 bool isOld(const ListState &list, TimePoint now);
 
-// The time that this instance leaves between two requests to a server that may have turned cold
-// since it was last asked; empty if others may use up all that one bears until the next look. Dealt
-// out like what a cold one bears, so that a burst from all senders stays within it.
-std::optional<Duration> pauseWhileUnsure(double rate, const WarmupBound &bound,
-                                         const std::vector<std::string> &senders,
-                                         const std::string &self, const std::string &server);
+// How many requests this instance may send to a server that may have turned cold, from one look at
+// it to the next: none if others may use up all that a cold one bears, empty if it is never cold.
+// Dealt out to a few senders, so that what reaches a cold server stays within that however late the
+// next look is answered.
+std::optional<std::size_t> shareWhileUnsure(const RoutingTable &table, const WarmupBound &bound,
+                                            const std::string &self, const BackendServer &server);
+
+// Whether a look since then has found the server warm and the share is not used up.
+bool mayRisk(const ServerCounters &counters, std::size_t share, TimePoint unsureSince);
+
+// Takes the right to do so. False if another thread took it in between.
+bool takeRisk(ServerCounters &counters, std::size_t share, TimePoint unsureSince);
+
+// Whether the server has to be looked at before it may get more.
+bool needsLook(const ServerCounters &counters, TimePoint unsureSince);
+
+// A look was answered by a warm server; `sentBefore` is unsureSent when it was sent.
+void noteWarm(ServerCounters &counters, std::uint32_t sentBefore, TimePoint now);
+
+// Since when the servers of the list may have turned cold unnoticed; only if isOld().
+TimePoint unsureSince(const ListState &list);
 
 // A server that may have turned cold, as one instance sees it.
 struct UnsureServer
 {
     TimePoint sentAt{}; // this instance's last request to it
-    std::optional<Duration> pause = Duration(0); // as above; zero: it is never cold
+    bool falls = false; // a share of what it bears falls to this instance
+    bool ready = false; // it may get a request now
     bool operator==(const UnsureServer &) const = default;
 };
 
-// Which of them may get a request now, by index; if none, when one of them may.
+// Which of them may get a request now, by index. If none, one may soon, after a look, unless there
+// are no servers.
 struct UnsureAnswer
 {
-    std::vector<std::size_t> rested;
-    Duration wait{};
+    std::vector<std::size_t> ready;
+    bool wait = false;
     bool operator==(const UnsureAnswer &) const = default;
 };
 
 // An instance to which none of the servers falls may use the one that has rested longest: a refusal
-// would be certain harm. Of no servers, none may.
-UnsureAnswer spreadWhileUnsure(std::span<const UnsureServer> servers, TimePoint now);
+// would be certain harm.
+UnsureAnswer chooseWhileUnsure(std::span<const UnsureServer> servers);
 
 } // namespace ibisnotch
--- a/src/decide/warmup.cc
+++ b/src/decide/warmup.cc
@@ -17,8 +17,6 @@
 
 // A watch of the store ends after four seconds, also when nothing has changed.
 constexpr Duration listLife = std::chrono::seconds(5);
-// Between two looks at a server while the list is old, with the time of an answer and of the news.
-constexpr Duration coldNoticedWithin = std::chrono::milliseconds(140);
 
 std::size_t wholeRequests(double rate, const WarmupBound &bound)
 {
@@ -71,39 +69,65 @@
     return list.heardAt != TimePoint{} && now - list.heardAt > listLife;
 }
 
-std::optional<Duration> pauseWhileUnsure(double rate, const WarmupBound &bound,
-                                         const std::vector<std::string> &senders,
-                                         const std::string &self, const std::string &server)
+TimePoint unsureSince(const ListState &list)
 {
-    const std::size_t whole = std::max<std::size_t>(wholeRequests(rate, bound), 1);
-    const std::size_t each = dealtTo(self, senders, server, whole);
-    if (each == 0)
+    return list.heardAt + listLife;
+}
+
+std::optional<std::size_t> shareWhileUnsure(const RoutingTable &table, const WarmupBound &bound,
+                                            const std::string &self, const BackendServer &server)
+{
+    const auto pool = table.config->pools.find(server.pool);
+    if (pool == table.config->pools.end() || pool->second.warmupRate <= 0)
         return std::nullopt;
-    return coldNoticedWithin / each;
+    const std::size_t whole = wholeRequests(pool->second.warmupRate, bound);
+    return dealtTo(self, table.senders, server.name, std::max<std::size_t>(whole, 1));
+}
+
+bool mayRisk(const ServerCounters &counters, std::size_t share, TimePoint unsureSince)
+{
+    const bool found = TimePoint(Duration(counters.foundWarmAt.load())) > unsureSince;
+    return found && counters.unsureSent - counters.unsureChecked < share;
+}
+
+bool takeRisk(ServerCounters &counters, std::size_t share, TimePoint unsureSince)
+{
+    std::uint32_t sent = counters.unsureSent;
+    do {
+        if (!mayRisk(counters, share, unsureSince))
+            return false;
+    } while (!counters.unsureSent.compare_exchange_weak(sent, sent + 1));
+    return true;
+}
+
+bool needsLook(const ServerCounters &counters, TimePoint unsureSince)
+{
+    const bool found = TimePoint(Duration(counters.foundWarmAt.load())) > unsureSince;
+    return !found || counters.unsureSent != counters.unsureChecked;
+}
+
+void noteWarm(ServerCounters &counters, std::uint32_t sentBefore, TimePoint now)
+{
+    counters.unsureChecked = sentBefore;
+    counters.foundWarmAt = now.time_since_epoch().count();
 }
 
-UnsureAnswer spreadWhileUnsure(std::span<const UnsureServer> servers, TimePoint now)
+UnsureAnswer chooseWhileUnsure(std::span<const UnsureServer> servers)
 {
     UnsureAnswer answer;
     std::size_t longestRested = 0;
-    std::optional<Duration> wait;
     for (std::size_t i = 0; i < servers.size(); ++i) {
-        const UnsureServer &server = servers[i];
-        if (server.sentAt < servers[longestRested].sentAt)
+        if (servers[i].ready)
+            answer.ready.push_back(i);
+        if (servers[i].sentAt < servers[longestRested].sentAt)
             longestRested = i;
-        if (!server.pause)
-            continue;
-        const Duration left = server.sentAt + *server.pause - now;
-        if (left.count() <= 0)
-            answer.rested.push_back(i);
-        wait = std::min(wait.value_or(left), left);
     }
-    if (!answer.rested.empty() || servers.empty())
+    if (!answer.ready.empty() || servers.empty())
         return answer;
-    if (!wait)
-        answer.rested.push_back(longestRested);
-    else
-        answer.wait = *wait;
+    answer.wait = std::any_of(servers.begin(), servers.end(),
+                              [](const UnsureServer &server) { return server.falls; });
+    if (!answer.wait)
+        answer.ready.push_back(longestRested);
     return answer;
 }
 
--- a/src/entry/cold-watch.cc
+++ b/src/entry/cold-watch.cc
@@ -13,9 +13,10 @@
 
 } // namespace
 
-std::vector<ServerView> ColdWatch::dueForCheck()
+std::vector<ColdCheck>
+ColdWatch::dueForCheck(const std::function<bool(const ServerView &)> &watches)
 {
-    std::vector<ServerView> due;
+    std::vector<ColdCheck> due;
     const TimePoint now = m_state.clock.now();
     const auto table = m_state.routing.read();
     if (!table || !table->config || !isOld(table->list, now)) {
@@ -25,24 +26,38 @@
     for (const ServerView &view : table->servers) {
         const bool inUse
             = view.status == ServerStatus::usable || view.status == ServerStatus::trial;
+        if (!inUse || now < view.coldUntil)
+            continue;
+        const auto share = shareWhileUnsure(*table, m_state.settings.warmup,
+                                            m_state.settings.name, view.server);
+        const bool wants
+            = share && *share > 0 && needsLook(*view.counters, unsureSince(table->list));
         TimePoint &next = m_nextCheck[view.server.name];
-        if (!inUse || now < next || now < view.coldUntil)
+        if (now < next || !(wants || watches(view)))
             continue;
         next = now + givenUpAfter;
-        due.push_back(view);
+        due.push_back({view, view.counters->unsureSent});
     }
     return due;
 }
 
-std::optional<ColdNews> ColdWatch::onChecked(const ServerView &view, const WholeAnswer &answer)
+std::optional<ColdNews> ColdWatch::onChecked(const ColdCheck &check, const WholeAnswer &answer)
 {
+    constexpr int statusOk = 200;
+    const ServerView &view = check.view;
+    const TimePoint now = m_state.clock.now();
     if (const auto asked = m_nextCheck.find(view.server.name); asked != m_nextCheck.end())
-        asked->second = m_state.clock.now();
+        asked->second = now;
     Target target;
     target.name = view.server.name;
     target.incarnation = view.incarnation;
     const auto left = m_protocol.coldFor(answer);
-    if (!left || !m_protocol.showsSameRun(target, answer))
+    if (!m_protocol.showsSameRun(target, answer))
+        return std::nullopt;
+    // A check that is turned away does not tell.
+    if (!left && answer.response.status == statusOk)
+        noteWarm(*view.counters, check.sentBefore, now);
+    if (!left)
         return std::nullopt;
     const auto ms = std::chrono::duration_cast<std::chrono::milliseconds>(*left).count();
     const ColdNews news{serverId(view.server.name), static_cast<std::uint32_t>(ms)};
--- a/src/entry/cold-watch.h
+++ b/src/entry/cold-watch.h
@@ -1,6 +1,8 @@
 // Finds out which backend servers are cold while neither the store nor a peer tells.
 #pragma once
 
+#include <cstdint>
+#include <functional>
 #include <map>
 #include <optional>
 #include <string>
@@ -12,6 +14,13 @@
 
 namespace ibisnotch {
 
+// One look at a server.
+struct ColdCheck
+{
+    ServerView view;
+    std::uint32_t sentBefore = 0; // unsureSent when it was sent
+};
+
 // On the control loop only.
 class ColdWatch
 {
@@ -19,10 +28,11 @@
     ColdWatch(EntryState &state, const Protocol &protocol)
         : m_state(state), m_protocol(protocol) { }
 
-    // Several times a second. Servers to ask now; the caller says which are its to ask.
-    std::vector<ServerView> dueForCheck();
+    // Several times a second. Servers to look at now: those for which `watches` holds, and those
+    // that this instance has sent to, or may want to, since it last found them warm.
+    std::vector<ColdCheck> dueForCheck(const std::function<bool(const ServerView &)> &watches);
     // The answer to that. What the region's other instances have to hear, if anything.
-    std::optional<ColdNews> onChecked(const ServerView &view, const WholeAnswer &answer);
+    std::optional<ColdNews> onChecked(const ColdCheck &check, const WholeAnswer &answer);
     // From another instance of the region. True if it was news.
     bool onNews(const ColdNews &news);
 
--- a/src/entry/control-loads.cc
+++ b/src/entry/control-loads.cc
@@ -114,11 +114,12 @@
     for (const ServerView &view : m_silence.dueForCheck()) {
         if (!amongFirst(view.server.name, checkersPerServer))
             continue;
+        const ColdCheck check{view, view.counters->unsureSent};
         sendWhole(m_client, shortHealthCheck(m_state, m_protocol, view.server),
-                  [this, view](const WholeAnswer &answer) {
-                      m_link.post([this, view, answer] {
-                          shareCold(m_cold.onChecked(view, answer));
-                          shareSilence(m_silence.onChecked(view, answer));
+                  [this, check](const WholeAnswer &answer) {
+                      m_link.post([this, check, answer] {
+                          shareCold(m_cold.onChecked(check, answer));
+                          shareSilence(m_silence.onChecked(check.view, answer));
                       });
                   });
     }
@@ -126,13 +127,14 @@
 
 void Control::watchCold()
 {
-    for (const ServerView &view : m_cold.dueForCheck()) {
-        if (!amongFirst(view.server.name, checkersPerServer))
-            continue;
-        sendWhole(m_client, shortHealthCheck(m_state, m_protocol, view.server),
-                  [this, view](const WholeAnswer &answer) {
+    const auto watches = [this](const ServerView &view) {
+        return amongFirst(view.server.name, checkersPerServer);
+    };
+    for (const ColdCheck &check : m_cold.dueForCheck(watches)) {
+        sendWhole(m_client, shortHealthCheck(m_state, m_protocol, check.view.server),
+                  [this, check](const WholeAnswer &answer) {
                       m_link.post(
-                          [this, view, answer] { shareCold(m_cold.onChecked(view, answer)); });
+                          [this, check, answer] { shareCold(m_cold.onChecked(check, answer)); });
                   });
     }
 }
--- a/src/entry/dispatch-plan.cc
+++ b/src/entry/dispatch-plan.cc
@@ -13,7 +13,9 @@
 namespace {
 
 constexpr double noServerPause = 2;
-constexpr int mostWaits = 3; // for a server that may be cold; about half a second
+// For a look at a server that may be cold, which takes a tick of the control loop and the way.
+constexpr Duration waitTime = std::chrono::milliseconds(30);
+constexpr int mostWaits = 16;
 // Two rounds of probes; a member that joins is told the others in its first.
 constexpr Duration membersKnownAfter = std::chrono::seconds(2);
 
@@ -76,29 +78,44 @@
 }
 
 // While nobody tells which servers are cold, a burst could reach one that turned cold a moment ago.
-Duration Dispatch::spreadCandidates(const RoutingTable &table,
-                                    std::vector<Candidate> &candidates) const
+bool Dispatch::keepReady(const RoutingTable &table, std::vector<Candidate> &candidates) const
 {
-    const TimePoint now = m_state.clock.now();
-    if (!isOld(table.list, now))
-        return {};
+    if (!isOld(table.list, m_state.clock.now()))
+        return true;
     std::vector<UnsureServer> servers;
     for (const Candidate &candidate : candidates) {
-        const ServerView &view = *candidate.view;
-        UnsureServer &server = servers.emplace_back();
-        server.sentAt = TimePoint(Duration(view.counters->sentAt.load()));
-        const auto pool = table.config->pools.find(view.server.pool);
-        if (pool != table.config->pools.end() && pool->second.warmupRate > 0)
-            server.pause
-                = pauseWhileUnsure(pool->second.warmupRate, m_state.settings.warmup, table.senders,
-                                   m_state.settings.name, view.server.name);
+        const ServerCounters &counters = *candidate.view->counters;
+        const auto share = unsureShare(table, *candidate.view);
+        servers.push_back({TimePoint(Duration(counters.sentAt.load())), !share || *share > 0,
+                           !share || mayRisk(counters, *share, unsureSince(table.list))});
+    }
+    const UnsureAnswer answer = chooseWhileUnsure(servers);
+    std::vector<Candidate> ready;
+    for (const std::size_t index : answer.ready)
+        ready.push_back(candidates[index]);
+    candidates = std::move(ready);
+    return !answer.wait;
+}
+
+std::optional<std::size_t> Dispatch::unsureShare(const RoutingTable &table,
+                                                 const ServerView &view) const
+{
+    return shareWhileUnsure(table, m_state.settings.warmup, m_state.settings.name, view.server);
+}
+
+// Takes the right to send to a server that is cold or may be. False if another thread took it in
+// between.
+bool Dispatch::takeSendingRight(const RoutingTable &table, const ServerView &view) const
+{
+    const TimePoint now = m_state.clock.now();
+    if (now < view.coldUntil) {
+        const auto pause = warmingPause(table, view);
+        return pause && takeWarmup(*view.counters, *pause, view.coldSince, now);
     }
-    const UnsureAnswer answer = spreadWhileUnsure(servers, now);
-    std::vector<Candidate> rested;
-    for (const std::size_t index : answer.rested)
-        rested.push_back(candidates[index]);
-    candidates = std::move(rested);
-    return answer.wait;
+    if (!isOld(table.list, now))
+        return true;
+    const auto share = unsureShare(table, view);
+    return !share || *share == 0 || takeRisk(*view.counters, *share, unsureSince(table.list));
 }
 
 Dispatch::Plan Dispatch::plan(bool admit)
@@ -224,9 +241,8 @@
 {
     const TimePoint now = m_state.clock.now();
     auto candidates = candidatesIn(table);
-    const Duration wait = spreadCandidates(table, candidates);
-    if (wait.count() > 0 && m_waits < mostWaits)
-        return Wait{wait};
+    if (!keepReady(table, candidates) && m_waits < mostWaits)
+        return Wait{waitTime};
     if (candidates.empty())
         return Refusal{ResultCode::noBackendServer, "",
                        spreadRetryAfter(noServerPause, m_state.random)};
@@ -245,16 +261,11 @@
     m_inputs.tokensPerMs = chosen.tokensPerMs;
     if (chosen.view->reportedAt != TimePoint{})
         m_inputs.reportAge = now - chosen.view->reportedAt;
-    if (now < chosen.view->coldUntil) {
+    if (now < chosen.view->coldUntil)
         m_inputs.coldFor = chosen.view->coldUntil - now;
-        const auto pause = warmingPause(table, *chosen.view);
-        // Another thread took the right in between.
-        const bool taken
-            = pause && takeWarmup(*chosen.view->counters, *pause, chosen.view->coldSince, now);
-        if (!taken)
-            return Refusal{ResultCode::noBackendServer, "",
-                           spreadRetryAfter(noServerPause, m_state.random)};
-    }
+    if (!takeSendingRight(table, *chosen.view))
+        return Refusal{ResultCode::noBackendServer, "",
+                       spreadRetryAfter(noServerPause, m_state.random)};
     return targetOf(*chosen.view);
 }
 
--- a/src/entry/dispatch.cc
+++ b/src/entry/dispatch.cc
@@ -94,7 +94,7 @@
     }
     if (const auto *wait = std::get_if<Wait>(&planned)) {
         ++m_waits;
-        trace("waits for a server that may be cold to rest");
+        trace("waits for a look at a server that may be cold");
         return m_client.postAfter(wait->time, [self = shared_from_this()] { self->route(); });
     }
     const Target &target = std::get<Target>(planned);
--- a/src/entry/dispatch.h
+++ b/src/entry/dispatch.h
@@ -73,9 +73,10 @@
     Plan plan(bool admit);
     std::vector<Candidate> candidatesIn(const RoutingTable &table) const;
     double sharedSeconds(std::span<const Candidate> candidates) const;
-    // Leaves the candidates that may get a request now. If there are none, returns the time after
-    // which one may.
-    Duration spreadCandidates(const RoutingTable &table, std::vector<Candidate> &candidates) const;
+    // Leaves the candidates that may get a request now. False if there are none, but one may soon.
+    bool keepReady(const RoutingTable &table, std::vector<Candidate> &candidates) const;
+    std::optional<std::size_t> unsureShare(const RoutingTable &table, const ServerView &view) const;
+    bool takeSendingRight(const RoutingTable &table, const ServerView &view) const;
     bool mayWarmNow(const RoutingTable &table, const ServerView &view) const;
     std::optional<Duration> warmingPause(const RoutingTable &table, const ServerView &view) const;
     AdmissionQuestion admissionQuestion(const RegionLoad &load, bool away) const;
--- a/test/warmup-test.cc
+++ b/test/warmup-test.cc
@@ -88,51 +88,98 @@
     });
 }
 
+namespace {
+
+struct UnsureFixture
+{
+    RoutingTable table;
+    WarmupBound bound{1.5, 3};
+    BackendServer server;
+
+    explicit UnsureFixture(int senders)
+    {
+        FleetConfig config;
+        config.pools["pool"].warmupRate = 2.4;
+        table.config = std::make_shared<const FleetConfig>(std::move(config));
+        table.senders = names(senders);
+        table.list.heardAt = TimePoint{1h};
+        server.name = "server";
+        server.pool = "pool";
+    }
+};
+
+} // namespace
+
 // Guards against a burst of a large region that reaches a server between its turning cold and the
-// next look at it.
-TEST_CASE("pauseWhileUnsure_burstOfAllSenders_staysWithinTheBoundBetweenTwoLooks")
+// next look at it, however late that is answered.
+TEST_CASE("shareWhileUnsure_burstOfAllSenders_staysWithinTheBoundUntilEachHasLooked")
 {
-    rc::prop("whatever each sender's phase", [] {
-        const WarmupBound bound{1.5, 3};
-        const double rate = 2.4;
-        const auto senders = names(*rc::gen::inRange(1, 100));
-        const TimePoint lastLook{1s};
-        const TimePoint nextLook = lastLook + 135ms;
-        int sent = 0;
-        for (const std::string &sender : senders) {
-            const auto pause = pauseWhileUnsure(rate, bound, senders, sender, "server");
-            const Duration phase = std::chrono::microseconds(*rc::gen::inRange(0, 100'000));
-            for (TimePoint at = lastLook + phase; pause && at < nextLook; at += *pause)
-                ++sent;
+    rc::prop("whatever the looks take", [] {
+        const UnsureFixture fixture(*rc::gen::inRange(1, 100));
+        const TimePoint since = unsureSince(fixture.table.list);
+        const TimePoint cold = since + 2s;
+        int sentWhileCold = 0;
+        for (const std::string &sender : fixture.table.senders) {
+            const auto share
+                = shareWhileUnsure(fixture.table, fixture.bound, sender, fixture.server);
+            RC_ASSERT(share.has_value());
+            ServerCounters counters;
+            std::optional<std::pair<TimePoint, std::uint32_t>> look; // and what was sent before it
+            Duration way{};
+            for (TimePoint now = since; now < cold + 1s; now += 20ms) {
+                if (look && now >= look->first + way) {
+                    // It shows the server as it was half way.
+                    if (look->first + way / 2 >= cold)
+                        break;
+                    noteWarm(counters, look->second, now);
+                    look.reset();
+                }
+                if (!look && needsLook(counters, since)) {
+                    look.emplace(now, counters.unsureSent.load());
+                    way = std::chrono::milliseconds(*rc::gen::inRange(1, 400));
+                }
+                if (*rc::gen::inRange(0, 3) > 0 && takeRisk(counters, *share, since))
+                    sentWhileCold += now >= cold ? 1 : 0;
+            }
         }
-        RC_ASSERT(sent > 0);
-        RC_ASSERT(sent <= rate * bound.factor + bound.slack);
+        RC_ASSERT(sentWhileCold <= 6);
     });
 }
 
-// Guards against a burst at one instance that finds all its servers just used and goes on sending.
-TEST_CASE("spreadWhileUnsure_allOwnServersJustUsed_waitsForTheFirstToRest")
+TEST_CASE("shareWhileUnsure_ofAPoolThatIsNeverCold_isNoLimit")
 {
-    const TimePoint now{1h};
-    const std::vector<UnsureServer> servers{
-        {now - 10ms, 140ms}, {now - 100ms, 140ms}, {now - 10s, std::nullopt}};
-    CHECK(spreadWhileUnsure(servers, now) == UnsureAnswer{{}, 40ms});
-    CHECK(spreadWhileUnsure(servers, now + 40ms) == UnsureAnswer{{1}, {}});
+    UnsureFixture fixture(3);
+    CHECK(shareWhileUnsure(fixture.table, fixture.bound, "entry-0", fixture.server) == 2);
+    fixture.server.pool = "other";
+    CHECK_FALSE(shareWhileUnsure(fixture.table, fixture.bound, "entry-0", fixture.server));
 }
 
-TEST_CASE("spreadWhileUnsure_noServerFallsToTheInstance_theLongestRestedIsUsed")
+// Guards against taking a server for warm by a look from before the list grew old.
+TEST_CASE("mayRisk_lookOfAnEarlierTime_doesNotCount")
 {
-    const TimePoint now{1h};
-    const std::vector<UnsureServer> servers{{now - 1s, std::nullopt}, {now - 2s, std::nullopt}};
-    CHECK(spreadWhileUnsure(servers, now) == UnsureAnswer{{1}, {}});
+    ServerCounters counters;
+    CHECK_FALSE(mayRisk(counters, 1, TimePoint{1h}));
+    noteWarm(counters, 0, TimePoint{1h} - 1s);
+    CHECK_FALSE(mayRisk(counters, 1, TimePoint{1h}));
+    CHECK(needsLook(counters, TimePoint{1h}));
+    noteWarm(counters, 0, TimePoint{1h} + 1s);
+    CHECK_FALSE(needsLook(counters, TimePoint{1h}));
+    CHECK(takeRisk(counters, 1, TimePoint{1h}));
+    CHECK_FALSE(takeRisk(counters, 1, TimePoint{1h}));
+    CHECK(needsLook(counters, TimePoint{1h}));
 }
 
-TEST_CASE("spreadWhileUnsure_serversThatAreNeverCold_mayGetAll")
+// Guards against a refusal while a look is under way, and against one for want of an own server.
+TEST_CASE("chooseWhileUnsure_noServerReady_waitsOrTakesTheLongestRested")
 {
     const TimePoint now{1h};
-    const std::vector<UnsureServer> servers{{now, Duration(0)}, {now - 1ms, 140ms}};
-    CHECK(spreadWhileUnsure(servers, now) == UnsureAnswer{{0}, {}});
-    CHECK(spreadWhileUnsure({}, now) == UnsureAnswer{});
+    CHECK(chooseWhileUnsure({}) == UnsureAnswer{});
+    const std::vector<UnsureServer> looked{{now, true, false}, {now, true, true}};
+    CHECK(chooseWhileUnsure(looked) == UnsureAnswer{{1}, false});
+    const std::vector<UnsureServer> used{{now, false, false}, {now, true, false}};
+    CHECK(chooseWhileUnsure(used) == UnsureAnswer{{}, true});
+    const std::vector<UnsureServer> others{{now - 1s, false, false}, {now - 2s, false, false}};
+    CHECK(chooseWhileUnsure(others) == UnsureAnswer{{1}, false});
 }
 
 TEST_CASE("isOld_listNobodyConfirmsForLongerThanAWatch_isOld")
