Tell the loads of all servers of a large region in turn

Cause: a message of loads takes 48 servers, the first ones by name that have a newer report than was told last. With 104 to 146 engines that all answer several times between two messages, that is the same 48 each time; of the others a region is told by probes only. With up to 48 servers a region, as on the smaller deployments, nobody sees it.

Now those told longest ago come first. The test (146 servers, 48 a message) fails on the order by name.

--- a/src/decide/server-table.cc
+++ b/src/decide/server-table.cc
@@ -161,13 +161,21 @@
 std::vector<CompactLoad> ServerTable::takeFresh(TimePoint now, std::size_t most, bool alsoHeard)
 {
     const std::lock_guard lock(m_mutex);
-    std::vector<CompactLoad> result;
+    std::vector<Record *> fresh;
     for (auto &[name, record] : m_records) {
         const bool mayTell = record.firstHand || alsoHeard;
-        if (!mayTell || record.reportedAt <= record.toldAt || result.size() >= most)
-            continue;
-        record.toldAt = record.reportedAt;
-        result.push_back(compact(record, now));
+        if (mayTell && record.reportedAt > record.toldAt)
+            fresh.push_back(&record);
+    }
+    // In the order of their names the first ones would be told each time, and in a large region the
+    // others never.
+    std::stable_sort(fresh.begin(), fresh.end(),
+                     [](const Record *a, const Record *b) { return a->toldAt < b->toldAt; });
+    fresh.resize(std::min(fresh.size(), most));
+    std::vector<CompactLoad> result;
+    for (Record *record : fresh) {
+        record->toldAt = record->reportedAt;
+        result.push_back(compact(*record, now));
     }
     return result;
 }
--- a/test/server-table-test.cc
+++ b/test/server-table-test.cc
@@ -255,3 +255,33 @@
     table.setListed(listed(5, 0s), now + 4s);
     CHECK(coldUntil() <= now + 4s);
 }
+
+// Guards against servers of a large region of which nobody is told: each message then took the
+// first ones by name.
+TEST_CASE_METHOD(TableFixture, "takeFresh_moreServersThanAMessageTakes_tellsEachInTurn")
+{
+    constexpr std::size_t servers = 146;
+    constexpr std::size_t perMessage = 48;
+    constexpr int rounds = 4; // as many messages as it takes to tell all
+    constexpr int messages = 10 * rounds;
+    std::map<std::string, ListedServer> listed;
+    for (std::size_t i = 0; i < servers; ++i) {
+        ListedServer entry;
+        entry.server.name = "s" + std::to_string(i);
+        entry.server.address = "127.0.0.1:" + std::to_string(i + 1);
+        entry.revision = 1;
+        listed[entry.server.name] = entry;
+    }
+    table.setListed(listed, now);
+    std::map<std::uint32_t, int> told;
+    for (int i = 0; i < messages; ++i) {
+        now += 250ms;
+        for (const auto &[name, entry] : listed)
+            table.onAnswerLoad(name, 1, 0, now);
+        for (const CompactLoad &load : table.takeFresh(now, perMessage, true))
+            ++told[load.server];
+    }
+    CHECK(told.size() == servers);
+    for (const auto &[server, times] : told)
+        CHECK(times >= messages / rounds);
+}
