--- a/src/entry/dispatch-end.cc
+++ b/src/entry/dispatch-end.cc
@@ -137,8 +137,9 @@
 
 // "home:LOAD/SLOTS+DELAY", then the same for another region and for the server with the age of the
 // news, and how long it was still taken for cold; "pace:SEEN/BEARABLE" between two events of a
-// stream where the request would run, if known; "list:REVISION,age" of the list of servers. Delays,
-// ages and paces in milliseconds.
+// stream where the request would run, if known; "list:REVISION,age" of the list of servers, with
+// "looks" if it waited for looks at servers that may be cold. Delays, ages and paces in
+// milliseconds.
 std::string Dispatch::inputsText() const
 {
     constexpr double toMs = 1000;
@@ -160,6 +161,8 @@
     if (m_inputs.listAge)
         text += fmt::format(";list:{},age:{}", m_inputs.listRevision,
                             millisecondsText(*m_inputs.listAge));
+    if (m_waits > 0)
+        text += fmt::format(",looks:{}", m_waits);
     return text;
 }
 
