Send what a prefix's homes have no room for to the next ones in its order

Cause: a prefix has two homes a region. At a peak both are full for much of the time, and what they had no room for went to two servers at random of 104 to 146, each of which reads 6,300 shared tokens anew, for 0.16 s in which all that run there wait.

Now it goes to the next four in the prefix's order, the same from every instance's view, as far as they have room and their wait is no longer than that of the random choice and the reading of the parts. The test replays a burst of one prefix over 100 servers: it used to reach dozens, now six.

Tried and taken out: the pool's pace. An instance sees one or two first tokens of each of a hundred engines, so the wait that it predicts stays at the time of reading (200 ms where 2.5 s came, 838 digests).

--- a/src/decide/pick.cc
+++ b/src/decide/pick.cc
@@ -182,7 +182,19 @@
         best = order[rank].second;
         bestWait = wait;
     }
-    return best ? *best : m_fallback.pick(question, random);
+    if (best)
+        return *best;
+    // What both have no room for goes to the next ones in the order, the same from every instance's
+    // view: spread over a hundred servers, each would read the parts anew.
+    constexpr std::size_t nextHomes = 4;
+    const std::size_t other = m_fallback.pick(question, random);
+    const double mostDelay = question.candidates[other].delay + question.sharedSeconds;
+    for (std::size_t rank = homes; rank < std::min(homes + nextHomes, order.size()); ++rank) {
+        const Candidate &candidate = question.candidates[order[rank].second];
+        if (fill(candidate) <= m_bound && candidate.delay <= mostDelay)
+            return order[rank].second;
+    }
+    return other;
 }
 
 std::string affinityRegion(const RoutingTable &table, std::span<const Candidate> home,
--- a/test/pick-test.cc
+++ b/test/pick-test.cc
@@ -1,6 +1,7 @@
 #include "ibisnotch/pick.h"
 
 #include <map>
+#include <set>
 
 #include <catch2/catch.hpp>
 #include <rapidcheck/catch.h>
@@ -165,3 +166,31 @@
     REQUIRE(candidates.size() == 1);
     CHECK(candidates[0].view->server.name == "warm");
 }
+
+// Guards against shared parts read anew all over a large region: at a peak the two homes of a
+// prefix are full, and what they have no room for was spread over all servers.
+TEST_CASE_METHOD(RoutingFixture, "affinityPicker_bothHomesFull_spillStaysAtAFewServers")
+{
+    constexpr std::size_t servers = 100;
+    for (std::size_t i = 0; i < servers; ++i)
+        add("e" + std::to_string(i), 4, 12);
+    finish();
+    PickQuestion question;
+    question.candidates = candidates;
+    question.prefix = 77;
+    question.sharedSeconds = 0.16;
+    AffinityPicker picker;
+    Random random(1);
+    std::set<std::size_t> used;
+    // Each picked one fills up, as by a burst of one prefix.
+    for (int request = 0; request < 48; ++request) {
+        const std::size_t picked = picker.pick(question, random);
+        used.insert(picked);
+        candidates[picked].load += 1;
+    }
+    CHECK(used.size() <= 6);
+    // Once all of them are full, the others take what comes.
+    for (int request = 0; request < 50; ++request)
+        used.insert(picker.pick(question, random));
+    CHECK(used.size() > 6);
+}
