Do not tell a page that a peer has overtaken as if it were a watch's changes

The test fails by the old condition. The property tests did not see it, as none tells a relay the whole range while a page of its own is under way.

--- a/src/entry/range-source.cc
+++ b/src/entry/range-source.cc
@@ -205,7 +205,7 @@
 void RangeSource::onPage(Range &range, const StorePage &page)
 {
     const std::uint64_t base = range.follower.base();
-    const bool watched = range.follower.watching();
+    const bool watched = range.follower.watchUnderWay();
     for (const StoreItem &item : range.follower.onAnswer(page, m_state.clock.now()))
         apply(item, sourceStore);
     // Where all watch, each still tells what changed: the store may not answer the others.
--- a/test/prefix-follower-test.cc
+++ b/test/prefix-follower-test.cc
@@ -231,6 +231,28 @@
     CHECK(newsOf("", 0, false, follower, again).empty());
 }
 
+// Guards against servers that vanish: a page, sent on as if it were all changes, had others drop
+// what it does not name in their order.
+TEST_CASE_METHOD(FollowerFixture, "newsOf_pageAnsweredAfterAPeerToldTheRange_takesNothingAway")
+{
+    std::vector<StoreItem> items;
+    for (std::uint64_t i = 0; i < 50; ++i)
+        items.push_back({std::to_string(100 + i), std::string(250, 'x'), 11 + i * 7 % 50, false});
+    PrefixFollower told = follower;
+    told.onNews({"", 0, 60, items}, now);
+    REQUIRE(follower.next(now));
+    follower.onNews({"", 0, 60, items}, now);
+    const std::uint64_t base = follower.base();
+    const bool watched = follower.watchUnderWay();
+    const StorePage late = page(items, 62);
+    follower.onAnswer(late, now);
+    for (const RangeNews &news : newsOf("", base, watched, follower, late))
+        CHECK(told.onNews(news, now).empty());
+    const auto known = told.newsSince("", 0);
+    REQUIRE(known);
+    CHECK(known->items.size() == items.size());
+}
+
 // Guards against every instance asking the store after a burst of changes, as when a data centre's
 // servers come back.
 TEST_CASE_METHOD(FollowerFixture, "newsOfWatch_moreChangesThanADatagramTakes_arriveInPieces")
@@ -322,7 +344,7 @@
             if (!call)
                 return;
             const std::uint64_t base = relay.follower.base();
-            const bool watched = relay.follower.watching();
+            const bool watched = relay.follower.watchUnderWay();
             const StorePage page = withFate(store.answer(*call));
             relay.note(relay.follower.onAnswer(page, now));
             for (RangeNews &news : newsOf("", base, watched, relay.follower, page))
