--- a/test/docs-test.cc
+++ b/test/docs-test.cc
@@ -1,6 +1,7 @@
 // Pages that must agree with the code.
 #include <filesystem>
 #include <fstream>
+#include <map>
 #include <sstream>
 
 #include <catch2/catch.hpp>
@@ -130,3 +131,49 @@
     }
     CHECK(named > 30);
 }
+
+namespace {
+
+// A block of safeguards.txt, by its fields.
+using Block = std::map<std::string, std::string>;
+
+std::vector<Block> safeguards()
+{
+    std::vector<Block> blocks(1);
+    std::istringstream lines(page("support/safeguards.txt"));
+    std::string line;
+    while (std::getline(lines, line)) {
+        const std::size_t colon = line.find(": ");
+        if (line.empty())
+            blocks.emplace_back();
+        else if (line[0] != '#' && colon != std::string::npos)
+            blocks.back().emplace(line.substr(0, colon), line.substr(colon + 2));
+    }
+    std::erase_if(blocks, [](const Block &block) { return block.count("name") == 0; });
+    return blocks;
+}
+
+std::string withLineBreaks(std::string text)
+{
+    std::size_t at = 0;
+    while ((at = text.find("\\n", at)) != std::string::npos)
+        text.replace(at, 2, "\n");
+    return text;
+}
+
+} // namespace
+
+// Guards against entries that outlive the code that they take away.
+TEST_CASE("safeguards_eachEntry_namesWhatItsFileHolds")
+{
+    const auto blocks = safeguards();
+    CHECK(blocks.size() > 50);
+    for (const Block &block : blocks) {
+        INFO(block.at("name"));
+        const std::string source = page(block.at("file"));
+        for (const std::string field : {"with", "also"}) {
+            if (const auto found = block.find(field); found != block.end())
+                CHECK(source.find(withLineBreaks(found->second)) != std::string::npos);
+        }
+    }
+}
