--- a/test/pick-test.cc
+++ b/test/pick-test.cc
@@ -175,10 +175,7 @@
     for (std::size_t i = 0; i < servers; ++i)
         add("e" + std::to_string(i), 4, 12);
     finish();
-    PickQuestion question;
-    question.candidates = candidates;
-    question.prefix = 77;
-    question.sharedSeconds = 0.16;
+    const PickQuestion question = prefixQuestion(0.16);
     AffinityPicker picker;
     Random random(1);
     std::set<std::size_t> used;
--- a/test/read-delay-test.cc
+++ b/test/read-delay-test.cc
@@ -86,10 +86,7 @@
     add("a", 0, 64);
     add("b", 0, 64);
     finish();
-    PickQuestion question;
-    question.candidates = candidates;
-    question.prefix = 77;
-    question.sharedSeconds = 0.2;
+    const PickQuestion question = prefixQuestion(0.2);
     AffinityPicker picker;
     Random random(1);
     const std::size_t holder = picker.pick(question, random);
--- a/test/routing-fixture.h
+++ b/test/routing-fixture.h
@@ -31,6 +31,15 @@
         for (const ServerView &view : views)
             candidates.push_back({&view, view.reported, static_cast<double>(view.server.slots)});
     }
+
+    PickQuestion prefixQuestion(double sharedSeconds) const
+    {
+        PickQuestion question;
+        question.candidates = candidates;
+        question.prefix = 77;
+        question.sharedSeconds = sharedSeconds;
+        return question;
+    }
 };
 
 } // namespace ibisnotch
