Look at servers whose entry vanished; watch often where the store was away

After a call that failed it watches for one second at a time for 15 s, and its list is old after two.

--- a/include/ibisnotch/prefix-follower.h
+++ b/include/ibisnotch/prefix-follower.h
@@ -56,6 +56,8 @@
         // outlives one lost datagram; with the call that follows, news is at most 2.2 s old, where
         // the platform asks that a server that leaves gets nothing after 4 s.
         Duration newsLife = std::chrono::seconds(2);
+        // After a call that failed the next cut is likely, and a watch that hangs in it tells nothing.
+        Duration waryTime = std::chrono::seconds(15);
         Duration firstPause = std::chrono::milliseconds(250);
         Duration longestPause = std::chrono::milliseconds(1000);
         // Removals that are remembered; who has missed more is told all keys that exist.
@@ -91,6 +93,10 @@
     // Whoever knows all up to here lacks only what the next answer tells.
     std::uint64_t base() const { return std::min(m_asOf, m_lastChange); }
 
+    // How long what it last heard holds. Longer than the longest time between two answers of the
+    // store, so that it is over only where none comes.
+    Duration life(TimePoint now) const;
+
     // When the store last said up to where all is known, here or to another instance.
     TimePoint heardAt() const { return m_heardAt; }
 
@@ -112,6 +118,7 @@
     std::vector<StoreItem> removeOthers(const std::set<std::string> &listed, std::uint64_t asOf,
                                         bool snapshot);
     void startOver();
+    Duration watchTime(TimePoint now) const;
     void dropKnown(std::vector<StoreItem> &items) const;
 
     Limits m_limits;
@@ -137,6 +144,7 @@
     std::uint64_t m_asOf = 0;
     int m_failures = 0;
     TimePoint m_notBefore{};
+    TimePoint m_waryUntil{};
     FollowRole m_role = FollowRole::listener;
     TimePoint m_heardUntil{};
     TimePoint m_heardAt{};
--- a/include/ibisnotch/server-table.h
+++ b/include/ibisnotch/server-table.h
@@ -100,6 +100,7 @@
     // entry's last change.
     Duration warmup{};
     std::uint64_t revision = 0; // of the entry; rises with each change
+    TimePoint missingSince{}; // the entry vanished, but its server may be back; default: it is there
     bool operator==(const ListedServer &) const = default;
 };
 
@@ -118,6 +119,9 @@
 {
     std::uint64_t revision = 0; // up to which all changes are known
     TimePoint heardAt{}; // when that was last confirmed
+    // After that long without news, it may miss what changed. A watch of the store ends after four
+    // seconds, also when nothing has changed.
+    Duration life = std::chrono::seconds(5);
     bool operator==(const ListState &) const = default;
 };
 
@@ -144,6 +148,7 @@
     TimePoint coldSince{}; // when this instance heard of it
     TimePoint coldUntil{};
     TimePoint restUntil{}; // gets nothing before
+    TimePoint missingSince{}; // its entry of the list vanished; default: it is there
     std::shared_ptr<ServerCounters> counters;
 };
 
@@ -254,6 +259,7 @@
         TimePoint coldSince{};
         TimePoint coldUntil{};
         TimePoint restUntil{};
+        TimePoint missingSince{};
         std::shared_ptr<ServerCounters> counters;
     };
 
--- a/include/ibisnotch/warmup.h
+++ b/include/ibisnotch/warmup.h
@@ -35,9 +35,9 @@
 // Takes the right to do so. False if another thread took it in between.
 bool takeWarmup(ServerCounters &counters, Duration pause, TimePoint coldSince, TimePoint now);
 
-// Whether so long has passed since anyone confirmed the list that it may miss a server's turning
-// cold; the servers themselves are then asked.
-bool isOld(const ListState &list, TimePoint now);
+// Since when a server may have turned cold unnoticed, as nobody has confirmed the list for so long
+// or the server's entry is missing from it; the server itself is then asked. Empty: the list tells.
+std::optional<TimePoint> unsureSince(const ListState &list, const ServerView &view, TimePoint now);
 
 // How many requests this instance may send to a server that may have turned cold, from one look at
 // it to the next: none if others may use up all that a cold one bears, empty if it is never cold.
@@ -58,9 +58,6 @@
 // A look was answered by a warm server; `sentBefore` is unsureSent when it was sent.
 void noteWarm(ServerCounters &counters, std::uint32_t sentBefore, TimePoint now);
 
-// Since when the servers of the list may have turned cold unnoticed; only if isOld().
-TimePoint unsureSince(const ListState &list);
-
 // A server that may have turned cold, as one instance sees it.
 struct UnsureServer
 {
--- a/src/decide/prefix-follower.cc
+++ b/src/decide/prefix-follower.cc
@@ -14,8 +14,20 @@
     m_listUnderWay = !m_watching;
     if (!m_watching)
         return ListCall{m_after};
-    const bool relay = m_role == FollowRole::relay;
-    return WatchCall{m_asOf, relay ? m_limits.relayWatchTime : m_limits.watchTime};
+    return WatchCall{m_asOf, watchTime(now)};
+}
+
+Duration PrefixFollower::watchTime(TimePoint now) const
+{
+    const bool often = m_role == FollowRole::relay || now < m_waryUntil;
+    return often ? m_limits.relayWatchTime : m_limits.watchTime;
+}
+
+Duration PrefixFollower::life(TimePoint now) const
+{
+    constexpr Duration way = std::chrono::seconds(1); // of an answer, and of what a peer tells
+    const Duration between = now < m_waryUntil ? m_limits.relayWatchTime : m_limits.watchTime;
+    return between + way;
 }
 
 void PrefixFollower::startOver()
@@ -37,6 +49,7 @@
         const Duration pause = m_limits.firstPause * (1 << std::min(m_failures, 4));
         m_notBefore = now + std::min(pause, m_limits.longestPause);
         ++m_failures;
+        m_waryUntil = now + m_limits.waryTime;
         // A page that was lost on the way is asked for again; the pass goes on.
         return {};
     }
--- a/src/decide/server-list.cc
+++ b/src/decide/server-list.cc
@@ -2,9 +2,18 @@
 
 namespace ibisnotch {
 
+namespace {
+
+void markMissing(ListedServer &listed, TimePoint now)
+{
+    if (listed.missingSince == TimePoint{})
+        listed.missingSince = now;
+}
+
+} // namespace
+
 void ServerList::put(ListedServer server)
 {
-    m_missingSince.erase(server.server.name);
     m_servers.insert_or_assign(server.server.name, std::move(server));
 }
 
@@ -16,16 +25,14 @@
     if (found->second.leaving)
         m_servers.erase(found);
     else
-        m_missingSince.try_emplace(name, now);
+        markMissing(found->second, now);
 }
 
 bool ServerList::expire(TimePoint now)
 {
-    const auto gone = std::erase_if(m_missingSince, [&](const auto &entry) {
-        if (now - entry.second < lapseGrace)
-            return false;
-        m_servers.erase(entry.first);
-        return true;
+    const auto gone = std::erase_if(m_servers, [now](const auto &entry) {
+        const TimePoint since = entry.second.missingSince;
+        return since != TimePoint{} && now - since >= lapseGrace;
     });
     return gone > 0;
 }
--- a/src/decide/server-table.cc
+++ b/src/decide/server-table.cc
@@ -116,6 +116,7 @@
     }
     for (const auto &[name, listed] : m_listed) {
         Record &record = add(listed.server);
+        record.missingSince = listed.missingSince;
         if (listed.revision <= record.revision)
             continue;
         // The newer entry decides, also where it says that a server that was leaving is back: it
@@ -402,6 +403,7 @@
         view.coldSince = record.coldSince;
         view.coldUntil = record.coldUntil;
         view.restUntil = record.restUntil;
+        view.missingSince = record.missingSince;
         view.counters = record.counters;
         result.servers.push_back(std::move(view));
     }
--- a/src/decide/warmup.cc
+++ b/src/decide/warmup.cc
@@ -15,9 +15,6 @@
 constexpr auto window
     = std::chrono::duration_cast<Duration>(std::chrono::duration<double>(jitterFactor));
 
-// A watch of the store ends after four seconds, also when nothing has changed.
-constexpr Duration listLife = std::chrono::seconds(5);
-
 std::size_t wholeRequests(double rate, const WarmupBound &bound)
 {
     return static_cast<std::size_t>(std::floor(rate * bound.factor + bound.slack));
@@ -64,14 +61,14 @@
     return mayFollow(counters.sentAt, pause, coldSince, now);
 }
 
-bool isOld(const ListState &list, TimePoint now)
-{
-    return list.heardAt != TimePoint{} && now - list.heardAt > listLife;
-}
-
-TimePoint unsureSince(const ListState &list)
+std::optional<TimePoint> unsureSince(const ListState &list, const ServerView &view, TimePoint now)
 {
-    return list.heardAt + listLife;
+    std::optional<TimePoint> since;
+    if (list.heardAt != TimePoint{} && now - list.heardAt > list.life)
+        since = list.heardAt + list.life;
+    if (view.missingSince != TimePoint{})
+        since = since ? std::min(*since, view.missingSince) : view.missingSince;
+    return since;
 }
 
 std::optional<std::size_t> shareWhileUnsure(const RoutingTable &table, const WarmupBound &bound,
--- a/src/entry/cold-watch.cc
+++ b/src/entry/cold-watch.cc
@@ -19,25 +19,26 @@
     std::vector<ColdCheck> due;
     const TimePoint now = m_state.clock.now();
     const auto table = m_state.routing.read();
-    if (!table || !table->config || !isOld(table->list, now)) {
-        m_nextCheck.clear();
+    if (!table || !table->config)
         return due;
-    }
+    std::map<std::string, TimePoint> nextCheck;
     for (const ServerView &view : table->servers) {
         const bool inUse
             = view.status == ServerStatus::usable || view.status == ServerStatus::trial;
-        if (!inUse || now < view.coldUntil)
+        const auto since = unsureSince(table->list, view, now);
+        if (!since || !inUse || now < view.coldUntil)
             continue;
         const auto share
             = shareWhileUnsure(*table, m_state.settings.warmup, m_state.settings.name, view.server);
-        const bool wants
-            = share && *share > 0 && needsLook(*view.counters, unsureSince(table->list));
-        TimePoint &next = m_nextCheck[view.server.name];
+        const bool wants = share && *share > 0 && needsLook(*view.counters, *since);
+        TimePoint &next = nextCheck[view.server.name];
+        next = m_nextCheck[view.server.name];
         if (now < next || !(wants || watches(view)))
             continue;
         next = now + givenUpAfter;
         due.push_back({view, view.counters->unsureSent});
     }
+    m_nextCheck = std::move(nextCheck);
     return due;
 }
 
--- a/src/entry/cold-watch.h
+++ b/src/entry/cold-watch.h
@@ -39,7 +39,7 @@
 private:
     EntryState &m_state;
     const Protocol &m_protocol;
-    std::map<std::string, TimePoint> m_nextCheck; // while the list is old
+    std::map<std::string, TimePoint> m_nextCheck; // of servers that may be cold
 };
 
 } // namespace ibisnotch
--- a/src/entry/dispatch-plan.cc
+++ b/src/entry/dispatch-plan.cc
@@ -77,18 +77,24 @@
                        m_state.settings.name, view.server.name);
 }
 
-// While nobody tells which servers are cold, a burst could reach one that turned cold a moment ago.
+UnsureServer Dispatch::unsureServer(const RoutingTable &table, const ServerView &view) const
+{
+    const ServerCounters &counters = *view.counters;
+    const TimePoint sentAt{Duration(counters.sentAt.load())};
+    const auto since = unsureSince(table.list, view, m_state.clock.now());
+    const auto share = since ? unsureShare(table, view) : std::nullopt;
+    if (!share)
+        return {sentAt, true, true};
+    return {sentAt, *share > 0, mayRisk(counters, *share, *since)};
+}
+
+// While nobody tells whether a server is cold, a burst could reach one that turned cold a moment
+// ago.
 bool Dispatch::keepReady(const RoutingTable &table, std::vector<Candidate> &candidates) const
 {
-    if (!isOld(table.list, m_state.clock.now()))
-        return true;
     std::vector<UnsureServer> servers;
-    for (const Candidate &candidate : candidates) {
-        const ServerCounters &counters = *candidate.view->counters;
-        const auto share = unsureShare(table, *candidate.view);
-        servers.push_back({TimePoint(Duration(counters.sentAt.load())), !share || *share > 0,
-                           !share || mayRisk(counters, *share, unsureSince(table.list))});
-    }
+    for (const Candidate &candidate : candidates)
+        servers.push_back(unsureServer(table, *candidate.view));
     const UnsureAnswer answer = chooseWhileUnsure(servers);
     std::vector<Candidate> ready;
     for (const std::size_t index : answer.ready)
@@ -112,10 +118,11 @@
         const auto pause = warmingPause(table, view);
         return pause && takeWarmup(*view.counters, *pause, view.coldSince, now);
     }
-    if (!isOld(table.list, now))
+    const auto since = unsureSince(table.list, view, now);
+    if (!since)
         return true;
     const auto share = unsureShare(table, view);
-    return !share || *share == 0 || takeRisk(*view.counters, *share, unsureSince(table.list));
+    return !share || *share == 0 || takeRisk(*view.counters, *share, *since);
 }
 
 Dispatch::Plan Dispatch::plan(bool admit)
--- a/src/entry/range-source.cc
+++ b/src/entry/range-source.cc
@@ -53,7 +53,8 @@
         if (range->prefix != m_format->serverPrefix())
             continue;
         const PrefixFollower &follower = range->follower;
-        m_state.servers.setListState({follower.asOf(), follower.heardAt()});
+        m_state.servers.setListState(
+            {follower.asOf(), follower.heardAt(), follower.life(m_state.clock.now())});
         if (follower.heardAt() != TimePoint{})
             m_state.metrics.setGauge("ibisnotch_server_list_age_seconds",
                                      seconds(m_state.clock.now() - follower.heardAt()));
--- a/test/prefix-follower-test.cc
+++ b/test/prefix-follower-test.cc
@@ -165,6 +165,21 @@
     CHECK(follower.reachable());
 }
 
+// Guards against servers that turn cold unnoticed in a region cut off again soon after the store
+// was away: a watch of four seconds hangs for so long before anybody asks the servers.
+TEST_CASE_METHOD(FollowerFixture, "prefixFollower_callFailed_watchesOftenAndBelievesLessLong")
+{
+    follower.setRole(FollowRole::alone);
+    answer(page({}, 7));
+    CHECK(follower.life(now) == 5s);
+    answer(failed(StoreEnd::unknown));
+    CHECK(follower.life(now) == 2s);
+    const auto call = follower.next(now);
+    REQUIRE(call);
+    CHECK(std::get<WatchCall>(*call).longest == 1s);
+    CHECK(follower.life(now + 20s) == 5s);
+}
+
 // What callers see: nothing; the store gets a call less. In what order: the range is read once,
 // then an instance that watches tells of changes, then falls silent. Why: what it tells is complete
 // from one revision to the next, and silence sends the follower to the store.
--- a/test/server-list-test.cc
+++ b/test/server-list-test.cc
@@ -32,9 +32,11 @@
     list.remove("a", now);
     CHECK_FALSE(list.expire(now + 2s));
     CHECK(list.servers().count("a") == 1);
+    CHECK(list.servers().at("a").missingSince == now);
     list.put(server("a"));
     CHECK_FALSE(list.expire(now + 10s));
     CHECK(list.servers().count("a") == 1);
+    CHECK(list.servers().at("a").missingSince == TimePoint{});
 }
 
 TEST_CASE_METHOD(ServerListFixture, "serverList_entryThatStaysAway_isDroppedAfterTheGrace")
--- a/test/warmup-test.cc
+++ b/test/warmup-test.cc
@@ -118,7 +118,7 @@
         // A few senders get more than one request each, of which one may be sent during a look.
         const int mostSenders = *rc::gen::element(3, 100);
         const UnsureFixture fixture(*rc::gen::inRange(1, mostSenders + 1));
-        const TimePoint since = unsureSince(fixture.table.list);
+        const TimePoint since = fixture.table.list.heardAt + fixture.table.list.life;
         const TimePoint cold = since + 2s;
         int sentWhileCold = 0;
         for (const std::string &sender : fixture.table.senders) {
@@ -184,9 +184,22 @@
     CHECK(chooseWhileUnsure(others) == UnsureAnswer{{1}, false});
 }
 
-TEST_CASE("isOld_listNobodyConfirmsForLongerThanAWatch_isOld")
+TEST_CASE("unsureSince_listNobodyConfirmsForLongerThanAWatch_countsFromItsEnd")
 {
-    CHECK_FALSE(isOld({7, TimePoint{}}, TimePoint{1h}));
-    CHECK_FALSE(isOld({7, TimePoint{1h}}, TimePoint{1h} + 4s));
-    CHECK(isOld({7, TimePoint{1h}}, TimePoint{1h} + 6s));
+    const TimePoint heard{1h};
+    CHECK_FALSE(unsureSince({7, TimePoint{}}, {}, heard));
+    CHECK_FALSE(unsureSince({7, heard}, {}, heard + 4s));
+    CHECK(unsureSince({7, heard}, {}, heard + 6s) == heard + 5s);
+    CHECK(unsureSince({7, heard, 2s}, {}, heard + 3s) == heard + 2s);
+}
+
+// Guards against a burst at a server that turned cold after its entry had vanished, while the list
+// is confirmed all the time.
+TEST_CASE("unsureSince_entryMissingFromAListThatIsNew_countsFromItsLoss")
+{
+    const TimePoint heard{1h};
+    ServerView view;
+    view.missingSince = heard - 1s;
+    CHECK(unsureSince({7, heard}, view, heard) == heard - 1s);
+    CHECK(unsureSince({7, heard}, view, heard + 6s) == heard - 1s);
 }
