Know customers by their keys, and hold them to their usage caps

Cause: the adapter read no customers at all.

- Keys: several a customer.
Of what the store tells, hashes are kept; the key is in no record, peer's message, log or engine's request.
The engine gets the customer's name on every path.
An unknown key is denied at once, but by an instance whose configuration may be old it is told to come back.
- A customer's homes bind beside the service's; its priority goes before the service's, which then decides between requests of equal customers.
- Caps over all instances (usage-cap): each tells the first of its region what it is asked for and gives; sums go between regions; all give the same chance, by what the cap leaves of what is asked.
Of regions not heard an equal part is left to them; who hears nobody keeps to its own part.
- The retry bound of all instances is one for all customers, as it was while there was one.

--- a/include/ibisnotch/admission.h
+++ b/include/ibisnotch/admission.h
@@ -17,6 +17,7 @@
 {
     const Customer *customer = nullptr;
     const Service *service = nullptr;
+    int priority = 1; // of the request; 0 is most urgent
     double slots = 0; // where it would run
     double outstanding = 0;
     double queueFactor = 2;
--- a/include/ibisnotch/config.h
+++ b/include/ibisnotch/config.h
@@ -33,13 +33,25 @@
     bool operator==(const Region &) const = default;
 };
 
+// What a customer may use, by all instances together.
+struct UsageCap
+{
+    bool tokens = false; // counts tokens; else requests
+    double perSecond = 0;
+    double burst = 0; // beside that, once
+    double plainTokens = 0; // what a request counts that names no tokens
+    bool operator==(const UsageCap &) const = default;
+};
+
 struct Customer
 {
     std::string name;
-    std::string tokenSha256; // of the bearer token, in hex
+    std::vector<std::string> keyHashes; // SHA-256 of each of its bearer tokens, in hex
     std::vector<std::string> regions; // empty: all
     std::vector<std::string> services; // empty: all
     double share = 1; // its part when capacity is short, against the others' shares
+    std::optional<int> priority; // of all its requests, before that of the service
+    std::optional<UsageCap> cap;
     bool operator==(const Customer &) const = default;
 };
 
@@ -72,6 +84,7 @@
     double worth = 1;
     int priority = 1; // 0 is most urgent
     std::vector<std::string> regions; // empty: all
+    bool open = false; // its callers need no key
     double objective = 0.99; // share of requests to be served in time
     // The rest serves deployments that route by host and path. Without a rule, the service is asked
     // for by its name or model.
@@ -148,6 +161,7 @@
     Limits limits;
     std::vector<Region> regions;
     Duration regionOneWay = std::chrono::milliseconds(80);
+    bool keyed = true; // callers show keys, unless a service is open
     std::map<std::string, Customer> customers;
     std::map<std::string, Service> services;
     std::map<std::string, Pool> pools;
@@ -189,6 +203,13 @@
 absl::StatusOr<std::map<std::string, FleetConfig>> validateDocument(const ConfigDocument &document,
                                                                     const ConfigDocument *inForce);
 
+// The customer whose key this is, or null. Takes as long whether a key is known or not.
+const Customer *findByKey(const FleetConfig &config, std::string_view key);
+
+// What a request is ordered by, where several wait: its customer's priority if that has one, then
+// the service's. 0 is most urgent.
+int priorityOf(const Customer &customer, const Service &service);
+
 // The regions where a customer's request for a service may run, in configuration order.
 std::vector<std::string> allowedRegions(const FleetConfig &config, const Customer &customer,
                                         const Service &service);
@@ -208,6 +229,9 @@
 
 bool servesService(const BackendServer &server, const Service &service);
 
+// Whose requests are those that come without a key, where a service is open.
+constexpr std::string_view anyCustomer = "callers";
+
 std::string sha256Hex(std::string_view text);
 
 } // namespace ibisnotch
--- a/include/ibisnotch/peer-link.h
+++ b/include/ibisnotch/peer-link.h
@@ -17,12 +17,13 @@
 #include "ibisnotch/region-choice.h"
 #include "ibisnotch/server-table.h"
 #include "ibisnotch/silence.h"
+#include "ibisnotch/usage-cap.h"
 
 namespace ibisnotch {
 
 // Raised when fields are appended. A reader ignores what follows the fields it knows, so instances
 // of neighbouring versions understand each other while a fleet is being replaced.
-constexpr std::uint16_t peerProtocol = 3;
+constexpr std::uint16_t peerProtocol = 4;
 
 struct GossipMessage
 {
@@ -36,6 +37,9 @@
     std::vector<RangeNews> ranges;
     std::vector<RangeMark> rangeMarks; // since protocol 3, as the next
     std::vector<ColdNews> colds;
+    bool tellsUses = false; // since protocol 4, as the next two
+    std::vector<CustomerUse> uses; // of the sender; customers that are left out use nothing
+    std::vector<RegionUse> regionUses;
 
     bool operator==(const GossipMessage &) const = default;
 };
--- a/include/ibisnotch/result-code.h
+++ b/include/ibisnotch/result-code.h
@@ -35,6 +35,8 @@
     customerOverShare = 3012,
     notReady = 3013,
     bookingNotRun = 3014,
+    configBehind = 3015,
+    usageCapReached = 3016,
     outcomeUnknown = 4001,
     issuerGone = 4002,
     bookingInProgress = 4003,
--- a/include/ibisnotch/retry.h
+++ b/include/ibisnotch/retry.h
@@ -40,8 +40,9 @@
 public:
     explicit RetryBudget(double burst = 5) : m_burst(burst) { }
 
-    // What may be saved up, for a bound that all instances keep together. After this, a service
-    // begins with nothing saved: instances that restart together would else spend it anew.
+    // What may be saved up, for a bound that all instances keep together, whoever the customer.
+    // After this, a service begins with nothing saved: instances that restart together would else
+    // spend it anew.
     void setBurst(double burst);
 
     void onRequest(const std::string &customer, const std::string &service, double retryShare);
@@ -53,7 +54,7 @@
     double &tokens(const std::string &customer, const std::string &service);
 
     double m_burst;
-    bool m_beginsEmpty = false;
+    bool m_shared = false; // the burst is a part of a bound for all customers
     std::mutex m_mutex;
     std::map<std::pair<std::string, std::string>, double> m_tokens;
 };
--- a/include/ibisnotch/stream-pace.h
+++ b/include/ibisnotch/stream-pace.h
@@ -26,7 +26,9 @@
 {
 public:
     // A stream of the service ended whole after this many events.
-    void onEnded(const Service &service, const std::string &pool, int events, TimePoint now);
+    // `priority` is the request's.
+    void onEnded(const Service &service, int priority, const std::string &pool, int events,
+                 TimePoint now);
 
     // The seconds between two events at which long answers of the pool's services still end before
     // their deadline, and without a pause that makes them late. 0 while nothing is known.
@@ -47,7 +49,7 @@
     };
 
     mutable std::mutex m_mutex;
-    std::map<std::string, Habit> m_habits; // by service
+    std::map<std::pair<std::string, int>, Habit> m_habits; // by service and priority
 };
 
 } // namespace ibisnotch
--- a/src/decide/admission.cc
+++ b/src/decide/admission.cc
@@ -18,7 +18,7 @@
 {
     constexpr double perPriority = 0.05;
     constexpr double worthlessPart = 0.3;
-    const double byPriority = 1 - perPriority * question.service->priority;
+    const double byPriority = 1 - perPriority * question.priority;
     double byWorth = 1;
     if (question.highestWorth > 0) {
         const double share = std::min(1.0, question.service->worth / question.highestWorth);
--- a/src/decide/config.cc
+++ b/src/decide/config.cc
@@ -7,6 +7,7 @@
 #include <absl/strings/str_join.h>
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
+#include <openssl/crypto.h>
 #include <openssl/sha.h>
 
 #include "ibisnotch/server-table.h"
@@ -82,18 +83,68 @@
     reader.finish();
 }
 
-void readCustomers(SettingReader &root, FleetConfig &config)
+bool isKeyHash(const std::string &text)
 {
     constexpr std::size_t hexDigits = 64;
+    return text.size() == hexDigits
+        && text.find_first_not_of("0123456789abcdef") == std::string::npos;
+}
+
+// Of one token or of several, so that a customer can change to a new one while the old one holds.
+void readKeys(SettingReader &reader, Customer &customer, std::map<std::string, std::string> &owners)
+{
+    const std::string single = reader.text("tokenSha256", "");
+    std::vector<std::string> several = reader.texts("tokensSha256");
+    if (single.empty() == several.empty())
+        reader.fail("tokenSha256", "expected it, or tokensSha256 with at least one hash");
+    if (!single.empty())
+        several.push_back(single);
+    for (const std::string &hash : several) {
+        const std::string field = single.empty() ? "tokensSha256" : "tokenSha256";
+        if (!isKeyHash(hash))
+            reader.fail(field, "expected 64 lower-case hex digits, the SHA-256 of the token");
+        const auto [owner, fresh] = owners.emplace(hash, customer.name);
+        if (!fresh)
+            reader.fail(field,
+                        fmt::format("this token is already one of customer {}; a request "
+                                    "with it would be either's",
+                                    owner->second));
+    }
+    customer.keyHashes = std::move(several);
+}
+
+void readUsageCap(SettingReader &reader, Customer &customer)
+{
+    constexpr double most = 1e12;
+    if (!reader.has("usageCap"))
+        return;
+    SettingReader child = reader.child("usageCap");
+    UsageCap cap;
+    cap.tokens = child.choice("unit", "requests", {"requests", "tokens"}) == "tokens";
+    cap.perSecond = child.number("perSecond", 0, 0, most);
+    cap.burst = child.number("burst", cap.perSecond, 0, most);
+    cap.plainTokens = child.number("plainTokens", 0, 0, most);
+    if (cap.perSecond <= 0)
+        child.fail("perSecond", "above 0 expected; leave usageCap out for no limit");
+    if (!cap.tokens && cap.plainTokens > 0)
+        child.fail("plainTokens", "only with unit: tokens");
+    child.finish();
+    customer.cap = cap;
+}
+
+void readCustomers(SettingReader &root, FleetConfig &config)
+{
+    std::map<std::string, std::string> owners; // of key hashes
     for (auto &[name, reader] : root.children("customers")) {
         Customer customer;
         customer.name = name;
-        customer.tokenSha256 = reader.requiredText("tokenSha256");
-        if (!customer.tokenSha256.empty() && customer.tokenSha256.size() != hexDigits)
-            reader.fail("tokenSha256", "expected 64 hex digits, the SHA-256 of the token");
+        readKeys(reader, customer, owners);
         customer.regions = readRegionList(reader, config);
         customer.services = reader.texts("services");
         customer.share = reader.number("share", 1, 0.01, 1000);
+        if (reader.has("priority"))
+            customer.priority = reader.integer("priority", 0, 0, 9);
+        readUsageCap(reader, customer);
         reader.finish();
         config.customers.emplace(name, std::move(customer));
     }
@@ -406,6 +457,29 @@
     return sites;
 }
 
+const Customer *findByKey(const FleetConfig &config, std::string_view key)
+{
+    const std::string hash = sha256Hex(key);
+    const Customer *owner = nullptr;
+    // All are compared, each in the same time, so that the time tells nothing of a key.
+    for (const auto &[name, customer] : config.customers) {
+        for (const std::string &known : customer.keyHashes) {
+            const bool same = known.size() == hash.size()
+                && CRYPTO_memcmp(known.data(), hash.data(), hash.size()) == 0;
+            owner = same ? &customer : owner;
+        }
+    }
+    return owner;
+}
+
+int priorityOf(const Customer &customer, const Service &service)
+{
+    constexpr int perCustomer = 3; // services whose priority is below that are alike
+    if (!customer.priority)
+        return service.priority;
+    return *customer.priority * perCustomer + std::min(service.priority, perCustomer - 1);
+}
+
 std::vector<std::string> allowedRegions(const FleetConfig &config, const Customer &customer,
                                         const Service &service)
 {
--- a/src/decide/retry.cc
+++ b/src/decide/retry.cc
@@ -41,15 +41,16 @@
 
 double &RetryBudget::tokens(const std::string &customer, const std::string &service)
 {
-    const double first = m_beginsEmpty ? 0 : m_burst;
-    return m_tokens.try_emplace({customer, service}, first).first->second;
+    // The bound that all instances keep together is one for all customers.
+    const double first = m_shared ? 0 : m_burst;
+    return m_tokens.try_emplace({m_shared ? "" : customer, service}, first).first->second;
 }
 
 void RetryBudget::setBurst(double burst)
 {
     const std::lock_guard lock(m_mutex);
     m_burst = burst;
-    m_beginsEmpty = true;
+    m_shared = true;
     for (auto &[key, left] : m_tokens)
         left = std::min(left, burst);
 }
--- a/src/decide/stream-pace.cc
+++ b/src/decide/stream-pace.cc
@@ -48,15 +48,15 @@
     return fresh ? counters.eventSeconds.load() : 0;
 }
 
-void StreamHabits::onEnded(const Service &service, const std::string &pool, int events,
-                           TimePoint now)
+void StreamHabits::onEnded(const Service &service, int priority, const std::string &pool,
+                           int events, TimePoint now)
 {
     const std::lock_guard lock(m_mutex);
     std::erase_if(m_habits,
                   [now](const auto &entry) { return entry.second.at + habitLife <= now; });
-    Habit &habit = m_habits[service.name];
+    Habit &habit = m_habits[{service.name, priority}];
     habit.pool = pool;
-    habit.priority = service.priority;
+    habit.priority = priority;
     habit.seen = std::min(habit.seen + 1, mostWeight);
     habit.events += (events - habit.events) / habit.seen;
     habit.bearable = bearableFor(service, habit.events);
--- a/src/entry/chat-pages.cc
+++ b/src/entry/chat-pages.cc
@@ -26,11 +26,7 @@
     absl::string_view token = field;
     if (!absl::ConsumePrefix(&token, "Bearer "))
         return nullptr;
-    const std::string hash = sha256Hex(std::string_view(token.data(), token.size()));
-    const auto found
-        = std::find_if(config.customers.begin(), config.customers.end(),
-                       [&hash](const auto &entry) { return entry.second.tokenSha256 == hash; });
-    return found == config.customers.end() ? nullptr : &found->second;
+    return findByKey(config, std::string_view(token.data(), token.size()));
 }
 
 } // namespace
--- a/src/entry/chat-protocol.cc
+++ b/src/entry/chat-protocol.cc
@@ -127,8 +127,7 @@
                            Duration remaining) const override
     {
         OutgoingRequest result = request(exchange, target, exchange.request.path);
-        result.headers.add("Authorization",
-                           exchange.request.headers.get("Authorization").value_or(""));
+        result.headers.add(std::string(customerHeader), exchange.customer->name);
         if (const auto service = exchange.request.headers.get("X-Service"))
             result.headers.add("X-Service", *service);
         const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(remaining);
--- a/src/entry/control-loads.cc
+++ b/src/entry/control-loads.cc
@@ -88,6 +88,34 @@
         m_link.sendGossip(own->second.gossipAddress, message);
 }
 
+// Each instance hands what its customers use to the region's reporter, which tells the sums to its
+// counterparts and the sums of all regions to its own.
+void Control::shareUses()
+{
+    if (!m_state.usage.inUse())
+        return;
+    const TimePoint now = m_state.clock.now();
+    const auto reporters = reportersByRegion(m_membership.usable());
+    GossipMessage message = emptyNews();
+    if (!amongFirst(reporterTask, 1)) {
+        const auto own = reporters.find(m_state.settings.region);
+        if (own == reporters.end())
+            return;
+        message.tellsUses = true;
+        message.uses = m_state.usage.ownUse(now);
+        return m_link.sendGossip(own->second.gossipAddress, message);
+    }
+    const RegionUse sum = m_state.usage.sumUp(now);
+    m_state.usage.onRegionUse(sum, now);
+    message.regionUses = {sum};
+    for (const auto &[region, reporter] : reporters) {
+        if (region != m_state.settings.region)
+            m_link.sendGossip(reporter.gossipAddress, message);
+    }
+    message.regionUses = m_state.usage.regionUses(now);
+    sendToRegion(message);
+}
+
 // The first instance of each region, by rendezvous, tells its counterparts how busy its region is,
 // and tells its own region what it heard. Probes alone bring that news every four seconds, while a
 // peak fills a region in one.
--- a/src/entry/control.cc
+++ b/src/entry/control.cc
@@ -18,6 +18,7 @@
 // At 48 changed servers a report an instance takes in 3.6 KB a second; a peak fills a region in
 // one.
 constexpr Duration loadPeriod = std::chrono::milliseconds(250);
+constexpr Duration usePeriod = std::chrono::milliseconds(250);
 constexpr Duration pollPeriod = std::chrono::milliseconds(500);
 constexpr Duration publishAtMost = std::chrono::milliseconds(5);
 constexpr Duration publishAtLeast = std::chrono::milliseconds(500);
@@ -137,6 +138,12 @@
     m_source->tick();
     watchSilence();
     watchCold();
+    // What a customer near its cap takes must be known sooner than its burst is used up.
+    m_state.usage.tick(now);
+    if (now >= m_nextUses || m_state.usage.pressed(now)) {
+        m_nextUses = now + usePeriod;
+        shareUses();
+    }
     if (now >= m_nextLoads) {
         m_nextLoads = now + loadPeriod;
         shareLoads();
@@ -211,6 +218,7 @@
     std::vector<Member> members = m_membership.members();
     members.push_back(m_membership.self());
     shareRetries(members.size());
+    noteUsagePlace();
     const auto old = m_state.members.read();
     if (old && *old == members)
         return;
@@ -241,6 +249,17 @@
                              / static_cast<double>(std::max<std::size_t>(members, 1)));
 }
 
+void Control::noteUsagePlace()
+{
+    const TimePoint now = m_state.clock.now();
+    UsagePlace place{m_state.settings.region, {}, m_membership.senders(now).size()};
+    const auto config = m_state.gate.config();
+    const auto &regions = config ? config->regions : m_state.settings.regions;
+    for (const Region &region : regions)
+        place.regions.push_back(region.name);
+    m_state.usage.setPlace(std::move(place), now);
+}
+
 void Control::publishRouting()
 {
     const TimePoint now = m_state.clock.now();
@@ -320,11 +339,15 @@
             m_source->onNews(news, from);
         for (const ColdNews &news : message.colds)
             m_cold.onNews(news);
+        if (message.tellsUses)
+            m_state.usage.onInstanceUse(message.probe.sender.name, message.uses, now);
         if (!message.silences.empty() || !message.colds.empty())
             publishRouting();
     }
     for (const RegionLoad &load : message.regionLoads)
         m_state.regions.onLoad(load, now);
+    for (const RegionUse &use : message.regionUses)
+        m_state.usage.onRegionUse(use, now);
     {
         const std::lock_guard lock(m_state.quarantineMutex);
         for (const CrashMark &mark : message.marks)
@@ -395,6 +418,7 @@
     logLine(LogPart::config, LogLevel::info, "Version in force.",
             {{"version", std::to_string(document.version)}, {"source", source}});
     m_state.servers.setConfig(m_state.gate.config());
+    m_state.usage.setCaps(m_state.gate.config()->customers);
     m_source->onConfig();
     publishRouting();
     announceConfig();
--- a/src/entry/control.h
+++ b/src/entry/control.h
@@ -74,6 +74,8 @@
     void reportRegions();
     std::vector<RegionLoad> ownRegionLoads(const RoutingTable &table) const;
     void shareLoads();
+    void shareUses();
+    void noteUsagePlace();
     void shareRetries(std::size_t members);
     void updateOwnLoad();
 
@@ -105,6 +107,7 @@
     TimePoint m_nextPoll{};
     TimePoint m_nextReport{};
     TimePoint m_nextLoads{};
+    TimePoint m_nextUses{};
     std::unique_ptr<StateSource> m_source;
     PeerLink m_link; // last: its thread uses the others
 };
--- a/src/entry/dispatch-end.cc
+++ b/src/entry/dispatch-end.cc
@@ -109,6 +109,10 @@
     if (m_admitted)
         m_state.admission.onOver(exchange.customer->name, exchange.service->name);
     m_admitted = false;
+    // What did not run is no use of the customer's.
+    const bool ran = m_attempts > 0 && resultInfo(code).run != RunState::notRun;
+    if (exchange.counted > 0 && !ran)
+        m_state.usage.giveBack(exchange.customer->name, exchange.counted, now);
     RequestRecord record;
     record.service = exchange.service->name;
     record.customer = exchange.customer->name;
--- a/src/entry/dispatch-plan.cc
+++ b/src/entry/dispatch-plan.cc
@@ -199,6 +199,7 @@
     AdmissionQuestion question;
     question.customer = m_exchange->customer;
     question.service = m_exchange->service;
+    question.priority = m_exchange->priority;
     question.slots = load.slots;
     question.outstanding = load.outstanding;
     question.queueFactor = config.limits.queueFactor;
@@ -213,7 +214,7 @@
         const std::string &pool = loadName(*m_exchange);
         question.eventSeconds = load.eventSeconds;
         question.bearableSeconds = m_state.habits.bearableSeconds(pool, now);
-        question.lessUrgent = m_state.habits.lessUrgent(pool, question.service->priority, now);
+        question.lessUrgent = m_state.habits.lessUrgent(pool, question.priority, now);
     }
     question.draw = m_draw;
     return question;
--- a/src/entry/dispatch.cc
+++ b/src/entry/dispatch.cc
@@ -315,7 +315,7 @@
     }
     const bool wholeStream = end == AttemptEnd::answered && attempt.reader().events() > 0;
     if (wholeStream && !target.away && m_attempts == 1)
-        m_state.habits.onEnded(*m_exchange->service, loadName(*m_exchange),
+        m_state.habits.onEnded(*m_exchange->service, m_exchange->priority, loadName(*m_exchange),
                                attempt.reader().events(), m_state.clock.now());
     if (end == AttemptEnd::answered)
         return deliver(attempt);
--- a/src/entry/exchange.h
+++ b/src/entry/exchange.h
@@ -56,11 +56,15 @@
     std::shared_ptr<const RoutingTable> table;
     const Customer *customer = nullptr; // of the table's configuration
     const Service *service = nullptr;
+    std::string key; // as the caller showed it
+    std::optional<std::string> customerName; // as a peer told it
     int runsBefore = 0; // attempts that may have run before a peer handed the request on
     std::string host; // for services chosen by host and path
     std::optional<Duration> callerWait; // as the caller gave it
     Prompt prompt;
+    int priority = 0; // 0 is most urgent
     std::optional<int> urgency; // for servers that order their queue; 0 is most urgent
+    double counted = 0; // against the customer's usage cap
     std::string pool; // of the service's pools, drawn once for all attempts
     bool streaming = false;
     std::string lastEvent; // of a resumed stream: the last one that its caller has
--- a/src/entry/filters.cc
+++ b/src/entry/filters.cc
@@ -5,9 +5,11 @@
 #include <absl/strings/match.h>
 #include <absl/strings/numbers.h>
 #include <absl/strings/strip.h>
+#include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
 #include "ibisnotch/hash.h"
+#include "ibisnotch/log.h"
 
 namespace ibisnotch {
 
@@ -46,22 +48,31 @@
 class CustomerFilter final : public Filter
 {
 public:
+    explicit CustomerFilter(EntryState &state) : m_state(state) { }
+
     std::optional<Refusal> apply(Exchange &exchange) override
     {
-        const std::string field = exchange.request.headers.get("Authorization").value_or("");
-        absl::string_view token = field;
-        if (!absl::ConsumePrefix(&token, "Bearer ") || token.empty())
+        const std::string token = bearerToken(exchange.request.headers);
+        if (token.empty() && !exchange.fromPeer)
             return Refusal{ResultCode::unknownCustomer, "no bearer token", {}};
-        const std::string hash = sha256Hex(std::string_view(token.data(), token.size()));
-        for (const auto &[name, customer] : exchange.config().customers) {
-            if (customer.tokenSha256 == hash) {
-                exchange.customer = &customer;
-                exchange.trace.customer = name;
-                return std::nullopt;
-            }
-        }
-        return Refusal{ResultCode::unknownCustomer, "unknown token", {}};
+        exchange.customer
+            = exchange.fromPeer ? toldByPeer(exchange) : findByKey(exchange.config(), token);
+        if (exchange.customer == nullptr)
+            return unknownCustomer(m_state, exchange);
+        exchange.trace.customer = exchange.customer->name;
+        return std::nullopt;
+    }
+
+private:
+    static const Customer *toldByPeer(const Exchange &exchange)
+    {
+        const auto &customers = exchange.config().customers;
+        const auto found
+            = customers.find(exchange.request.headers.get(customerHeader).value_or(""));
+        return found == customers.end() ? nullptr : &found->second;
     }
+
+    EntryState &m_state;
 };
 
 class ServiceFilter final : public Filter
@@ -77,6 +88,7 @@
         if (refusal)
             return refusal;
         exchange.trace.service = exchange.service->name;
+        exchange.priority = priorityOf(*exchange.customer, *exchange.service);
         const HttpRequest &request = exchange.request;
         const std::string &customer = exchange.customer->name;
         exchange.fingerprint
@@ -230,6 +242,45 @@
     EntryState &m_state;
 };
 
+class UsageFilter final : public Filter
+{
+public:
+    explicit UsageFilter(EntryState &state) : m_state(state) { }
+
+    std::optional<Refusal> apply(Exchange &exchange) override
+    {
+        const Customer &customer = *exchange.customer;
+        if (exchange.fromPeer || !customer.cap)
+            return std::nullopt;
+        const double amount = amountOf(exchange.prompt, *customer.cap);
+        const UsageAnswer answer
+            = m_state.usage.ask(customer, amount, m_state.random.uniform(), m_state.clock.now());
+        if (!answer.fits)
+            return Refusal{ResultCode::usageCapReached, reasonText(answer, customer),
+                           spreadRetryAfter(seconds(answer.retryAfter), m_state.random)};
+        exchange.counted = amount;
+        return std::nullopt;
+    }
+
+private:
+    static double amountOf(const Prompt &prompt, const UsageCap &cap)
+    {
+        if (!cap.tokens)
+            return 1;
+        const std::int64_t named = prompt.tokens + prompt.answerTokens;
+        return named > 0 ? static_cast<double>(named) : cap.plainTokens;
+    }
+
+    static std::string reasonText(const UsageAnswer &answer, const Customer &customer)
+    {
+        return fmt::format("asked:{:.0f},limit:{:.0f},cap:{:.0f},level:{:.0f},age:{}", answer.asked,
+                           answer.limit, customer.cap->perSecond, answer.level,
+                           answer.newsAge ? millisecondsText(*answer.newsAge) : "alone");
+    }
+
+    EntryState &m_state;
+};
+
 class BookingKeyFilter final : public Filter
 {
 public:
@@ -271,6 +322,25 @@
 
 } // namespace
 
+std::string bearerToken(const Headers &headers)
+{
+    const std::string field = headers.get("Authorization").value_or("");
+    absl::string_view token = field;
+    if (!absl::ConsumePrefix(&token, "Bearer "))
+        return {};
+    return std::string(token);
+}
+
+// A key, or a customer that a peer names, may be newer than what this instance has read; refused
+// for good, its caller would not come back with it.
+Refusal unknownCustomer(EntryState &state, const Exchange &exchange)
+{
+    const bool mayBeOld = state.clock.now() > state.configSureUntil.load();
+    if (exchange.fromPeer || mayBeOld)
+        return {ResultCode::configBehind, "", spreadRetryAfter(1, state.random)};
+    return {ResultCode::unknownCustomer, "unknown key", {}};
+}
+
 std::unique_ptr<Filter> makePathFilter(EntryState &state)
 {
     return std::make_unique<PathFilter>(state);
@@ -286,16 +356,22 @@
     return std::make_unique<QuarantineFilter>(state);
 }
 
+std::unique_ptr<Filter> makeUsageFilter(EntryState &state)
+{
+    return std::make_unique<UsageFilter>(state);
+}
+
 std::vector<std::unique_ptr<Filter>> makeFilters(EntryState &state)
 {
     std::vector<std::unique_ptr<Filter>> filters;
     filters.push_back(std::make_unique<PathFilter>(state));
-    filters.push_back(std::make_unique<CustomerFilter>());
+    filters.push_back(std::make_unique<CustomerFilter>(state));
     filters.push_back(std::make_unique<ServiceFilter>());
     filters.push_back(std::make_unique<DeadlineFilter>(state));
     filters.push_back(std::make_unique<ResidencyFilter>(state));
     filters.push_back(std::make_unique<QuarantineFilter>(state));
     filters.push_back(std::make_unique<BookingKeyFilter>(state));
+    filters.push_back(std::make_unique<UsageFilter>(state));
     return filters;
 }
 
--- a/src/entry/filters.h
+++ b/src/entry/filters.h
@@ -20,8 +20,16 @@
 };
 
 constexpr std::string_view chatPath = "/v1/chat/completions";
+// Between instances, in place of the customer's key.
+constexpr std::string_view customerHeader = "X-Customer";
 constexpr std::string_view servicesPath = "/v1/services/";
 
+// What follows "Bearer " in the Authorization field; empty if there is none.
+std::string bearerToken(const Headers &headers);
+
+// What a request is told whose customer is not in the configuration that is in force here.
+Refusal unknownCustomer(EntryState &state, const Exchange &exchange);
+
 // Checks that hold for every interface, made for other chains than the one below.
 std::unique_ptr<Filter> makePathFilter(EntryState &state);
 // Service by host and path, with pool, customer, fingerprint and what the prompt shares.
@@ -30,6 +38,8 @@
 std::unique_ptr<Filter> makeWaitFilter();
 std::unique_ptr<Filter> makeResidencyFilter(EntryState &state);
 std::unique_ptr<Filter> makeQuarantineFilter(EntryState &state);
+// The customer's usage cap, at the first instance only. Last, as it counts what passes.
+std::unique_ptr<Filter> makeUsageFilter(EntryState &state);
 
 // Path, customer, service and body, deadline, residency, quarantine, booking key.
 std::vector<std::unique_ptr<Filter>> makeFilters(EntryState &state);
--- a/src/entry/gateway.cc
+++ b/src/entry/gateway.cc
@@ -66,14 +66,29 @@
     if (elsewhere)
         response.headers.add("X-Entry-Instances", otherInstances());
     exchange.responder->reply(std::move(response));
+    if (exchange.customer != nullptr && exchange.service != nullptr)
+        countRefused(exchange, refusal.code);
+    const auto version = exchange.table && exchange.table->config ? exchange.config().version : 0;
     logLine(LogPart::request, LogLevel::info, "Request refused.",
             {{"request", exchange.id},
              {"customer", exchange.trace.customer},
              {"service", exchange.trace.service},
-             {"code", std::to_string(static_cast<int>(refusal.code))}});
+             {"code", std::to_string(static_cast<int>(refusal.code))},
+             {"configVersion", std::to_string(version)},
+             {"by", refusal.detail}});
     --m_state.inFlight;
 }
 
+void Gateway::countRefused(const Exchange &exchange, ResultCode code)
+{
+    RequestRecord record;
+    record.service = exchange.service->name;
+    record.customer = exchange.customer->name;
+    record.code = code;
+    record.forwarded = exchange.fromPeer;
+    m_state.metrics.onRequest(record);
+}
+
 void Gateway::serve(HttpRequest request, std::shared_ptr<Responder> responder)
 {
     ++m_state.inFlight;
--- a/src/entry/gateway.h
+++ b/src/entry/gateway.h
@@ -34,6 +34,7 @@
     void serve(HttpRequest request, std::shared_ptr<Responder> responder);
     std::string requestId(const HttpRequest &request);
     std::string otherInstances();
+    void countRefused(const Exchange &exchange, ResultCode code);
     void refuse(Exchange &exchange, const Refusal &refusal);
 
     EntryState &m_state;
--- a/src/entry/range-source.cc
+++ b/src/entry/range-source.cc
@@ -44,6 +44,7 @@
         advance(*range);
     m_changed |= m_servers.expire(m_state.clock.now());
     noteListState();
+    noteConfigState();
     publish();
 }
 
@@ -63,6 +64,16 @@
     }
 }
 
+void RangeSource::noteConfigState()
+{
+    for (const auto &range : m_ranges) {
+        if (range->prefix != m_format->configPrefix())
+            continue;
+        const PrefixFollower &follower = range->follower;
+        m_state.configSureUntil = follower.heardAt() + follower.life(m_state.clock.now());
+    }
+}
+
 // Each watch is a call that the platform counts, and with one of each instance their number grows
 // with the fleet: 80 instances made 6,600 calls in 58 s. So in larger regions two instances watch
 // and tell the others, who ask the store themselves once they hear nothing.
@@ -195,7 +206,7 @@
     if (!call)
         return;
     const auto done = [this, &range](const StorePage &page) {
-        m_control.post([this, &range, page] { onPage(range, page); });
+        m_control.post([this, &range, page]() mutable { onPage(range, std::move(page)); });
     };
     if (const auto *list = std::get_if<ListCall>(&*call))
         return m_store->list(range.prefix, list->after, done);
@@ -203,8 +214,10 @@
     m_store->watchRange(range.prefix, watch.afterRevision, watch.longest, done);
 }
 
-void RangeSource::onPage(Range &range, const StorePage &page)
+void RangeSource::onPage(Range &range, StorePage page)
 {
+    for (StoreItem &item : page.items)
+        m_format->removeSecrets(item);
     const std::uint64_t base = range.follower.base();
     const bool watched = range.follower.watchUnderWay();
     for (const StoreItem &item : range.follower.onAnswer(page, m_state.clock.now()))
--- a/src/entry/range-source.h
+++ b/src/entry/range-source.h
@@ -45,6 +45,8 @@
 {
 public:
     virtual ~RecordFormat() = default;
+    // Puts what may be kept and told to other instances in place of what only the store may know.
+    virtual void removeSecrets(StoreItem &) const { }
     // The ranges to follow.
     virtual std::vector<std::string> prefixes() const = 0;
     virtual Record read(const StoreItem &item) const = 0;
@@ -52,6 +54,8 @@
     virtual std::string subject(const std::string &key) const = 0;
     // The range that holds the backend servers.
     virtual std::string serverPrefix() const = 0;
+    // The range that holds the configuration.
+    virtual std::string configPrefix() const = 0;
 };
 
 class RangeSource final : public StateSource
@@ -81,7 +85,7 @@
     Range *findRange(std::uint32_t id);
 
     void advance(Range &range);
-    void onPage(Range &range, const StorePage &page);
+    void onPage(Range &range, StorePage page);
     void onMark(Range &range, const RangeMark &mark, const std::string &from);
     void askPeer(Range &range, const std::string &from);
     // True if it changed anything.
@@ -89,6 +93,7 @@
     void takeReply(Range &range, const RangeReply &reply);
     void noteReach(Range &range);
     void noteListState();
+    void noteConfigState();
     void apply(const StoreItem &item, std::string_view source);
     void applyServer(const StoreItem &item, ListedServer server, std::string_view source);
     void remove(const StoreItem &item, std::string_view source);
--- a/src/entry/rule-filters.cc
+++ b/src/entry/rule-filters.cc
@@ -24,17 +24,18 @@
         exchange.service = findByPath(config, exchange.host, request.path);
         if (exchange.service == nullptr)
             return Refusal{ResultCode::unknownService, "", {}};
-        if (config.customers.empty())
-            return Refusal{ResultCode::unknownCustomer, "", {}};
-        exchange.customer = &config.customers.begin()->second;
         exchange.trace.service = exchange.service->name;
+        exchange.customer = customerOf(exchange);
+        if (exchange.customer == nullptr)
+            return unknownCustomer(m_state, exchange);
+        exchange.priority = priorityOf(*exchange.customer, *exchange.service);
         exchange.trace.customer = exchange.customer->name;
         if (request.body.size() > static_cast<std::size_t>(config.limits.maxBodyBytes))
             return Refusal{ResultCode::bodyTooLarge, "", {}};
         exchange.pool = drawPool(*exchange.service, m_state.random.uniform());
         exchange.streaming = exchange.service->streams;
         if (exchange.prompt.tokens > 0)
-            exchange.urgency = urgencyOf(*exchange.service);
+            exchange.urgency = urgencyOf(exchange);
         exchange.prefix = sharedPrefix(exchange.prompt);
         exchange.fingerprint
             = hash128Hex(exchange.host + request.path, request.query, request.body.text());
@@ -42,15 +43,36 @@
     }
 
 private:
+    // Null if the key is unknown, or there is none and the service is not open to all.
+    static const Customer *customerOf(const Exchange &exchange)
+    {
+        const FleetConfig &config = exchange.config();
+        const auto named = [&config](const std::string &name) {
+            const auto found = config.customers.find(name);
+            return found == config.customers.end() ? nullptr : &found->second;
+        };
+        if (exchange.customerName)
+            return named(*exchange.customerName);
+        const Customer *owner = exchange.key.empty() || exchange.fromPeer || !config.keyed
+            ? nullptr
+            : findByKey(config, exchange.key);
+        if (owner == nullptr && (exchange.service->open || !config.keyed))
+            return named(std::string(anyCustomer));
+        return owner;
+    }
+
     // Engines admit the most urgent prompts first, so that the short ones of an urgent service do
     // not wait behind the long ones of another: credit of the worst seconds of a peak 0.48 to 0.53.
     // Engines know 10 steps and take 5 if none is given.
-    static int urgencyOf(const Service &service)
+    static int urgencyOf(const Exchange &exchange)
     {
         constexpr int mostUrgent = 3;
         constexpr int perPriority = 2;
         constexpr int leastUrgent = 9;
-        return std::min(leastUrgent, mostUrgent + perPriority * service.priority);
+        const bool byCustomer = exchange.customer->priority.has_value();
+        const int urgency
+            = byCustomer ? exchange.priority : mostUrgent + perPriority * exchange.priority;
+        return std::min(leastUrgent, urgency);
     }
 
     // Of all parts but the last, which is the request's own; 0 if it shares too little.
--- a/src/entry/state.h
+++ b/src/entry/state.h
@@ -24,6 +24,7 @@
 #include "ibisnotch/retry.h"
 #include "ibisnotch/server-table.h"
 #include "ibisnotch/stream-pace.h"
+#include "ibisnotch/usage-cap.h"
 #include "trace.h"
 
 namespace ibisnotch {
@@ -53,6 +54,7 @@
     StreamHabits habits;
     PromptLengths prompts;
     RetryBudget retries;
+    UsageCaps usage;
     AffinityPicker picker;
 
     std::mutex quarantineMutex;
@@ -64,6 +66,9 @@
     BurnCounter burn;
     TraceBook traces;
 
+    // After this nobody has said for long that the configuration in force is the newest. The end of
+    // time where no store tells.
+    std::atomic<TimePoint> configSureUntil = TimePoint::max();
     std::atomic<bool> stopping = false;
     std::atomic<TimePoint> servesUntil{}; // while stopping
     std::atomic<int> inFlight = 0;
--- a/src/experiment/experiment.cc
+++ b/src/experiment/experiment.cc
@@ -266,6 +266,7 @@
         AdmissionQuestion question;
         question.customer = &m_customer;
         question.service = call.service;
+        question.priority = call.service->priority;
         question.highestWorth = m_setup.policy.byWorth ? m_valuable.worth : 0;
         question.slots = load.slots;
         question.outstanding = load.outstanding;
@@ -404,7 +405,7 @@
     Random m_random;
     Service m_plain;
     Service m_valuable;
-    Customer m_customer{"c", "", {}, {}, 1};
+    Customer m_customer{"c", {}, {}, {}, 1, {}, {}};
     std::vector<Engine> m_engines[regionCount];
     std::vector<std::unique_ptr<Entry>> m_entries[regionCount];
     std::priority_queue<Event> m_events;
--- a/src/net/peer-link.cc
+++ b/src/net/peer-link.cc
@@ -34,6 +34,7 @@
 
 constexpr std::uint16_t protocolWithNews = 2;
 constexpr std::uint16_t protocolWithMarks = 3;
+constexpr std::uint16_t protocolWithUses = 4;
 
 template <typename Archive> void serializeFields(Archive &archive, GossipMessage &message)
 {
@@ -43,6 +44,8 @@
         archive(message.silences, message.ranges);
     if (message.protocol >= protocolWithMarks)
         archive(message.rangeMarks, message.colds);
+    if (message.protocol >= protocolWithUses)
+        archive(message.tellsUses, message.uses, message.regionUses);
 }
 
 template <typename Archive> void serializeFields(Archive &archive, PeerRequest &request)
--- a/test/admission-test.cc
+++ b/test/admission-test.cc
@@ -12,7 +12,7 @@
 
 struct AdmissionFixture
 {
-    Customer customer{"c", "", {}, {}, 1};
+    Customer customer{"c", {}, {}, {}, 1, {}, {}};
     Service service;
     Admission admission;
     Random random{1};
@@ -130,7 +130,7 @@
 // service, another sends a few. Why: over its share a customer is refused first.
 TEST_CASE_METHOD(AdmissionFixture, "admission_floodOfOneCustomer_leavesRoomForTheOthers")
 {
-    Customer quiet{"quiet", "", {}, {}, 1};
+    Customer quiet{"quiet", {}, {}, {}, 1, {}, {}};
     for (int i = 0; i < 10; ++i)
         admission.onTaken("c", "s", 1);
     admission.onTaken("quiet", "s", 1);
@@ -175,8 +175,8 @@
 TEST_CASE_METHOD(AdmissionFixture, "admission_fullQueue_refusesLessUrgentServicesFirst")
 {
     question.outstanding = 15;
-    service.priority = 0;
+    question.priority = 0;
     CHECK(ask() == ResultCode::served);
-    service.priority = 9;
+    question.priority = 9;
     CHECK(ask() == ResultCode::overloaded);
 }
--- a/test/config-fleet-test.cc
+++ b/test/config-fleet-test.cc
@@ -173,6 +173,7 @@
     OutgoingRequest request = fleet.chatRequest("b1", false, 4, "hello", "homed-token");
     request.url = "http://" + fleet.peers("b1") + "/v1/chat/completions";
     request.headers.add("X-Ibisnotch-Path", "a1@a");
+    request.headers.add("X-Customer", "homed");
     CHECK(fleet.send(request).code == code(ResultCode::residencyForbids));
 }
 
--- a/test/stream-pace-test.cc
+++ b/test/stream-pace-test.cc
@@ -35,7 +35,7 @@
     void ended(const Service &service, int events, int times = 50)
     {
         for (int i = 0; i < times; ++i)
-            habits.onEnded(service, "pool", events, now);
+            habits.onEnded(service, service.priority, "pool", events, now);
     }
 };
 
@@ -45,7 +45,7 @@
 struct ReadingFixture : PaceFixture
 {
     Admission admission;
-    Customer customer{"c", "", {}, {}, 1};
+    Customer customer{"c", {}, {}, {}, 1, {}, {}};
     Random random{1};
 
     struct Stream
@@ -70,6 +70,7 @@
         question.remaining = 10s;
         question.eventSeconds = seconds;
         question.bearableSeconds = bearable;
+        question.priority = service.priority;
         question.lessUrgent = habits.lessUrgent("pool", service.priority, now);
         question.draw = random.uniform();
         return admission.ask(question, random).code == ResultCode::served;
