Let caps' room be found again after a loss of all, and streams that go on come through

Cause, from the lines of all instances: the caps began overdrawn, and of each region not yet heard a whole part was left to it. Now they begin with a part of the tolerated slack, half a part is left to regions never heard since the start, and sums that come late count ever less.

Now what a server answers to others of the region counts against its silence; a stream that goes on passes admission; turned away elsewhere it tries at home, and further servers that refuse it do not count as attempts; and an attempt for which nothing better can come waits for its deadline while the server answers others.

--- a/include/ibisnotch/process-settings.h
+++ b/include/ibisnotch/process-settings.h
@@ -47,6 +47,7 @@
     // any ten seconds.
     double retryShare = 0.1;
     double retrySlack = 45;
+    double usageSlack = 0; // tolerated beyond any customer's usage cap, in the cap's units
     WarmupBound warmup; // what a cold server bears beside its pool's rate
     // How long a stopping instance goes on taking requests. Callers that choose an instance by the
     // directory come until their copy of its answer is old; what is taken later than this might not
--- a/include/ibisnotch/server-table.h
+++ b/include/ibisnotch/server-table.h
@@ -78,6 +78,7 @@
     std::atomic<std::uint32_t> turn = 0; // rises each time the server is taken for sound again
     std::atomic<Duration::rep> givenBackAt = 0; // when it last rose
     std::atomic<Duration::rep> heardAt = 0;
+    std::atomic<Duration::rep> answeredAt = 0; // to any instance of the region, as far as is known
     std::atomic<Duration::rep> waitingSince = 0;
     std::atomic<bool> probing = false; // the one request that tries an ejected server again
 };
@@ -100,7 +101,8 @@
     // entry's last change.
     Duration warmup{};
     std::uint64_t revision = 0; // of the entry; rises with each change
-    TimePoint missingSince{}; // the entry vanished, but its server may be back; default: it is there
+    TimePoint
+        missingSince{}; // the entry vanished, but its server may be back; default: it is there
     bool operator==(const ListedServer &) const = default;
 };
 
--- a/include/ibisnotch/usage-cap.h
+++ b/include/ibisnotch/usage-cap.h
@@ -74,6 +74,7 @@
     struct Limits
     {
         Duration averaged = std::chrono::milliseconds(500); // time constant of rates
+        Duration newsLate = std::chrono::milliseconds(400); // from here on sums count ever less
         // Older sums no longer count. Four times the period in which they are told, so that three
         // in a row may be lost; until it is over, both sides of a cut use the whole.
         Duration newsLife = std::chrono::seconds(1);
@@ -83,6 +84,7 @@
         // An instance that has just started does not know yet how many others there are.
         Duration membersKnownAfter = std::chrono::seconds(2);
         std::size_t instancesUntilKnown = 64;
+        double slack = 0; // units over any cap that the platform tolerates, beside its burst
         double deepest = 2; // overdraft that is remembered, in seconds of the cap
     };
 
@@ -150,7 +152,8 @@
         UsageCap cap;
         Rate requests; // here, whatever they count
         Rate asked; // here
-        Rate taken; // here
+        Rate passed; // here, by the cap
+        Rate taken; // here; of what passed, what was not refused for other reasons
         std::map<std::string, Sum> regions; // by name
         double level = 0;
         TimePoint levelAt{};
@@ -175,15 +178,18 @@
 
     double rateOf(const Rate &rate, TimePoint now) const;
     Account *find(const std::string &customer);
-    bool counts(const Sum &sum, TimePoint now) const;
+    double trust(const Sum &sum, TimePoint now) const;
     double regionPart() const;
+    double savedBurst(const UsageCap &cap) const;
+    double ranPart(const Account &account, TimePoint now) const;
+    bool starting(TimePoint now) const;
     std::size_t instances(TimePoint now) const;
     double guessedWhole(const Account &account, TimePoint now) const;
     Whole whole(const Account &account, TimePoint now) const;
     void settle(Account &account, const Whole &whole, TimePoint now) const;
     UsageAnswer askAll(Account &account, const Whole &whole, double amount, double draw,
                        TimePoint now) const;
-    UsageAnswer askAlone(Account &account, double amount, TimePoint now) const;
+    UsageAnswer askAlone(Account &account, double amount, double draw, TimePoint now) const;
 
     Limits m_limits;
     std::mutex m_mutex;
--- a/src/decide/process-settings.cc
+++ b/src/decide/process-settings.cc
@@ -47,6 +47,7 @@
     if (interfaces == "own")
         return;
     constexpr double mostSlack = 1e6;
+    constexpr double mostUsage = 1e12;
     settings.interfaces = Interfaces::platform;
     settings.ready = readAddress(reader, "ready");
     settings.directory = readAddress(reader, "directory");
@@ -65,6 +66,9 @@
     settings.retryShare = retries.number("share", settings.retryShare, 0, 1);
     settings.retrySlack = retries.number("slack", settings.retrySlack, 0, mostSlack);
     retries.finish();
+    SettingReader usage = reader.child("usage");
+    settings.usageSlack = usage.number("slack", 0, 0, mostUsage);
+    usage.finish();
 }
 
 } // namespace
--- a/src/decide/server-table.cc
+++ b/src/decide/server-table.cc
@@ -244,6 +244,7 @@
     record.everReported = true;
     record.firstHand = false;
     if (report.reachable) {
+        record.counters->answeredAt = at.time_since_epoch().count();
         learnTraffic(report.running + report.waiting, record.counters->inFlight);
         record.counters->sentSinceReport = 0;
         record.counters->endedSinceReport = 0;
--- a/src/decide/silence.cc
+++ b/src/decide/silence.cc
@@ -77,7 +77,10 @@
     const bool firstTokensOnly = counters.streaming <= 0 && counters.awaitingFirst > 0;
     if (firstTokensOnly && heardSinceBack)
         return false;
-    const Duration since(std::max(counters.heardAt.load(), counters.waitingSince.load()));
+    // One or two streams pause together by chance, on a server whose others go on; an instance of a
+    // large region has no more there. What the server answered to others tells.
+    const Duration since(std::max(
+        {counters.heardAt.load(), counters.waitingSince.load(), counters.answeredAt.load()}));
     const Duration allowed
         = counters.streaming > 0 ? longestPauseOfStreams(counters) : longestWaitForAnswer;
     return now.time_since_epoch() - since >= allowed;
--- a/src/decide/usage-cap.cc
+++ b/src/decide/usage-cap.cc
@@ -13,10 +13,13 @@
 constexpr double nearCap = 0.8;
 // Of the burst. The rest of it, and what the platform tolerates over a cap, is given out before
 // news of a customer's first burst arrives, and by both sides of a cut until they notice it.
-constexpr double burstSaved = 0.3;
-// In seconds of the cap: what an instance that knows nothing takes for spent before it started.
-// Customers that use two thirds of their caps are not refused for it.
-constexpr double spentBefore = 0.3;
+constexpr double burstSaved = 0.2;
+// Of the slack; the rest is for requests that meet while nobody knows of the others'.
+constexpr double slackSaved = 0.15;
+// Of the part of a region that has not been heard since this instance started. After the loss of
+// all it takes a second or two until the regions know each other again, and what nobody gave out
+// while all were away makes up for it.
+constexpr double leftAtStart = 0.5;
 // Of the cap, in seconds of it, kept by an instance on its own for a caller's first requests.
 constexpr double ownBurst = 1;
 
@@ -74,11 +77,11 @@
         const std::uint32_t id = customerId(name);
         const auto old = m_accounts.find(id);
         Account account = old == m_accounts.end() ? Account{} : std::move(old->second);
-        if (old == m_accounts.end())
-            account.level = -spentBefore * customer.cap->perSecond;
         account.name = name;
         account.cap = *customer.cap;
-        account.level = std::min(account.level, account.cap.burst);
+        const bool fresh = old == m_accounts.end();
+        account.level = fresh ? slackSaved * m_limits.slack
+                              : std::min(account.level, savedBurst(account.cap));
         accounts.emplace(id, std::move(account));
     }
     m_accounts = std::move(accounts);
@@ -98,11 +101,6 @@
     return found == m_accounts.end() ? nullptr : &found->second;
 }
 
-bool UsageCaps::counts(const Sum &sum, TimePoint now) const
-{
-    return sum.at != TimePoint{} && now - sum.at <= m_limits.newsLife;
-}
-
 // The part of a cap that is a region's while it is not heard. The same for all: what each last knew
 // of the others' use differs between the sides of a cut, and parts that go by it add up to more
 // than the whole.
@@ -111,11 +109,24 @@
     return 1 / static_cast<double>(std::max<std::size_t>(m_place.regions.size(), 1));
 }
 
+bool UsageCaps::starting(TimePoint now) const
+{
+    return !m_startedAt || now - *m_startedAt < m_limits.membersKnownAfter;
+}
+
 std::size_t UsageCaps::instances(TimePoint now) const
 {
-    const bool known = m_startedAt && now - *m_startedAt >= m_limits.membersKnownAfter;
     const std::size_t count = std::max<std::size_t>(m_place.instances, 1);
-    return known ? count : std::max(count, m_limits.instancesUntilKnown);
+    return starting(now) ? std::max(count, m_limits.instancesUntilKnown) : count;
+}
+
+// How far a region's sums still count. While some customer is near its cap they come ten times a
+// second; trusted in full until they are too old, both sides of a cut would use the whole so long.
+double UsageCaps::trust(const Sum &sum, TimePoint now) const
+{
+    const Duration age = now - sum.at;
+    const Duration late = age - m_limits.newsLate;
+    return 1 - std::clamp(seconds(late) / seconds(m_limits.newsLife - m_limits.newsLate), 0.0, 1.0);
 }
 
 UsageCaps::Whole UsageCaps::whole(const Account &account, TimePoint now) const
@@ -124,19 +135,27 @@
     double unheard = 0;
     for (const std::string &region : m_place.regions) {
         const auto found = account.regions.find(region);
-        if (found != account.regions.end() && counts(found->second, now)) {
-            whole.asked += found->second.asked;
-            whole.taken += found->second.taken;
-            if (region == m_place.region)
-                whole.regionAt = found->second.at;
-        } else {
-            unheard += regionPart();
-        }
+        const bool never = found == account.regions.end();
+        const double heard = never ? 0 : trust(found->second, now);
+        unheard += (1 - heard) * regionPart() * (never && starting(now) ? leftAtStart : 1);
+        if (heard <= 0)
+            continue;
+        whole.asked += heard * found->second.asked;
+        whole.taken += heard * found->second.taken;
+        if (region == m_place.region)
+            whole.regionAt = found->second.at;
     }
     whole.left = account.cap.perSecond * (1 - unheard);
     return whole;
 }
 
+// What may be given out at once beside the cap. With a small cap the slack is the larger part, and
+// lets a request through that takes a third of a second's cap or more.
+double UsageCaps::savedBurst(const UsageCap &cap) const
+{
+    return burstSaved * cap.burst + slackSaved * m_limits.slack;
+}
+
 // What is not used of the cap is saved up to its burst; what was given beyond it, since news takes
 // its time, is taken back.
 void UsageCaps::settle(Account &account, const Whole &whole, TimePoint now) const
@@ -145,7 +164,7 @@
         const double time = seconds(std::max(now - account.levelAt, Duration(0)));
         const double deepest = -m_limits.deepest * account.cap.perSecond;
         // Of the burst, too, a part is left to those that are not heard.
-        const double burst = burstSaved * account.cap.burst * whole.left / account.cap.perSecond;
+        const double burst = savedBurst(account.cap) * whole.left / account.cap.perSecond;
         account.level
             = std::clamp(account.level + (whole.left - whole.taken) * time, deepest, burst);
     }
@@ -168,8 +187,9 @@
 }
 
 // Nobody else's use is known, so this instance keeps to its own part, and may overdraw it by one
-// request: a part may be less than any request takes.
-UsageAnswer UsageCaps::askAlone(Account &account, double amount, TimePoint now) const
+// request: a part may be less than any request takes. But not just after its start, where all may
+// have started and each would.
+UsageAnswer UsageCaps::askAlone(Account &account, double amount, double draw, TimePoint now) const
 {
     UsageAnswer answer;
     const double part = account.cap.perSecond * regionPart() / static_cast<double>(instances(now));
@@ -182,7 +202,7 @@
     answer.asked = rateOf(account.asked, now);
     answer.limit = part;
     answer.level = account.ownLevel;
-    answer.fits = account.ownLevel > 0;
+    answer.fits = starting(now) ? draw * amount < account.ownLevel : account.ownLevel > 0;
     if (answer.fits)
         account.ownLevel -= amount;
     else
@@ -201,10 +221,12 @@
     account->requests.add(1, m_limits.averaged, now);
     account->asked.add(amount, m_limits.averaged, now);
     const Whole all = whole(*account, now);
-    const UsageAnswer answer
-        = all.regionAt ? askAll(*account, all, amount, draw, now) : askAlone(*account, amount, now);
-    if (answer.fits)
+    const UsageAnswer answer = all.regionAt ? askAll(*account, all, amount, draw, now)
+                                            : askAlone(*account, amount, draw, now);
+    if (answer.fits) {
         account->taken.add(amount, m_limits.averaged, now);
+        account->passed.add(amount, m_limits.averaged, now);
+    }
     return answer;
 }
 
@@ -230,8 +252,8 @@
     const std::lock_guard lock(m_mutex);
     std::vector<CustomerUse> uses;
     for (const auto &[id, account] : m_accounts) {
-        const double asked = rateOf(account.asked, now);
         const double taken = rateOf(account.taken, now);
+        const double asked = rateOf(account.asked, now) * ranPart(account, now);
         uses.push_back({id, static_cast<float>(asked), static_cast<float>(taken)});
     }
     // What is next to nothing is left out: the message is as short as few customers are busy.
@@ -306,7 +328,7 @@
         bool known = false;
         for (const auto &[id, account] : m_accounts) {
             const auto found = account.regions.find(region);
-            if (found == account.regions.end() || !counts(found->second, now))
+            if (found == account.regions.end() || trust(found->second, now) <= 0)
                 continue;
             known = true;
             const Sum &sum = found->second;
@@ -321,6 +343,16 @@
     return result;
 }
 
+// Of what this instance let pass, the part that was not refused for other reasons. What would be
+// refused anyway is not asked of the cap; counted in, a customer got less than its cap wherever
+// servers were short.
+double UsageCaps::ranPart(const Account &account, TimePoint now) const
+{
+    constexpr double least = 0.2;
+    const double passed = rateOf(account.passed, now);
+    return passed > 0 ? std::clamp(rateOf(account.taken, now) / passed, least, 1.0) : 1;
+}
+
 bool UsageCaps::inUse()
 {
     const std::lock_guard lock(m_mutex);
--- a/src/entry/dispatch-plan.cc
+++ b/src/entry/dispatch-plan.cc
@@ -158,6 +158,8 @@
     if (!candidates.empty())
         question.besideAtHome
             = question.homeLoad.outstanding / static_cast<double>(candidates.size());
+    // A caller that has a part of its stream is not turned away for the rest.
+    admit = admit && m_exchange->lastEvent.empty();
     question.homeRefuses = admit && !m_admitted
         && m_state.admission.ask(admissionQuestion(question.homeLoad, false), m_state.random).code
             != ResultCode::served;
--- a/src/entry/dispatch.cc
+++ b/src/entry/dispatch.cc
@@ -136,14 +136,19 @@
     const Duration patience = began
         ? longestSilence
         : std::max(leastPatience, m_exchange->service->expected * patienceFactor);
-    if (now - heard >= patience)
-        return false;
-    if (began && m_exchange->lastEvent.empty() && reader.lastEvent().empty())
-        return true;
-    const bool mayMove = m_attempts < mostAttempts
+    const bool overdue = now - heard >= patience;
+    const bool silent = isSilent(*target.counters, now);
+    const bool canResume = !m_exchange->lastEvent.empty() || !reader.lastEvent().empty();
+    const bool mayMove = m_attempts < mostAttempts && (!began || canResume)
         && m_exchange->runsBefore + m_runs + 1 < m_exchange->service->attempts
         && m_state.retries.has(m_exchange->customer->name, loadName(*m_exchange));
-    return !mayMove || !isSilent(*target.counters, now);
+    // A server that answers others may still answer this one; ended now, the request is lost for
+    // certain.
+    if (!mayMove)
+        return !overdue || !silent;
+    // Elsewhere it begins anew, behind all that wait there already.
+    const bool timeToMove = remaining() >= patience / 2;
+    return !silent && !(overdue && timeToMove);
 }
 
 OutgoingRequest Dispatch::makeRequest(const Target &target) const
@@ -382,7 +387,8 @@
     question.end = end;
     question.idempotent = m_exchange->service->idempotent;
     question.callerHasSeenBytes = callerHasSeenBytes;
-    question.attemptsMade = m_attempts;
+    // Servers that refuse a stream which has to go on leave others to ask; its caller has a part.
+    question.attemptsMade = m_streamed ? m_runs : m_attempts;
     question.runsMade = m_exchange->runsBefore + m_runs;
     question.mostRuns = m_exchange->service->attempts;
     question.remaining = remaining();
@@ -422,7 +428,8 @@
     const bool homeAllowed
         = std::find(allowed.begin(), allowed.end(), m_state.settings.region) != allowed.end();
     const bool away = target.away && target.region != m_state.settings.region;
-    return away && noRoom && homeAllowed && !m_stayHome && !m_mayHaveRun && !m_toIssuer
+    const bool mayRunAgain = m_exchange->service->idempotent || !m_mayHaveRun;
+    return away && noRoom && homeAllowed && !m_stayHome && mayRunAgain && !m_toIssuer
         && !m_exchange->responder->closed();
 }
 
--- a/src/entry/state.cc
+++ b/src/entry/state.cc
@@ -15,12 +15,19 @@
     return static_cast<std::uint64_t>(wallMilliseconds(SystemClock().wallNow()));
 }
 
+UsageCaps::Limits usageLimits(const ProcessSettings &settings)
+{
+    UsageCaps::Limits limits;
+    limits.slack = settings.usageSlack;
+    return limits;
+}
+
 } // namespace
 
 EntryState::EntryState(ProcessSettings from, std::unique_ptr<ConfigFormat> format)
     : settings(std::move(from)), incarnation(newIncarnation()), random(randomSeed()),
       gate(settings.region, std::move(format)), servers(ServerTable::Limits{}),
-      quarantine(settings.name, Quarantine::Limits{}),
+      usage(usageLimits(settings)), quarantine(settings.name, Quarantine::Limits{}),
       issuedKeys(settings.name, incarnation, IssuedKeys::Limits{}), traces(tracesKept)
 {
 }
