Show customers to operators; check keys and caps; bound the series of customers

ibisnotchctl customers prints each customer's keys by fingerprint, what it asks for and is given against its cap, from each instance.

--- a/src/entry/operators.cc
+++ b/src/entry/operators.cc
@@ -117,6 +117,51 @@
                   {"steps", steps}});
 }
 
+json keyFingerprints(const Customer &customer)
+{
+    constexpr std::size_t shown = 12; // hex digits; enough to tell keys apart, too few to try them
+    json list = json::array();
+    for (const std::string &hash : customer.keyHashes)
+        list.push_back(hash.substr(0, shown));
+    return list;
+}
+
+json usageOf(const Customer &customer, const std::vector<UsageCaps::CustomerState> &states)
+{
+    if (!customer.cap)
+        return nullptr;
+    json usage{{"unit", customer.cap->tokens ? "tokens" : "requests"},
+               {"capPerSecond", customer.cap->perSecond},
+               {"burst", customer.cap->burst}};
+    for (const UsageCaps::CustomerState &state : states) {
+        if (state.name != customer.name)
+            continue;
+        usage["askedPerSecond"] = state.asked;
+        usage["takenPerSecond"] = state.taken;
+        usage["level"] = state.level;
+    }
+    return usage;
+}
+
+HttpResponse customers(EntryState &state)
+{
+    json list = json::array();
+    const auto config = state.gate.config();
+    const auto states = state.usage.states(state.clock.now());
+    if (!config)
+        return reply(503, {{"error", "no configuration yet"}});
+    for (const auto &[name, customer] : config->customers)
+        list.push_back({{"name", name},
+                        {"keys", keyFingerprints(customer)},
+                        {"regions", customer.regions},
+                        {"priority", customer.priority ? json(*customer.priority) : json(nullptr)},
+                        {"usage", usageOf(customer, states)}});
+    return reply(200,
+                 {{"instance", state.settings.name},
+                  {"configVersion", config->version},
+                  {"customers", list}});
+}
+
 HttpResponse drain(DispatchServices &services, const HttpRequest &request, bool drained)
 {
     const std::string server = queryValue(request.query, "server").value_or("");
@@ -134,7 +179,7 @@
 
 std::optional<HttpResponse> answerOperator(DispatchServices &services, const HttpRequest &request)
 {
-    const EntryState &state = services.state;
+    EntryState &state = services.state;
     if (request.path == "/metrics")
         return HttpResponse{
             200, {{"Content-Type", "text/plain; version=0.0.4"}}, state.metrics.prometheusText()};
@@ -142,6 +187,8 @@
         return status(services);
     if (request.path == "/admin/explain")
         return explain(state, request);
+    if (request.path == "/admin/customers")
+        return customers(state);
     if (request.path == "/admin/burn")
         return HttpResponse{
             200, {{"Content-Type", "application/json"}}, serializeBurn(state.burn.series())};
--- a/src/ibisnotchctl.cc
+++ b/src/ibisnotchctl.cc
@@ -54,12 +54,13 @@
     int run()
     {
         static const std::map<std::string, int (Tool::*)()> commands{
-            {"check", &Tool::check},       {"effective", &Tool::effective},
-            {"diff", &Tool::diff},         {"apply", &Tool::apply},
-            {"show", &Tool::show},         {"history", &Tool::history},
-            {"rollback", &Tool::rollBack}, {"status", &Tool::status},
-            {"drain", &Tool::drain},       {"undrain", &Tool::undrain},
-            {"explain", &Tool::explain},   {"codes", &Tool::codes},
+            {"check", &Tool::check},         {"effective", &Tool::effective},
+            {"diff", &Tool::diff},           {"apply", &Tool::apply},
+            {"show", &Tool::show},           {"history", &Tool::history},
+            {"rollback", &Tool::rollBack},   {"status", &Tool::status},
+            {"drain", &Tool::drain},         {"undrain", &Tool::undrain},
+            {"explain", &Tool::explain},     {"codes", &Tool::codes},
+            {"customers", &Tool::customers},
         };
         const auto found = commands.find(m_options.words.empty() ? "" : m_options.words[0]);
         if (found == commands.end()) {
@@ -286,6 +287,42 @@
         return exitOk;
     }
 
+    static std::string customerLine(const nlohmann::json &customer)
+    {
+        std::string text = "  " + customer["name"].get<std::string>() + ": keys";
+        for (const auto &key : customer["keys"])
+            text += " " + key.get<std::string>();
+        const auto &usage = customer["usage"];
+        if (usage.is_null())
+            return text + ", no cap\n";
+        return text
+            + fmt::format(", asked {:.0f} and given {:.0f} of {:.0f} {} a second, level {:.0f}\n",
+                          usage.value("askedPerSecond", 0.0), usage.value("takenPerSecond", 0.0),
+                          usage["capPerSecond"].get<double>(), usage["unit"].get<std::string>(),
+                          usage.value("level", 0.0));
+    }
+
+    int customers()
+    {
+        nlohmann::json all = nlohmann::json::array();
+        std::string text;
+        for (const std::string &entry : m_options.entries) {
+            const WholeAnswer answer = ask(entry, "GET", "/admin/customers");
+            const auto body = nlohmann::json::parse(answer.response.body, nullptr, false);
+            if (answer.response.status != 200 || !body.is_object()) {
+                text += fmt::format("{}: no answer\n", entry);
+                continue;
+            }
+            all.push_back(body);
+            text += fmt::format("{}: version {}\n", body["instance"].get<std::string>(),
+                                body["configVersion"].dump());
+            for (const auto &customer : body["customers"])
+                text += customerLine(customer);
+        }
+        say(all, text);
+        return all.empty() ? exitNotFound : exitOk;
+    }
+
     int codes()
     {
         for (const ResultInfo &info : resultTable())
@@ -319,6 +356,7 @@
       "  status                    instances and backend servers\n"
       "  drain SERVER, undrain SERVER\n"
       "  explain REQUEST-ID        each choice, attempt and refusal\n"
+      "  customers                 keys by fingerprint, use and caps\n"
       "  codes                     the table of result codes\n\n"
       "Exit codes: 0 done, 1 wrong usage, 2 settings refused, 3 another operator was first,\n"
       "4 store unavailable and nothing changed, 5 outcome unknown, 6 not found.\n\nOptions:";
--- a/src/net/metrics.cc
+++ b/src/net/metrics.cc
@@ -75,6 +75,15 @@
 class Metrics::Private
 {
 public:
+    // However many customers there are, the text and the memory of all series stay bounded.
+    Series &series(const RequestRecord &record)
+    {
+        constexpr std::size_t mostSeries = 2048;
+        const std::pair key{record.service, record.customer};
+        const bool fits = m_series.size() < mostSeries || m_series.count(key) > 0;
+        return fits ? m_series[key] : m_series[{record.service, "others"}];
+    }
+
     mutable std::mutex m_mutex;
     std::map<std::pair<std::string, std::string>, Series> m_series;
     std::map<std::string, std::uint64_t> m_attempts; // by how they ended
@@ -90,7 +99,7 @@
 void Metrics::onRequest(const RequestRecord &record)
 {
     const std::lock_guard lock(m_d->m_mutex);
-    Series &series = m_d->m_series[{record.service, record.customer}];
+    Series &series = m_d->series(record);
     series.cost += record.cost;
     if (record.forwarded)
         return;
--- a/test/config-test.cc
+++ b/test/config-test.cc
@@ -118,3 +118,41 @@
     CHECK(printed.find("deployment = test  # base.yaml:1") != std::string::npos);
     CHECK(printed.find("backendServers.b-m.slots = 4  # sites/b.yaml:2") != std::string::npos);
 }
+
+// Guards against keys and caps that cannot be meant as they stand.
+TEST_CASE_METHOD(WrongSettings, "validateDocument_wrongKeysAndCaps_nameTheField")
+{
+    const std::string free = "free: {tokenSha256: " + sha256Hex("free-token");
+    const std::string homed = sha256Hex("homed-token");
+    CHECK(messageFor(free, "free: {tokenSha256: " + homed).find("already one of customer")
+          != std::string::npos);
+    CHECK(messageFor(free, "free: {tokenSha256: abc").find("64 lower-case hex digits")
+          != std::string::npos);
+    CHECK(messageFor(free, "free: {share: 1").find("expected it, or tokensSha256")
+          != std::string::npos);
+    CHECK(messageFor(free, free + ", usageCap: {perSecond: 0}").find("usageCap.perSecond: above 0")
+          != std::string::npos);
+    CHECK(messageFor(free, free + ", usageCap: {perSecond: 5, plainTokens: 9}")
+              .find("only with unit: tokens")
+          != std::string::npos);
+    CHECK(messageFor(free, free + ", priority: 12").find("priority: expected a whole number")
+          != std::string::npos);
+}
+
+TEST_CASE_METHOD(ConfigFixture, "validateDocument_customerWithTwoKeysAndACap_holdsBoth")
+{
+    const std::string free = "free: {tokenSha256: " + sha256Hex("free-token");
+    std::string &text = document.base.text;
+    text.replace(text.find(free), free.size(),
+                 "free: {tokensSha256: [" + sha256Hex("old") + ", " + sha256Hex("new")
+                     + "], priority: 2, usageCap: {unit: tokens, perSecond: 100, plainTokens: 7}");
+    const auto sites = validateDocument(document, nullptr);
+    REQUIRE(sites.ok());
+    const FleetConfig &config = sites->at("a");
+    CHECK(findByKey(config, "old") == &config.customers.at("free"));
+    CHECK(findByKey(config, "new") == &config.customers.at("free"));
+    CHECK(findByKey(config, "free-token") == nullptr);
+    CHECK(config.customers.at("free").cap == UsageCap{true, 100, 100, 7});
+    CHECK(priorityOf(config.customers.at("free"), config.services.at("digest")) == 7);
+    CHECK(priorityOf(config.customers.at("homed"), config.services.at("digest")) == 1);
+}
--- a/test/ctl-fleet-test.cc
+++ b/test/ctl-fleet-test.cc
@@ -64,6 +64,10 @@
 {
     CHECK(ctl("--help").code == 0);
     CHECK(ctl("dance").code == 1);
+    const Output customers = ctl(entries + "customers");
+    CHECK(customers.code == 0);
+    CHECK(customers.text.find("free: keys " + sha256Hex("free-token").substr(0, 12) + ", no cap")
+          != std::string::npos);
     CHECK(ctl("--no-such-option").code == 1);
     CHECK(ctl("check " + folder).code == 0);
     CHECK(ctl("check " + folder + "/nowhere").code == 6);
--- a/test/metrics-test.cc
+++ b/test/metrics-test.cc
@@ -51,3 +51,17 @@
     CHECK(text.find("ibisnotch_cost_total{service=\"s\",customer=\"c\"} 0.500000\n")
           != std::string::npos);
 }
+
+// Guards against memory that grows with the customers.
+TEST_CASE("metrics_moreCustomersThanSeries_areCountedTogether")
+{
+    Metrics metrics;
+    RequestRecord record;
+    record.service = "s";
+    for (int i = 0; i < 3000; ++i) {
+        record.customer = "c" + std::to_string(i);
+        metrics.onRequest(record);
+    }
+    const std::string text = metrics.prometheusText();
+    CHECK(text.find("customer=\"others\",code=\"1000\"} 952") != std::string::npos);
+}
--- a/test/silence-test.cc
+++ b/test/silence-test.cc
@@ -45,6 +45,16 @@
     CHECK_FALSE(isSilent(counters, now + 700ms));
 }
 
+// Guards against a stream that is ended on a sound server of a large region: its instance has no
+// other there, and takes the pause of this one for the server's.
+TEST_CASE_METHOD(SilenceFixture, "silence_serverAnswersOthersMeanwhile_isNotSilent")
+{
+    beginStream();
+    counters.answeredAt = (now + 500ms).time_since_epoch().count();
+    CHECK_FALSE(isSilent(counters, now + 700ms));
+    CHECK(isSilent(counters, now + 1100ms));
+}
+
 // What callers see: at a peak, first tokens come after seconds, but they come. Why: an engine that
 // reads prompts for others is not silent, and taking it out of use sends its load to the rest.
 TEST_CASE_METHOD(SilenceFixture, "silence_onlyFirstTokensAwaited_isNotSilent")
