Know a list of members, if an empty one, before the first request

Cause, from a core: a request that reaches an instance before its first look at the members is refused with the names of other instances, and the list of members was still null (Gateway::otherInstances). So an instance could die in its first milliseconds, also on the platform.

--- a/src/entry/state.cc
+++ b/src/entry/state.cc
@@ -30,6 +30,8 @@
       usage(usageLimits(settings)), quarantine(settings.name, Quarantine::Limits{}),
       issuedKeys(settings.name, incarnation, IssuedKeys::Limits{}), traces(tracesKept)
 {
+    // Requests may come before the first look at the members.
+    members.publish(std::make_shared<const std::vector<Member>>());
 }
 
 bool isReady(const EntryState &state)
--- a/test/retry-test.cc
+++ b/test/retry-test.cc
@@ -124,3 +124,14 @@
     CHECK(budget.take("c", "s"));
     CHECK_FALSE(budget.take("c", "s"));
 }
+
+// Guards against a bound that is spent once by each customer.
+TEST_CASE("retryBudget_sharedBound_isOneForAllCustomers")
+{
+    RetryBudget budget;
+    budget.setBurst(1);
+    for (int i = 0; i < 10; ++i)
+        budget.onRequest("c" + std::to_string(i), "s", 0.2);
+    CHECK(budget.take("c1", "s"));
+    CHECK_FALSE(budget.take("c2", "s"));
+}
