--- a/include/ibisnotch/clock.h
+++ b/include/ibisnotch/clock.h
@@ -1,8 +1,10 @@
 // Time as the decisions see it.
 #pragma once
 
+#include <algorithm>
 #include <atomic>
 #include <chrono>
+#include <cstdint>
 
 namespace ibisnotch {
 
@@ -57,6 +59,13 @@
     std::atomic<Duration::rep> m_elapsed = 0;
 };
 
+// As messages carry an age; no more than they hold, and nothing negative.
+inline std::uint32_t ageInMs(TimePoint at, TimePoint now)
+{
+    const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(now - at).count();
+    return static_cast<std::uint32_t>(std::clamp<std::int64_t>(age, 0, UINT32_MAX));
+}
+
 inline long long wallMilliseconds(WallTime time)
 {
     return std::chrono::duration_cast<std::chrono::milliseconds>(time.time_since_epoch()).count();
--- a/src/decide/usage-cap.cc
+++ b/src/decide/usage-cap.cc
@@ -28,12 +28,6 @@
     return value * std::exp(-seconds(age) / seconds(averaged));
 }
 
-std::uint32_t ageMs(TimePoint at, TimePoint now)
-{
-    const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(now - at).count();
-    return static_cast<std::uint32_t>(std::max<std::int64_t>(0, age));
-}
-
 Duration inSeconds(double time)
 {
     return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(time));
@@ -332,7 +326,7 @@
                 continue;
             known = true;
             const Sum &sum = found->second;
-            use.ageMs = ageMs(sum.at, now);
+            use.ageMs = ageInMs(sum.at, now);
             if (sum.asked > 0 || sum.taken > 0)
                 use.uses.push_back(
                     {id, static_cast<float>(sum.asked), static_cast<float>(sum.taken)});
--- a/src/entry/range-source.cc
+++ b/src/entry/range-source.cc
@@ -18,12 +18,6 @@
 constexpr std::string_view sourceStore = "store";
 constexpr std::string_view sourcePeer = "peer";
 
-std::uint32_t ageMs(TimePoint at, TimePoint now)
-{
-    const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(now - at).count();
-    return static_cast<std::uint32_t>(std::clamp<std::int64_t>(age, 0, UINT32_MAX));
-}
-
 } // namespace
 
 RangeSource::RangeSource(EntryState &state, Control &control, std::unique_ptr<RangeStore> store,
@@ -122,7 +116,7 @@
     for (const auto &range : m_ranges) {
         if (range->follower.lastChange() > 0)
             marks.push_back(
-                {range->id, range->follower.lastChange(), ageMs(range->follower.heardAt(), now)});
+                {range->id, range->follower.lastChange(), ageInMs(range->follower.heardAt(), now)});
     }
     return marks;
 }
@@ -194,7 +188,7 @@
             if (range->id != question.range)
                 continue;
             if (auto news = range->follower.newsSince(range->prefix, question.known))
-                replies.push_back({*std::move(news), ageMs(range->follower.heardAt(), now)});
+                replies.push_back({*std::move(news), ageInMs(range->follower.heardAt(), now)});
         }
     }
     return replies;
