--- a/include/ibisnotch/prefix-follower.h
+++ b/include/ibisnotch/prefix-follower.h
@@ -56,7 +56,8 @@
         // outlives one lost datagram; with the call that follows, news is at most 2.2 s old, where
         // the platform asks that a server that leaves gets nothing after 4 s.
         Duration newsLife = std::chrono::seconds(2);
-        // After a call that failed the next cut is likely, and a watch that hangs in it tells nothing.
+        // After a call that failed the next cut is likely, and a watch that hangs in it tells
+        // nothing.
         Duration waryTime = std::chrono::seconds(15);
         Duration firstPause = std::chrono::milliseconds(250);
         Duration longestPause = std::chrono::milliseconds(1000);
--- a/include/ibisnotch/server-list.h
+++ b/include/ibisnotch/server-list.h
@@ -12,8 +12,8 @@
 // An entry that vanishes may mean that its server is gone, or only that its lease ran out while the
 // store was away; the server then writes it again within about two seconds of the store's return.
 // Dropping such servers at once would leave no server at all for those seconds, so a server that
-// was not leaving is kept that long after its entry vanished, marked as missing: no entry would tell
-// that it turned cold. Not thread safe.
+// was not leaving is kept that long after its entry vanished, marked as missing: no entry would
+// tell that it turned cold. Not thread safe.
 class ServerList
 {
 public:
