--- a/src/entry/range-source.cc
+++ b/src/entry/range-source.cc
@@ -200,7 +200,8 @@
     if (!call)
         return;
     const auto done = [this, &range](const StorePage &page) {
-        m_control.post([this, &range, page]() mutable { onPage(range, std::move(page)); });
+        m_control.post(
+            [this, &range, copy = StorePage(page)]() mutable { onPage(range, std::move(copy)); });
     };
     if (const auto *list = std::get_if<ListCall>(&*call))
         return m_store->list(range.prefix, list->after, done);
