--- /dev/null
+++ b/src/decide/config-detail.h
@@ -0,0 +1,37 @@
+// What the parts of the configuration share: reading, checks over all sites, and look-ups.
+#pragma once
+
+#include <algorithm>
+#include <string>
+#include <vector>
+
+#include <absl/status/status.h>
+#include <absl/strings/str_join.h>
+
+#include "ibisnotch/config.h"
+
+namespace ibisnotch::detail {
+
+inline bool contains(const std::vector<std::string> &list, const std::string &item)
+{
+    return std::find(list.begin(), list.end(), item) != list.end();
+}
+
+inline bool permits(const std::vector<std::string> &list, const std::string &item)
+{
+    return list.empty() || contains(list, item);
+}
+
+inline bool isRegion(const FleetConfig &config, const std::string &name)
+{
+    return std::any_of(config.regions.begin(), config.regions.end(),
+                       [&name](const Region &region) { return region.name == name; });
+}
+
+// One line a fault.
+inline absl::Status faults(const std::vector<std::string> &errors)
+{
+    return absl::InvalidArgumentError(absl::StrJoin(errors, "\n"));
+}
+
+} // namespace ibisnotch::detail
--- a/src/ibisnotchctl.cc
+++ b/src/ibisnotchctl.cc
@@ -219,34 +219,49 @@
         return sendAndWait(m_client, std::move(request));
     }
 
-    int status()
+    // Asks all instances named for a page; `text` is what one that answered is shown as.
+    std::size_t askAll(const std::string &path,
+                       const std::function<std::string(const nlohmann::json &)> &text)
     {
         nlohmann::json all = nlohmann::json::array();
-        std::string text;
+        std::string shown;
+        std::size_t answered = 0;
         for (const std::string &entry : m_options.entries) {
-            const WholeAnswer answer = ask(entry, "GET", "/admin/status");
+            const WholeAnswer answer = ask(entry, "GET", path);
             const auto body = nlohmann::json::parse(answer.response.body, nullptr, false);
-            if (!body.is_object()) {
-                text += fmt::format("{}: no answer\n", entry);
+            if (answer.response.status != 200 || !body.is_object()) {
+                shown += fmt::format("{}: no answer\n", entry);
                 all.push_back({{"entry", entry}, {"error", "no answer"}});
                 continue;
             }
+            ++answered;
             all.push_back(body);
-            text += fmt::format("{} ({}): version {}, {} in flight{}\n",
-                                body["name"].get<std::string>(), body["region"].get<std::string>(),
-                                body["configVersion"].dump(), body["inFlight"].dump(),
-                                body["stopping"].get<bool>() ? ", stopping" : "");
-            for (const auto &member : body["members"])
-                text += fmt::format(
-                    "  instance {}: {}, load {}%\n", member["name"].get<std::string>(),
-                    member["state"].get<std::string>(), member["loadPercent"].dump());
-            for (const auto &server : body["servers"])
-                text += fmt::format("  backend server {}: {}, load {:.1f} of {} slots\n",
-                                    server["name"].get<std::string>(),
-                                    server["status"].get<std::string>(),
-                                    server["load"].get<double>(), server["slots"].dump());
+            shown += text(body);
         }
-        say(all, text);
+        say(all, shown);
+        return answered;
+    }
+
+    static std::string statusText(const nlohmann::json &body)
+    {
+        std::string text = fmt::format(
+            "{} ({}): version {}, {} in flight{}\n", body["name"].get<std::string>(),
+            body["region"].get<std::string>(), body["configVersion"].dump(),
+            body["inFlight"].dump(), body["stopping"].get<bool>() ? ", stopping" : "");
+        for (const auto &member : body["members"])
+            text += fmt::format("  instance {}: {}, load {}%\n", member["name"].get<std::string>(),
+                                member["state"].get<std::string>(), member["loadPercent"].dump());
+        for (const auto &server : body["servers"])
+            text += fmt::format("  backend server {}: {}, load {:.1f} of {} slots\n",
+                                server["name"].get<std::string>(),
+                                server["status"].get<std::string>(), server["load"].get<double>(),
+                                server["slots"].dump());
+        return text;
+    }
+
+    int status()
+    {
+        askAll("/admin/status", statusText);
         return exitOk;
     }
 
@@ -302,25 +317,18 @@
                           usage.value("level", 0.0));
     }
 
+    static std::string customersText(const nlohmann::json &body)
+    {
+        std::string text = fmt::format("{}: version {}\n", body["instance"].get<std::string>(),
+                                       body["configVersion"].dump());
+        for (const auto &customer : body["customers"])
+            text += customerLine(customer);
+        return text;
+    }
+
     int customers()
     {
-        nlohmann::json all = nlohmann::json::array();
-        std::string text;
-        for (const std::string &entry : m_options.entries) {
-            const WholeAnswer answer = ask(entry, "GET", "/admin/customers");
-            const auto body = nlohmann::json::parse(answer.response.body, nullptr, false);
-            if (answer.response.status != 200 || !body.is_object()) {
-                text += fmt::format("{}: no answer\n", entry);
-                continue;
-            }
-            all.push_back(body);
-            text += fmt::format("{}: version {}\n", body["instance"].get<std::string>(),
-                                body["configVersion"].dump());
-            for (const auto &customer : body["customers"])
-                text += customerLine(customer);
-        }
-        say(all, text);
-        return all.empty() ? exitNotFound : exitOk;
+        return askAll("/admin/customers", customersText) > 0 ? exitOk : exitNotFound;
     }
 
     int codes()
