Keep the anonymous customer apart from one of its shown name; say whose word peers take

A customer that the operator names 'callers' would have been taken for callers without a key, and its requests sent on without its name.

--- a/include/ibisnotch/config.h
+++ b/include/ibisnotch/config.h
@@ -52,6 +52,7 @@
     double share = 1; // its part when capacity is short, against the others' shares
     std::optional<int> priority; // of all its requests, before that of the service
     std::optional<UsageCap> cap;
+    bool anonymous = false; // stands for callers who need no key
     bool operator==(const Customer &) const = default;
 };
 
@@ -229,8 +230,11 @@
 
 bool servesService(const BackendServer &server, const Service &service);
 
-// Whose requests are those that come without a key, where a service is open.
-constexpr std::string_view anyCustomer = "callers";
+// Under which the anonymous customer stands among the others; no customer has this name.
+constexpr std::string_view anonymousName = "";
+
+// Whose requests are those that come without a key, where a service is open or no keys are shown.
+Customer anonymousCustomer();
 
 std::string sha256Hex(std::string_view text);
 
--- a/include/ibisnotch/usage-cap.h
+++ b/include/ibisnotch/usage-cap.h
@@ -184,6 +184,7 @@
     double ranPart(const Account &account, TimePoint now) const;
     bool starting(TimePoint now) const;
     std::size_t instances(TimePoint now) const;
+    std::vector<CustomerUse> unheardUse(TimePoint now) const;
     double guessedWhole(const Account &account, TimePoint now) const;
     Whole whole(const Account &account, TimePoint now) const;
     void settle(Account &account, const Whole &whole, TimePoint now) const;
--- a/src/decide/config.cc
+++ b/src/decide/config.cc
@@ -75,6 +75,14 @@
     return owner;
 }
 
+Customer anonymousCustomer()
+{
+    Customer customer;
+    customer.name = "callers"; // in logs and metrics
+    customer.anonymous = true;
+    return customer;
+}
+
 int priorityOf(const Customer &customer, const Service &service)
 {
     constexpr int perCustomer = 3; // services whose priority is below that are alike
--- a/src/decide/usage-cap.cc
+++ b/src/decide/usage-cap.cc
@@ -262,6 +262,22 @@
     m_instances[instance] = {std::move(uses), now};
 }
 
+// Instances of the region that are not heard keep to their own part, and may be using all of it.
+std::vector<CustomerUse> UsageCaps::unheardUse(TimePoint now) const
+{
+    const std::size_t heard = m_instances.size() + 1;
+    const std::size_t count = instances(now);
+    if (count <= heard)
+        return {};
+    const double part = static_cast<double>(count - heard) / static_cast<double>(count);
+    std::vector<CustomerUse> uses;
+    for (const auto &[id, account] : m_accounts) {
+        const auto use = static_cast<float>(part * account.cap.perSecond * regionPart());
+        uses.push_back({id, use, use});
+    }
+    return uses;
+}
+
 RegionUse UsageCaps::sumUp(TimePoint now)
 {
     const std::vector<CustomerUse> own = ownUse(now);
@@ -281,16 +297,8 @@
         for (const CustomerUse &use : told.uses)
             add(use);
     }
-    // Those that are not heard keep to their own part, and may be using all of it.
-    const std::size_t heard = m_instances.size() + 1;
-    const std::size_t count = instances(now);
-    if (count > heard) {
-        const double part = static_cast<double>(count - heard) / static_cast<double>(count);
-        for (const auto &[id, account] : m_accounts) {
-            const double use = part * account.cap.perSecond * regionPart();
-            add({id, static_cast<float>(use), static_cast<float>(use)});
-        }
-    }
+    for (const CustomerUse &use : unheardUse(now))
+        add(use);
     RegionUse result{m_place.region, 0, {}};
     for (const auto &[id, sum] : sums)
         result.uses.push_back(sum);
--- a/src/entry/operators.cc
+++ b/src/entry/operators.cc
@@ -151,7 +151,7 @@
     if (!config)
         return reply(503, {{"error", "no configuration yet"}});
     for (const auto &[name, customer] : config->customers)
-        list.push_back({{"name", name},
+        list.push_back({{"name", customer.name},
                         {"keys", keyFingerprints(customer)},
                         {"regions", customer.regions},
                         {"priority", customer.priority ? json(*customer.priority) : json(nullptr)},
--- a/src/entry/rule-filters.cc
+++ b/src/entry/rule-filters.cc
@@ -52,12 +52,12 @@
             return found == config.customers.end() ? nullptr : &found->second;
         };
         if (exchange.customerName)
-            return named(*exchange.customerName);
+            return exchange.customerName->empty() ? nullptr : named(*exchange.customerName);
         const Customer *owner = exchange.key.empty() || exchange.fromPeer || !config.keyed
             ? nullptr
             : findByKey(config, exchange.key);
         if (owner == nullptr && (exchange.service->open || !config.keyed))
-            return named(std::string(anyCustomer));
+            return named(std::string(anonymousName));
         return owner;
     }
 
--- a/src/experiment/experiment.cc
+++ b/src/experiment/experiment.cc
@@ -405,7 +405,7 @@
     Random m_random;
     Service m_plain;
     Service m_valuable;
-    Customer m_customer{"c", {}, {}, {}, 1, {}, {}};
+    Customer m_customer{"c", {}, {}, {}, 1, {}, {}, false};
     std::vector<Engine> m_engines[regionCount];
     std::vector<std::unique_ptr<Entry>> m_entries[regionCount];
     std::priority_queue<Event> m_events;
--- a/test/admission-test.cc
+++ b/test/admission-test.cc
@@ -12,7 +12,7 @@
 
 struct AdmissionFixture
 {
-    Customer customer{"c", {}, {}, {}, 1, {}, {}};
+    Customer customer{"c", {}, {}, {}, 1, {}, {}, false};
     Service service;
     Admission admission;
     Random random{1};
@@ -130,7 +130,7 @@
 // service, another sends a few. Why: over its share a customer is refused first.
 TEST_CASE_METHOD(AdmissionFixture, "admission_floodOfOneCustomer_leavesRoomForTheOthers")
 {
-    Customer quiet{"quiet", {}, {}, {}, 1, {}, {}};
+    Customer quiet{"quiet", {}, {}, {}, 1, {}, {}, false};
     for (int i = 0; i < 10; ++i)
         admission.onTaken("c", "s", 1);
     admission.onTaken("quiet", "s", 1);
--- a/test/stream-pace-test.cc
+++ b/test/stream-pace-test.cc
@@ -45,7 +45,7 @@
 struct ReadingFixture : PaceFixture
 {
     Admission admission;
-    Customer customer{"c", {}, {}, {}, 1, {}, {}};
+    Customer customer{"c", {}, {}, {}, 1, {}, {}, false};
     Random random{1};
 
     struct Stream
