--- a/test/fleet.cc
+++ b/test/fleet.cc
@@ -35,7 +35,8 @@
 
 } // namespace
 
-void eventually(const std::string &what, const std::function<bool()> &condition)
+void eventually(const std::string &what, const std::function<bool()> &condition,
+                const std::function<std::string()> &evidence)
 {
     const auto until = std::chrono::steady_clock::now() + 60s;
     while (std::chrono::steady_clock::now() < until) {
@@ -43,7 +44,7 @@
             return;
         std::this_thread::sleep_for(20ms);
     }
-    FAIL("never: " << what);
+    FAIL("never: " << what << (evidence ? "; " + evidence() : ""));
 }
 
 Fleet::Fleet(FleetShape shape) : m_shape(std::move(shape))
@@ -164,28 +165,57 @@
         waitReady(name);
     // Every instance knows every other and the load of every other region, so that a test starts
     // from a settled fleet.
-    const std::size_t all = entryNames().size();
-    for (const std::string &name : entryNames())
-        eventually(name + " knows the others", [&] {
-            const auto body = nlohmann::json::parse(status(name), nullptr, false);
-            if (!body.is_object() || body["members"].size() != all)
-                return false;
-            for (const auto &member : body["members"]) {
-                if (member["state"] != "alive")
-                    return false;
-            }
-            for (const auto &server : body["servers"]) {
-                if (server["status"] != "usable")
-                    return false;
-            }
-            std::set<std::string> regions;
-            for (const auto &region : body["regions"]) {
-                if (region["slots"] <= 0)
-                    return false;
-                regions.insert(region["region"].get<std::string>());
-            }
-            return regions.size() + 1 == static_cast<std::size_t>(m_shape.regions);
-        });
+    for (const std::string &name : entryNames()) {
+        std::string missing;
+        eventually(
+            name + " knows the others",
+            [&] {
+                missing = missingAt(name);
+                return missing.empty();
+            },
+            [&] { return missing + endedProcesses(); });
+    }
+}
+
+std::string Fleet::missingAt(const std::string &entry)
+{
+    const std::string text = status(entry);
+    const auto body = nlohmann::json::parse(text, nullptr, false);
+    if (!body.is_object())
+        return "no status: '" + text + "'";
+    const auto members = body["members"].size();
+    std::string missing;
+    if (members != entryNames().size())
+        missing += fmt::format("{} members of {}; ", members, entryNames().size());
+    for (const auto &member : body["members"]) {
+        if (member["state"] != "alive")
+            missing
+                += fmt::format("member {} is {}; ", member["name"].dump(), member["state"].dump());
+    }
+    for (const auto &server : body["servers"]) {
+        if (server["status"] != "usable")
+            missing
+                += fmt::format("server {} is {}; ", server["name"].dump(), server["status"].dump());
+    }
+    std::set<std::string> regions;
+    for (const auto &region : body["regions"]) {
+        if (region["slots"] <= 0)
+            missing += "no slots: " + region.dump() + "; ";
+        regions.insert(region["region"].get<std::string>());
+    }
+    if (regions.size() + 1 != static_cast<std::size_t>(m_shape.regions))
+        missing += fmt::format("{} regions told of; ", regions.size());
+    return missing.empty() ? "" : missing + "status: " + text;
+}
+
+std::string Fleet::endedProcesses()
+{
+    std::string ended;
+    for (const auto &[name, ports] : m_ports) {
+        if (!running(name))
+            ended += "; process " + name + " has ended, see " + m_folder + "/" + name + ".log";
+    }
+    return ended;
 }
 
 void Fleet::waitReady(const std::string &entry)
--- a/test/fleet.h
+++ b/test/fleet.h
@@ -88,6 +88,10 @@
 private:
     void assignPorts();
     void startAll();
+    // What the instance does not know yet of a settled fleet, with its status page; empty if
+    // nothing.
+    std::string missingAt(const std::string &entry);
+    std::string endedProcesses();
     std::vector<std::string> commandOf(const std::string &name) const;
     std::string entrySettings(const std::string &name) const;
     std::vector<std::string> entryNames() const;
@@ -100,7 +104,9 @@
     std::unique_ptr<Store> m_store;
 };
 
-// Polls until the condition holds; fails the test if it does not within a minute.
-void eventually(const std::string &what, const std::function<bool()> &condition);
+// Polls until the condition holds; fails the test if it does not within a minute, and then tells
+// the evidence.
+void eventually(const std::string &what, const std::function<bool()> &condition,
+                const std::function<std::string()> &evidence = {});
 
 } // namespace ibisnotch
