--- a/include/ibisnotch/server-table.h
+++ b/include/ibisnotch/server-table.h
@@ -80,6 +80,9 @@
     std::atomic<Duration::rep> heardAt = 0;
     std::atomic<Duration::rep> answeredAt = 0; // to any instance of the region, as far as is known
     std::atomic<Duration::rep> waitingSince = 0;
+    std::atomic<Duration::rep> askedAt = 0; // whether it lives, by this instance
+    std::atomic<Duration::rep> aliveAt = 0; // when such a question was last answered
+    std::atomic<Duration::rep> unansweredAt = 0; // when one last got no answer
     std::atomic<bool> probing = false; // the one request that tries an ejected server again
 };
 
--- a/include/ibisnotch/silence.h
+++ b/include/ibisnotch/silence.h
@@ -29,9 +29,19 @@
 bool heardWithin(const ServerCounters &counters, Duration span, TimePoint now);
 
 // True once a server keeps all that this instance waits for there waiting longer than a sound one
-// would.
+// mostly would. What the instance waits for may be one stream, so this is no proof.
 bool isSilent(const ServerCounters &counters, TimePoint now);
 
+// Whether to ask the server now if it lives, so that its answer is there, or not, by the time that
+// isSilent() holds. Counts as asked if so; for one caller at a time.
+bool takeQuestion(ServerCounters &counters, TimePoint now);
+
+// How the question ended.
+void noteQuestionOver(ServerCounters &counters, bool answered, TimePoint now);
+
+// True once a server is silent and has not answered, either, when it was asked.
+bool isUnresponsive(const ServerCounters &counters, TimePoint now);
+
 // What instances of a region tell each other at once, so that those which wait for nothing there
 // send nothing there either.
 struct SilenceNews
--- a/src/decide/silence.cc
+++ b/src/decide/silence.cc
@@ -15,12 +15,43 @@
 // An answer without a stream: half of the two seconds after which callers go elsewhere.
 constexpr Duration longestWaitForAnswer = std::chrono::milliseconds(1000);
 
+// Leaves the time in which a server that lives answers.
+constexpr double askAfterPart = 0.5;
+constexpr Duration askAgainAfter = std::chrono::milliseconds(300);
+
 Duration longestPauseOfStreams(const ServerCounters &counters)
 {
     const std::chrono::duration<double> pauses(usualPauses * counters.eventSeconds);
     return std::max(shortestSilence, std::chrono::duration_cast<Duration>(pauses));
 }
 
+// One or two streams pause together by chance, on a server whose others go on; an instance of a
+// large region has no more there. What the server answered to others tells.
+Duration::rep quietSince(const ServerCounters &counters)
+{
+    return std::max(
+        {counters.heardAt.load(), counters.waitingSince.load(), counters.answeredAt.load()});
+}
+
+// How long the server has been quiet, as a part of what a sound one mostly needs; 0 where its
+// silence says nothing.
+double quietPart(const ServerCounters &counters, TimePoint now)
+{
+    if (counters.awaited <= 0)
+        return 0;
+    // First tokens say nothing: at a full engine they take seconds, and taking 1 s for silence had
+    // instances drop sound engines. Of an engine that is just back in use and has sent nothing yet,
+    // they do: it is not full, and the check that brought it back may have lied.
+    const bool heardSinceBack = counters.heardAt >= counters.givenBackAt;
+    const bool firstTokensOnly = counters.streaming <= 0 && counters.awaitingFirst > 0;
+    if (firstTokensOnly && heardSinceBack)
+        return 0;
+    const Duration allowed
+        = counters.streaming > 0 ? longestPauseOfStreams(counters) : longestWaitForAnswer;
+    const Duration quiet = now.time_since_epoch() - Duration(quietSince(counters));
+    return seconds(quiet) / seconds(allowed);
+}
+
 } // namespace
 
 std::uint32_t noteSent(ServerCounters &counters, TimePoint now)
@@ -68,22 +99,27 @@
 
 bool isSilent(const ServerCounters &counters, TimePoint now)
 {
-    if (counters.awaited <= 0)
-        return false;
-    // First tokens say nothing: at a full engine they take seconds, and taking 1 s for silence had
-    // instances drop sound engines. Of an engine that is just back in use and has sent nothing yet,
-    // they do: it is not full, and the check that brought it back may have lied.
-    const bool heardSinceBack = counters.heardAt >= counters.givenBackAt;
-    const bool firstTokensOnly = counters.streaming <= 0 && counters.awaitingFirst > 0;
-    if (firstTokensOnly && heardSinceBack)
+    return quietPart(counters, now) >= 1;
+}
+
+bool takeQuestion(ServerCounters &counters, TimePoint now)
+{
+    const TimePoint asked{Duration(counters.askedAt.load())};
+    if (quietPart(counters, now) < askAfterPart || now - asked < askAgainAfter)
         return false;
-    // One or two streams pause together by chance, on a server whose others go on; an instance of a
-    // large region has no more there. What the server answered to others tells.
-    const Duration since(std::max(
-        {counters.heardAt.load(), counters.waitingSince.load(), counters.answeredAt.load()}));
-    const Duration allowed
-        = counters.streaming > 0 ? longestPauseOfStreams(counters) : longestWaitForAnswer;
-    return now.time_since_epoch() - since >= allowed;
+    counters.askedAt = now.time_since_epoch().count();
+    return true;
+}
+
+void noteQuestionOver(ServerCounters &counters, bool answered, TimePoint now)
+{
+    (answered ? counters.aliveAt : counters.unansweredAt) = now.time_since_epoch().count();
+}
+
+bool isUnresponsive(const ServerCounters &counters, TimePoint now)
+{
+    const auto sign = std::max(quietSince(counters), counters.aliveAt.load());
+    return isSilent(counters, now) && counters.unansweredAt > sign;
 }
 
 } // namespace ibisnotch
--- a/src/entry/chat-protocol.cc
+++ b/src/entry/chat-protocol.cc
@@ -145,6 +145,11 @@
     }
 
     OutgoingRequest healthCheck(const FleetConfig &, const BackendServer &server) const override
+    {
+        return stateQuery(server);
+    }
+
+    OutgoingRequest stateQuery(const BackendServer &server) const override
     {
         OutgoingRequest request;
         request.url = "http://" + server.address + "/metrics";
--- a/src/entry/control-loads.cc
+++ b/src/entry/control-loads.cc
@@ -139,6 +139,12 @@
 void Control::watchSilence()
 {
     shareSilence(m_silence.tick());
+    for (const ServerView &view : m_silence.dueForQuestion()) {
+        sendWhole(m_client, shortStateQuery(m_protocol, view.server),
+                  [this, view](const WholeAnswer &answer) {
+                      m_link.post([this, view, answer] { m_silence.onQuestionOver(view, answer); });
+                  });
+    }
     for (const ServerView &view : m_silence.dueForCheck()) {
         if (!amongFirst(view.server.name, checkersPerServer))
             continue;
--- a/src/entry/dispatch.cc
+++ b/src/entry/dispatch.cc
@@ -112,8 +112,7 @@
     if (answer == QuarantineAnswer::trial) {
         m_trial = true;
         m_state.quarantine.onTrial(m_exchange->fingerprint);
-    }
-    return true;
+    return answer != QuarantineAnswer::held && answer != QuarantineAnswer::quarantined;
 }
 
 TransferLimits Dispatch::limitsFor(const Target &target) const
@@ -129,7 +128,7 @@
     return limits;
 }
 
-bool Dispatch::waitsOn(const Target &target, const AnswerReader &reader, TimePoint heard) const
+bool Dispatch::waitsOn(const Target &target, const AnswerReader &reader, TimePoint heard)
 {
     const TimePoint now = m_state.clock.now();
     const bool began = reader.streams();
@@ -137,7 +136,7 @@
         ? longestSilence
         : std::max(leastPatience, m_exchange->service->expected * patienceFactor);
     const bool overdue = now - heard >= patience;
-    const bool silent = isSilent(*target.counters, now);
+    const bool gone = isUnresponsive(*target.counters, now);
     const bool canResume = !m_exchange->lastEvent.empty() || !reader.lastEvent().empty();
     const bool mayMove = m_attempts < mostAttempts && (!began || canResume)
         && m_exchange->runsBefore + m_runs + 1 < m_exchange->service->attempts
@@ -145,10 +144,28 @@
     // A server that answers others may still answer this one; ended now, the request is lost for
     // certain.
     if (!mayMove)
-        return !overdue || !silent;
+        return !overdue || !gone;
     // Elsewhere it begins anew, behind all that wait there already.
     const bool timeToMove = remaining() >= patience / 2;
-    return !silent && !(overdue && timeToMove);
+    if (gone || (overdue && timeToMove))
+        return false;
+    if (!isSilent(*target.counters, now) || !roomAtHome())
+        return true;
+    // News of another region's room is older, and a stream that is turned away is lost.
+    m_stayHome = true;
+    return false;
+}
+
+// Whether a server of the region has so much room that it will take a request, whatever other
+// instances send it meanwhile.
+bool Dispatch::roomAtHome() const
+{
+    constexpr double mostTaken = 0.5;
+    const auto table = m_state.routing.read();
+    const auto candidates = candidatesIn(*table);
+    return std::any_of(candidates.begin(), candidates.end(), [](const Candidate &one) {
+        return one.view->status == ServerStatus::usable && one.load <= mostTaken * one.slots;
+    });
 }
 
 OutgoingRequest Dispatch::makeRequest(const Target &target) const
--- a/src/entry/health-check.cc
+++ b/src/entry/health-check.cc
@@ -7,15 +7,28 @@
 // Servers of the region answer a check in a millisecond, or wait for a slot.
 constexpr Duration checkTime = std::chrono::milliseconds(400);
 
+// A question is put when half of the shortest silence is over; another 300 ms are left.
+constexpr Duration answerTime = std::chrono::milliseconds(300);
+
+OutgoingRequest withLimits(OutgoingRequest request, Duration limit)
+{
+    request.limits = {limit, limit, limit, limit};
+    // A kept connection may have fallen silent by itself.
+    request.freshConnection = true;
+    return request;
+}
+
 } // namespace
 
 OutgoingRequest shortHealthCheck(const EntryState &state, const Protocol &protocol,
                                  const BackendServer &server)
 {
-    OutgoingRequest request = protocol.healthCheck(*state.gate.config(), server);
-    request.limits = {checkTime, checkTime, checkTime, checkTime};
-    request.freshConnection = true;
-    return request;
+    return withLimits(protocol.healthCheck(*state.gate.config(), server), checkTime);
+}
+
+OutgoingRequest shortStateQuery(const Protocol &protocol, const BackendServer &server)
+{
+    return withLimits(protocol.stateQuery(server), answerTime);
 }
 
 } // namespace ibisnotch
--- a/src/entry/health-check.h
+++ b/src/entry/health-check.h
@@ -11,4 +11,7 @@
 OutgoingRequest shortHealthCheck(const EntryState &state, const Protocol &protocol,
                                  const BackendServer &server);
 
+// Whether the server answers at all, within the time after which its silence counts.
+OutgoingRequest shortStateQuery(const Protocol &protocol, const BackendServer &server);
+
 } // namespace ibisnotch
--- a/src/entry/protocol.h
+++ b/src/entry/protocol.h
@@ -96,7 +96,10 @@
     // Asks a backend server whether it lives.
     virtual OutgoingRequest healthCheck(const FleetConfig &config,
                                         const BackendServer &server) const = 0;
-    // Whether the answer to that shows the very run of the server that the target names.
+    // Asks it the same, and gets an answer also where all its slots are taken.
+    virtual OutgoingRequest stateQuery(const BackendServer &server) const = 0;
+    // Whether the answer to a health check shows the very run of the server that the target
+    // names.
     virtual bool showsSameRun(const Target &target, const WholeAnswer &answer) const = 0;
     // How much longer the server is cold, by that answer.
     virtual std::optional<Duration> coldFor(const WholeAnswer &) const { return std::nullopt; }
--- a/src/entry/silence-watch.cc
+++ b/src/entry/silence-watch.cc
@@ -17,9 +17,10 @@
 // platform.
 constexpr Duration checkPeriod = std::chrono::milliseconds(500);
 
-std::string millisecondsSince(Duration::rep at, TimePoint now)
+std::string heardAgo(const ServerCounters &counters, TimePoint now)
 {
-    return millisecondsText(now.time_since_epoch() - Duration(at));
+    const Duration::rep at = counters.heardAt;
+    return at == 0 ? "never" : millisecondsText(now.time_since_epoch() - Duration(at));
 }
 
 const ServerView *findView(const RoutingTable &table, const std::string &name)
@@ -30,6 +31,11 @@
     return found == table.servers.end() ? nullptr : &*found;
 }
 
+bool inUse(const ServerView &view)
+{
+    return view.status == ServerStatus::usable || view.status == ServerStatus::trial;
+}
+
 } // namespace
 
 SilenceWatch::SilenceWatch(EntryState &state, const Protocol &protocol)
@@ -61,11 +67,9 @@
     if (!hears)
         return news;
     for (const ServerView &view : table->servers) {
-        const bool inUse
-            = view.status == ServerStatus::usable || view.status == ServerStatus::trial;
-        if (!inUse || m_silent.count(view.server.name) > 0)
+        if (!inUse(view) || m_silent.count(view.server.name) > 0)
             continue;
-        if (!isSilent(*view.counters, now))
+        if (!isUnresponsive(*view.counters, now))
             continue;
         take(view, "own");
         news.push_back({serverId(view.server.name), true});
@@ -79,14 +83,12 @@
     m_silent[view.server.name] = {now, now + checkPeriod};
     m_state.servers.onSilence(serverId(view.server.name), now);
     m_state.metrics.onServerSilent();
-    logLine(
-        LogPart::load, LogLevel::warn, "Backend server silent.",
-        {{"server", view.server.name},
-         {"source", std::string(source)},
-         {"inFlight", std::to_string(view.counters->inFlight)},
-         {"streaming", std::to_string(view.counters->streaming)},
-         {"heardMsAgo",
-          view.counters->heardAt == 0 ? "never" : millisecondsSince(view.counters->heardAt, now)}});
+    logLine(LogPart::load, LogLevel::warn, "Backend server silent.",
+            {{"server", view.server.name},
+             {"source", std::string(source)},
+             {"inFlight", std::to_string(view.counters->inFlight)},
+             {"streaming", std::to_string(view.counters->streaming)},
+             {"heardMsAgo", heardAgo(*view.counters, now)}});
 }
 
 void SilenceWatch::giveBack(const std::string &name, std::string_view source)
@@ -142,6 +144,32 @@
     }
 }
 
+std::vector<ServerView> SilenceWatch::dueForQuestion()
+{
+    const TimePoint now = m_state.clock.now();
+    std::vector<ServerView> due;
+    const auto table = m_state.routing.read();
+    if (!table || now < m_quietUntil)
+        return due;
+    for (const ServerView &view : table->servers) {
+        if (takeQuestion(*view.counters, now))
+            due.push_back(view);
+    }
+    return due;
+}
+
+void SilenceWatch::onQuestionOver(const ServerView &view, const WholeAnswer &answer)
+{
+    const bool answered = answer.result.end == TransferEnd::complete;
+    noteQuestionOver(*view.counters, answered, m_state.clock.now());
+    if (answered)
+        return;
+    logLine(LogPart::load, LogLevel::info, "Backend server did not answer.",
+            {{"server", view.server.name},
+             {"streaming", std::to_string(view.counters->streaming)},
+             {"heardMsAgo", heardAgo(*view.counters, m_state.clock.now())}});
+}
+
 std::vector<ServerView> SilenceWatch::dueForCheck()
 {
     const TimePoint now = m_state.clock.now();
--- a/src/entry/silence-watch.h
+++ b/src/entry/silence-watch.h
@@ -23,6 +23,12 @@
     // From another instance of the region.
     void onNews(const SilenceNews &news);
 
+    // Servers that may have fallen silent, to ask now whether they live: the pause of a single
+    // stream had whole regions leave sound servers.
+    std::vector<ServerView> dueForQuestion();
+    // An answer of any kind shows that such a server lives.
+    void onQuestionOver(const ServerView &view, const WholeAnswer &answer);
+
     // Servers to ask whether they live again, now. The caller says which are its to ask.
     std::vector<ServerView> dueForCheck();
     // The answer to a health check of such a server.
--- a/test/silence-test.cc
+++ b/test/silence-test.cc
@@ -55,6 +55,43 @@
     CHECK(isSilent(counters, now + 1100ms));
 }
 
+// Guards against a sound server that is left, and taken out of use by its whole region, for the
+// pause of a single stream.
+TEST_CASE_METHOD(SilenceFixture, "silence_serverAnswersWhenAsked_isNotUnresponsive")
+{
+    beginStream();
+    CHECK_FALSE(takeQuestion(counters, now + 200ms));
+    CHECK(takeQuestion(counters, now + 300ms));
+    CHECK_FALSE(takeQuestion(counters, now + 400ms));
+    noteQuestionOver(counters, true, now + 310ms);
+    CHECK_FALSE(isUnresponsive(counters, now + 900ms));
+    CHECK(takeQuestion(counters, now + 610ms));
+}
+
+TEST_CASE_METHOD(SilenceFixture,
+                 "silence_serverDoesNotAnswerWhenAsked_isUnresponsiveOnceItIsSilent")
+{
+    beginStream();
+    CHECK(takeQuestion(counters, now + 300ms));
+    noteQuestionOver(counters, false, now + 500ms);
+    CHECK_FALSE(isUnresponsive(counters, now + 590ms));
+    CHECK(isUnresponsive(counters, now + 600ms));
+}
+
+// Guards against a question of an earlier silence that counts for the next one.
+TEST_CASE_METHOD(SilenceFixture, "silence_heardSinceTheQuestion_isNotUnresponsiveUntilAskedAgain")
+{
+    beginStream();
+    CHECK(takeQuestion(counters, now + 300ms));
+    noteQuestionOver(counters, false, now + 600ms);
+    noteHeard(counters, now + 650ms);
+    CHECK(isSilent(counters, now + 1300ms));
+    CHECK_FALSE(isUnresponsive(counters, now + 1300ms));
+    CHECK(takeQuestion(counters, now + 1300ms));
+    noteQuestionOver(counters, false, now + 1400ms);
+    CHECK(isUnresponsive(counters, now + 1400ms));
+}
+
 // What callers see: at a peak, first tokens come after seconds, but they come. Why: an engine that
 // reads prompts for others is not silent, and taking it out of use sends its load to the rest.
 TEST_CASE_METHOD(SilenceFixture, "silence_onlyFirstTokensAwaited_isNotSilent")
