--- a/src/entry/dispatch.cc
+++ b/src/entry/dispatch.cc
@@ -24,6 +24,10 @@
 constexpr Duration firstLook = std::chrono::milliseconds(600);
 // Servers of the region accept within milliseconds, another region within 160 ms.
 constexpr Duration connectTime = std::chrono::milliseconds(500);
+// A caller that has a part of its stream waits two seconds at least for the next event; the server
+// that takes the stream has to read the prompt in what is left of them.
+constexpr Duration longestWaitForRoom = std::chrono::milliseconds(1500);
+constexpr Duration roomPause = std::chrono::milliseconds(150);
 // A datagram to an instance of the region takes some 4 ms.
 constexpr Duration markArrival = std::chrono::milliseconds(10);
 // A server that lives has closed or accepted by then.
@@ -89,6 +93,8 @@
     }
     const auto planned = plan(true);
     if (const auto *refusal = std::get_if<Refusal>(&planned)) {
+        if (waitsForRoom(*refusal))
+            return;
         settleNotRun();
         return refuse(*refusal);
     }
@@ -103,14 +109,30 @@
     send(target);
 }
 
+// Whoever is turned away in the middle of a stream loses all of it, while places come free within
+// tenths of a second.
+bool Dispatch::waitsForRoom(const Refusal &refusal)
+{
+    const bool goesOn
+        = m_streamed && m_exchange->service->resumable && !m_exchange->lastEvent.empty();
+    const bool noRoom
+        = refusal.code == ResultCode::noBackendServer || refusal.code == ResultCode::overloaded;
+    const bool inTime = m_state.clock.now() - m_passedAt < longestWaitForRoom
+        && remaining() > m_exchange->service->expected + roomPause;
+    if (!goesOn || !noRoom || !inTime || m_exchange->responder->closed())
+        return false;
+    trace("waits for room to go on");
+    m_tried.clear();
+    m_client.postAfter(roomPause, [self = shared_from_this()] { self->route(); });
+    return true;
+}
+
 bool Dispatch::passQuarantine()
 {
     const std::lock_guard lock(m_state.quarantineMutex);
     const auto answer = m_state.quarantine.ask(m_exchange->fingerprint, m_state.clock.now());
-    if (answer == QuarantineAnswer::held || answer == QuarantineAnswer::quarantined)
-        return false;
-    if (answer == QuarantineAnswer::trial) {
-        m_trial = true;
+    m_trial = answer == QuarantineAnswer::trial;
+    if (m_trial)
         m_state.quarantine.onTrial(m_exchange->fingerprint);
     return answer != QuarantineAnswer::held && answer != QuarantineAnswer::quarantined;
 }
@@ -238,6 +260,7 @@
                                                            answer.headers,
                                                            servedBy(answer.headers)));
     }
+    m_passedAt = m_state.clock.now();
     m_exchange->responder->write(std::move(data));
 }
 
@@ -418,7 +441,8 @@
     if (forwarded && !certainlyNotRun(end))
         return false;
     // The trial of a suspect request is one attempt at one server, even if that is gone already.
-    if (m_trial)
+    // One that refused it lives, and has not tried it.
+    if (m_trial && end != AttemptEnd::refusedNotRun)
         return false;
     // Only the issuer of a key may send its booking; there is nowhere else to try.
     if (m_toIssuer)
--- a/src/entry/dispatch.h
+++ b/src/entry/dispatch.h
@@ -89,6 +89,8 @@
 
     // Attempts.
     void route();
+    // For a stream that has to go on. True if it will be routed again.
+    bool waitsForRoom(const Refusal &refusal);
     void send(const Target &target);
     bool passQuarantine();
     OutgoingRequest makeRequest(const Target &target) const;
@@ -157,6 +159,7 @@
     bool m_streaming = false; // counted at that server
     bool m_awaitingFirst = false; // counted at the server of the attempt under way
     bool m_streamed = false; // the caller has the head of a stream
+    TimePoint m_passedAt{}; // the last piece, to the caller
     // A whole failure answer of a backend server, for the caller if nothing better comes.
     std::optional<HttpResponse> m_failure;
     std::set<std::string> m_tried;
