--- a/test/server-table-test.cc
+++ b/test/server-table-test.cc
@@ -1,5 +1,6 @@
 #include "ibisnotch/server-table.h"
 
+#include <algorithm>
 #include <cmath>
 #include <map>
 
@@ -228,6 +229,29 @@
     CHECK_FALSE(table.onCold(serverId("nobody"), 3s, now));
 }
 
+// Guards against a burst at a server that turned cold after its entry had vanished: requests must
+// see that no entry tells of it.
+TEST_CASE_METHOD(TableFixture, "listedServer_entryMissing_viewSaysSinceWhen")
+{
+    ListedServer entry;
+    entry.server.name = "s";
+    entry.server.address = "127.0.0.1:1";
+    entry.revision = 1;
+    const auto missingSince = [&] {
+        const auto servers = table.table(now).servers;
+        const auto found = std::find_if(servers.begin(), servers.end(), [](const ServerView &view) {
+            return view.server.name == "s";
+        });
+        REQUIRE(found != servers.end());
+        return found->missingSince;
+    };
+    table.setListed({{"s", entry}}, now);
+    CHECK(missingSince() == TimePoint{});
+    entry.missingSince = now;
+    table.setListed({{"s", entry}}, now);
+    CHECK(missingSince() == now);
+}
+
 // Guards against an entry of the list that is older than what the server said itself: a region that
 // has just reached the store again reads entries from before its servers turned cold.
 TEST_CASE_METHOD(TableFixture, "coldServer_olderEntryIsReadLate_staysCold")
