--- a/include/ibisnotch/silence.h
+++ b/include/ibisnotch/silence.h
@@ -32,8 +32,8 @@
 // mostly would. What the instance waits for may be one stream, so this is no proof.
 bool isSilent(const ServerCounters &counters, TimePoint now);
 
-// Whether to ask the server now if it lives, so that its answer is there, or not, by the time that
-// isSilent() holds. Counts as asked if so; for one caller at a time.
+// Whether to ask a silent server now if it lives, before what runs there is ended. Counts as asked
+// if so; for one caller at a time.
 bool takeQuestion(ServerCounters &counters, TimePoint now);
 
 // How the question ended.
--- a/src/decide/silence.cc
+++ b/src/decide/silence.cc
@@ -14,9 +14,6 @@
 constexpr double usualPauses = 4;
 // An answer without a stream: half of the two seconds after which callers go elsewhere.
 constexpr Duration longestWaitForAnswer = std::chrono::milliseconds(1000);
-
-// Leaves the time in which a server that lives answers.
-constexpr double askAfterPart = 0.5;
 constexpr Duration askAgainAfter = std::chrono::milliseconds(300);
 
 Duration longestPauseOfStreams(const ServerCounters &counters)
@@ -33,25 +30,6 @@
         {counters.heardAt.load(), counters.waitingSince.load(), counters.answeredAt.load()});
 }
 
-// How long the server has been quiet, as a part of what a sound one mostly needs; 0 where its
-// silence says nothing.
-double quietPart(const ServerCounters &counters, TimePoint now)
-{
-    if (counters.awaited <= 0)
-        return 0;
-    // First tokens say nothing: at a full engine they take seconds, and taking 1 s for silence had
-    // instances drop sound engines. Of an engine that is just back in use and has sent nothing yet,
-    // they do: it is not full, and the check that brought it back may have lied.
-    const bool heardSinceBack = counters.heardAt >= counters.givenBackAt;
-    const bool firstTokensOnly = counters.streaming <= 0 && counters.awaitingFirst > 0;
-    if (firstTokensOnly && heardSinceBack)
-        return 0;
-    const Duration allowed
-        = counters.streaming > 0 ? longestPauseOfStreams(counters) : longestWaitForAnswer;
-    const Duration quiet = now.time_since_epoch() - Duration(quietSince(counters));
-    return seconds(quiet) / seconds(allowed);
-}
-
 } // namespace
 
 std::uint32_t noteSent(ServerCounters &counters, TimePoint now)
@@ -99,13 +77,25 @@
 
 bool isSilent(const ServerCounters &counters, TimePoint now)
 {
-    return quietPart(counters, now) >= 1;
+    if (counters.awaited <= 0)
+        return false;
+    // First tokens say nothing: at a full engine they take seconds, and taking 1 s for silence had
+    // instances drop sound engines. Of an engine that is just back in use and has sent nothing yet,
+    // they do: it is not full, and the check that brought it back may have lied.
+    const bool heardSinceBack = counters.heardAt >= counters.givenBackAt;
+    const bool firstTokensOnly = counters.streaming <= 0 && counters.awaitingFirst > 0;
+    if (firstTokensOnly && heardSinceBack)
+        return false;
+    const Duration since(quietSince(counters));
+    const Duration allowed
+        = counters.streaming > 0 ? longestPauseOfStreams(counters) : longestWaitForAnswer;
+    return now.time_since_epoch() - since >= allowed;
 }
 
 bool takeQuestion(ServerCounters &counters, TimePoint now)
 {
     const TimePoint asked{Duration(counters.askedAt.load())};
-    if (quietPart(counters, now) < askAfterPart || now - asked < askAgainAfter)
+    if (!isSilent(counters, now) || now - asked < askAgainAfter)
         return false;
     counters.askedAt = now.time_since_epoch().count();
     return true;
--- a/src/entry/dispatch.cc
+++ b/src/entry/dispatch.cc
@@ -20,6 +20,11 @@
 // Between two pieces of an answer. Callers leave a stream that brings nothing for two seconds at
 // the earliest; whoever waits on after three waits for a server that is gone.
 constexpr Duration longestSilence = std::chrono::seconds(3);
+// Parts of a server's slots that may be taken where a request is to go on from a server that lives.
+// One that is merely silent mostly goes on by itself; from one that is overdue little is to be
+// lost.
+constexpr double mostTakenWhenSilent = 0.5;
+constexpr double mostTakenWhenOverdue = 0.9;
 // When an attempt that brings nothing is first looked at.
 constexpr Duration firstLook = std::chrono::milliseconds(600);
 // Servers of the region accept within milliseconds, another region within 160 ms.
@@ -169,23 +174,22 @@
         return !overdue || !gone;
     // Elsewhere it begins anew, behind all that wait there already.
     const bool timeToMove = remaining() >= patience / 2;
-    if (gone || (overdue && timeToMove))
+    if (gone)
         return false;
-    if (!isSilent(*target.counters, now) || !roomAtHome())
-        return true;
+    const bool moves = (overdue && timeToMove && roomAtHome(mostTakenWhenOverdue))
+        || (isSilent(*target.counters, now) && roomAtHome(mostTakenWhenSilent));
     // News of another region's room is older, and a stream that is turned away is lost.
-    m_stayHome = true;
-    return false;
+    m_stayHome = m_stayHome || moves;
+    return !moves;
 }
 
-// Whether a server of the region has so much room that it will take a request, whatever other
-// instances send it meanwhile.
-bool Dispatch::roomAtHome() const
+// Whether a server of the region has so much room that it takes a request, whatever other instances
+// send it meanwhile.
+bool Dispatch::roomAtHome(double mostTaken) const
 {
-    constexpr double mostTaken = 0.5;
     const auto table = m_state.routing.read();
     const auto candidates = candidatesIn(*table);
-    return std::any_of(candidates.begin(), candidates.end(), [](const Candidate &one) {
+    return std::any_of(candidates.begin(), candidates.end(), [mostTaken](const Candidate &one) {
         return one.view->status == ServerStatus::usable && one.load <= mostTaken * one.slots;
     });
 }
--- a/src/entry/dispatch.h
+++ b/src/entry/dispatch.h
@@ -104,7 +104,7 @@
     // Whether an attempt without a byte since `heard` may still come to something better than what
     // another server would give.
     bool waitsOn(const Target &target, const AnswerReader &reader, TimePoint heard);
-    bool roomAtHome() const;
+    bool roomAtHome(double mostTaken) const;
     void dropPending(const Target &target);
     TransferLimits limitsFor(const Target &target) const;
     void onAttemptEnd(const Target &target, AttemptEnd end, Attempt &attempt);
--- a/src/entry/health-check.cc
+++ b/src/entry/health-check.cc
@@ -7,7 +7,7 @@
 // Servers of the region answer a check in a millisecond, or wait for a slot.
 constexpr Duration checkTime = std::chrono::milliseconds(400);
 
-// A question is put when half of the shortest silence is over; another 300 ms are left.
+// A server that lives tells its state in some ten.
 constexpr Duration answerTime = std::chrono::milliseconds(300);
 
 OutgoingRequest withLimits(OutgoingRequest request, Duration limit)
--- a/src/entry/health-check.h
+++ b/src/entry/health-check.h
@@ -11,7 +11,7 @@
 OutgoingRequest shortHealthCheck(const EntryState &state, const Protocol &protocol,
                                  const BackendServer &server);
 
-// Whether the server answers at all, within the time after which its silence counts.
+// Whether the server answers at all.
 OutgoingRequest shortStateQuery(const Protocol &protocol, const BackendServer &server);
 
 } // namespace ibisnotch
--- a/src/entry/silence-watch.cc
+++ b/src/entry/silence-watch.cc
@@ -69,7 +69,7 @@
     for (const ServerView &view : table->servers) {
         if (!inUse(view) || m_silent.count(view.server.name) > 0)
             continue;
-        if (!isUnresponsive(*view.counters, now))
+        if (!isSilent(*view.counters, now))
             continue;
         take(view, "own");
         news.push_back({serverId(view.server.name), true});
--- a/src/entry/silence-watch.h
+++ b/src/entry/silence-watch.h
@@ -23,8 +23,7 @@
     // From another instance of the region.
     void onNews(const SilenceNews &news);
 
-    // Servers that may have fallen silent, to ask now whether they live: the pause of a single
-    // stream had whole regions leave sound servers.
+    // Silent servers to ask now whether they live, before what runs there is ended.
     std::vector<ServerView> dueForQuestion();
     // An answer of any kind shows that such a server lives.
     void onQuestionOver(const ServerView &view, const WholeAnswer &answer);
