--- a/src/entry/dispatch.cc
+++ b/src/entry/dispatch.cc
@@ -165,19 +165,21 @@
     const bool overdue = now - heard >= patience;
     const bool gone = isUnresponsive(*target.counters, now);
     const bool canResume = !m_exchange->lastEvent.empty() || !reader.lastEvent().empty();
-    const bool mayMove = m_attempts < mostAttempts && (!began || canResume)
-        && m_exchange->runsBefore + m_runs + 1 < m_exchange->service->attempts
+    const bool mayMove = !m_trial
+        && mayRetry(retryQuestion(AttemptEnd::silent, m_runs + 1, began && !canResume))
+            == RetryAnswer::retry
         && m_state.retries.has(m_exchange->customer->name, loadName(*m_exchange));
     // A server that answers others may still answer this one; ended now, the request is lost for
     // certain.
     if (!mayMove)
         return !overdue || !gone;
-    // Elsewhere it begins anew, behind all that wait there already.
-    const bool timeToMove = remaining() >= patience / 2;
     if (gone)
         return false;
-    const bool moves = (overdue && timeToMove && roomAtHome(mostTakenWhenOverdue))
-        || (isSilent(*target.counters, now) && roomAtHome(mostTakenWhenSilent));
+    // Elsewhere it begins anew, behind all that wait there already.
+    const bool timeToMove = remaining() >= patience / 2;
+    const bool moves = timeToMove
+        && ((overdue && roomAtHome(mostTakenWhenOverdue))
+            || (isSilent(*target.counters, now) && roomAtHome(mostTakenWhenSilent)));
     // News of another region's room is older, and a stream that is turned away is lost.
     m_stayHome = m_stayHome || moves;
     return !moves;
@@ -425,18 +427,24 @@
     });
 }
 
-bool Dispatch::tryAgain(AttemptEnd end, bool callerHasSeenBytes)
+RetryQuestion Dispatch::retryQuestion(AttemptEnd end, int runs, bool callerHasSeenBytes) const
 {
     RetryQuestion question;
     question.end = end;
     question.idempotent = m_exchange->service->idempotent;
     question.callerHasSeenBytes = callerHasSeenBytes;
     // Servers that refuse a stream which has to go on leave others to ask; its caller has a part.
-    question.attemptsMade = m_streamed ? m_runs : m_attempts;
-    question.runsMade = m_exchange->runsBefore + m_runs;
+    question.attemptsMade = m_streamed ? runs : m_attempts;
+    question.runsMade = m_exchange->runsBefore + runs;
     question.mostRuns = m_exchange->service->attempts;
     question.remaining = remaining();
     question.expected = m_exchange->service->expected;
+    return question;
+}
+
+bool Dispatch::tryAgain(AttemptEnd end, bool callerHasSeenBytes)
+{
+    const RetryQuestion question = retryQuestion(end, m_runs, callerHasSeenBytes);
     if (mayRetry(question) != RetryAnswer::retry || m_exchange->responder->closed())
         return false;
     // Only the instance next to the backend servers repeats a request that was sent; one that
--- a/src/entry/dispatch.h
+++ b/src/entry/dispatch.h
@@ -112,6 +112,7 @@
     void noteAttempt(const Target &target, AttemptEnd end);
     void onServerLost(const Target &target);
     void checkServerAlive(const Target &target);
+    RetryQuestion retryQuestion(AttemptEnd end, int runs, bool callerHasSeenBytes) const;
     bool tryAgain(AttemptEnd end, bool callerHasSeenBytes);
     bool turnedAwayElsewhere(const Target &target, const Attempt &attempt) const;
     void stayHome();
