--- a/src/entry/dispatch.cc
+++ b/src/entry/dispatch.cc
@@ -155,7 +155,7 @@
     return limits;
 }
 
-bool Dispatch::waitsOn(const Target &target, const AnswerReader &reader, TimePoint heard)
+bool Dispatch::waitsOn(const Target &target, const AnswerReader &reader, TimePoint heard) const
 {
     const TimePoint now = m_state.clock.now();
     const bool began = reader.streams();
@@ -178,22 +178,30 @@
     // Elsewhere it begins anew, behind all that wait there already.
     const bool timeToMove = remaining() >= patience / 2;
     const bool moves = timeToMove
-        && ((overdue && roomAtHome(mostTakenWhenOverdue))
-            || (isSilent(*target.counters, now) && roomAtHome(mostTakenWhenSilent)));
-    // News of another region's room is older, and a stream that is turned away is lost.
-    m_stayHome = m_stayHome || moves;
+        && ((overdue && roomElsewhere(mostTakenWhenOverdue))
+            || (isSilent(*target.counters, now) && roomElsewhere(mostTakenWhenSilent)));
     return !moves;
 }
 
-// Whether a server of the region has so much room that it takes a request, whatever other instances
-// send it meanwhile.
-bool Dispatch::roomAtHome(double mostTaken) const
+// Whether a server of the region, or another region, has so much room that it takes a request,
+// whatever other instances send it meanwhile.
+bool Dispatch::roomElsewhere(double mostTaken) const
 {
     const auto table = m_state.routing.read();
     const auto candidates = candidatesIn(*table);
-    return std::any_of(candidates.begin(), candidates.end(), [mostTaken](const Candidate &one) {
-        return one.view->status == ServerStatus::usable && one.load <= mostTaken * one.slots;
-    });
+    const bool atHome
+        = std::any_of(candidates.begin(), candidates.end(), [mostTaken](const Candidate &one) {
+              return one.view->status == ServerStatus::usable && one.load <= mostTaken * one.slots;
+          });
+    const auto &allowed = m_exchange->allowedRegions;
+    const bool mayGoAway = !m_stayHome && !m_exchange->fromPeer;
+    return atHome
+        || (mayGoAway
+            && std::any_of(allowed.begin(), allowed.end(), [&](const std::string &region) {
+                   const auto load
+                       = m_state.regions.find(region, loadName(*m_exchange), m_state.clock.now());
+                   return load && load->outstanding < mostTaken * load->slots;
+               }));
 }
 
 OutgoingRequest Dispatch::makeRequest(const Target &target) const
--- a/src/entry/dispatch.h
+++ b/src/entry/dispatch.h
@@ -103,8 +103,8 @@
     void noteFirstByte(const Target &target);
     // Whether an attempt without a byte since `heard` may still come to something better than what
     // another server would give.
-    bool waitsOn(const Target &target, const AnswerReader &reader, TimePoint heard);
-    bool roomAtHome(double mostTaken) const;
+    bool waitsOn(const Target &target, const AnswerReader &reader, TimePoint heard) const;
+    bool roomElsewhere(double mostTaken) const;
     void dropPending(const Target &target);
     TransferLimits limitsFor(const Target &target) const;
     void onAttemptEnd(const Target &target, AttemptEnd end, Attempt &attempt);
