--- a/src/entry/dispatch.cc
+++ b/src/entry/dispatch.cc
@@ -21,17 +21,12 @@
 // the earliest; whoever waits on after three waits for a server that is gone.
 constexpr Duration longestSilence = std::chrono::seconds(3);
 // Parts of a server's slots that may be taken where a request is to go on from a server that lives.
-// One that is merely silent mostly goes on by itself; from one that is overdue little is to be
-// lost.
-constexpr double mostTakenWhenSilent = 0.5;
-constexpr double mostTakenWhenOverdue = 0.9;
+constexpr double mostTakenForStreams = 0.5; // that have begun; whoever turns one away cuts it
+constexpr double mostTakenForOthers = 0.9;
 // When an attempt that brings nothing is first looked at.
 constexpr Duration firstLook = std::chrono::milliseconds(600);
 // Servers of the region accept within milliseconds, another region within 160 ms.
 constexpr Duration connectTime = std::chrono::milliseconds(500);
-// A caller that has a part of its stream waits two seconds at least for the next event; the server
-// that takes the stream has to read the prompt in what is left of them.
-constexpr Duration longestWaitForRoom = std::chrono::milliseconds(1500);
 constexpr Duration roomPause = std::chrono::milliseconds(150);
 // A datagram to an instance of the region takes some 4 ms.
 constexpr Duration markArrival = std::chrono::milliseconds(10);
@@ -114,21 +109,44 @@
     send(target);
 }
 
-// Whoever is turned away in the middle of a stream loses all of it, while places come free within
-// tenths of a second.
-bool Dispatch::waitsForRoom(const Refusal &refusal)
+// Whoever is turned away in the middle of a stream loses all of it, while places, and retries, come
+// free within tenths of a second. Callers that do not wait for it leave.
+bool Dispatch::maySeekRoom() const
 {
     const bool goesOn
         = m_streamed && m_exchange->service->resumable && !m_exchange->lastEvent.empty();
+    return goesOn && remaining() > m_exchange->service->expected + roomPause
+        && !m_exchange->responder->closed();
+}
+
+void Dispatch::afterRoomPause(std::function<void()> next)
+{
+    trace("waits for room to go on");
+    m_tried.clear();
+    m_client.postAfter(roomPause, std::move(next));
+}
+
+bool Dispatch::waitsForRoom(const Refusal &refusal)
+{
     const bool noRoom
         = refusal.code == ResultCode::noBackendServer || refusal.code == ResultCode::overloaded;
-    const bool inTime = m_state.clock.now() - m_passedAt < longestWaitForRoom
-        && remaining() > m_exchange->service->expected + roomPause;
-    if (!goesOn || !noRoom || !inTime || m_exchange->responder->closed())
+    if (!noRoom || !maySeekRoom())
         return false;
-    trace("waits for room to go on");
-    m_tried.clear();
-    m_client.postAfter(roomPause, [self = shared_from_this()] { self->route(); });
+    afterRoomPause([self = shared_from_this()] { self->route(); });
+    return true;
+}
+
+bool Dispatch::waitsForRetry(AttemptEnd end)
+{
+    const RetryQuestion question = retryQuestion(end, m_runs, false);
+    if (!certainlyNotRun(end) || mayRetry(question) != RetryAnswer::retry || !maySeekRoom())
+        return false;
+    afterRoomPause([self = shared_from_this(), end] {
+        if (self->tryAgain(end, false))
+            self->route();
+        else if (!self->waitsForRetry(end))
+            self->breakOff(end);
+    });
     return true;
 }
 
@@ -177,9 +195,11 @@
         return false;
     // Elsewhere it begins anew, behind all that wait there already.
     const bool timeToMove = remaining() >= patience / 2;
-    const bool moves = timeToMove
-        && ((overdue && roomElsewhere(mostTakenWhenOverdue))
-            || (isSilent(*target.counters, now) && roomElsewhere(mostTakenWhenSilent)));
+    // A stream that pauses mostly goes on by itself, and one that nobody takes elsewhere is lost.
+    const bool callerHasPart = began || m_streamed;
+    const bool silent = !callerHasPart && isSilent(*target.counters, now);
+    const double mostTaken = callerHasPart ? mostTakenForStreams : mostTakenForOthers;
+    const bool moves = timeToMove && (overdue || silent) && roomElsewhere(mostTaken);
     return !moves;
 }
 
@@ -274,7 +294,6 @@
                                                            answer.headers,
                                                            servedBy(answer.headers)));
     }
-    m_passedAt = m_state.clock.now();
     m_exchange->responder->write(std::move(data));
 }
 
@@ -381,6 +400,8 @@
     const bool mayResume = m_exchange->service->resumable && !m_exchange->lastEvent.empty();
     if (tryAgain(end, m_streamed && !mayResume))
         return routeAgain(end);
+    if (waitsForRetry(end))
+        return;
     if (m_streamed)
         return breakOff(end);
     giveUp(end);
--- a/src/entry/dispatch.h
+++ b/src/entry/dispatch.h
@@ -1,6 +1,7 @@
 // Carries one admitted request to a backend server or another region, and its answer back.
 #pragma once
 
+#include <functional>
 #include <memory>
 #include <optional>
 #include <set>
@@ -89,8 +90,12 @@
 
     // Attempts.
     void route();
-    // For a stream that has to go on. True if it will be routed again.
+    // For a stream that has to go on, where nobody takes it now, or no retry is left. True if it
+    // will be tried again.
     bool waitsForRoom(const Refusal &refusal);
+    bool waitsForRetry(AttemptEnd end);
+    bool maySeekRoom() const;
+    void afterRoomPause(std::function<void()> next);
     void send(const Target &target);
     bool passQuarantine();
     OutgoingRequest makeRequest(const Target &target) const;
@@ -160,7 +165,6 @@
     bool m_streaming = false; // counted at that server
     bool m_awaitingFirst = false; // counted at the server of the attempt under way
     bool m_streamed = false; // the caller has the head of a stream
-    TimePoint m_passedAt{}; // the last piece, to the caller
     // A whole failure answer of a backend server, for the caller if nothing better comes.
     std::optional<HttpResponse> m_failure;
     std::set<std::string> m_tried;
