Dispatch: the code that decides on waiting and retries has a file of its own

dispatch.cc had 552 lines and held three jobs: to send an attempt, to judge one without progress, and to decide what follows a failed one. The last two are moved to dispatch-retry.cc, with their constants, unchanged; so changes to them can be read by themselves. No behaviour changes.

--- a/src/entry/dispatch.cc
+++ b/src/entry/dispatch.cc
@@ -13,25 +13,10 @@
 
 namespace {
 
-// Timeout of an idempotent request for its first byte: a multiple of the expected duration of one
-// run, but at least the minimum. Callers close a stream without data after two seconds at the
-// earliest.
-constexpr int firstByteTimeoutFactor = 8;
-constexpr Duration minFirstByteTimeout = std::chrono::seconds(2);
-// Maximum time between two pieces of a response. Callers close a stream without data after two
-// seconds at the earliest; a server that sends nothing for three seconds has failed.
-constexpr Duration maxStreamGap = std::chrono::seconds(3);
-// Highest utilization of a server's slots at which a request may move to it from a working server.
-// The limit is lower for streams that have started, because a server that rejects one cuts it off.
-constexpr double maxUtilizationForStreams = 0.5;
-constexpr double maxUtilizationForOthers = 0.9;
 // An attempt that receives nothing is checked for the first time after this.
 constexpr Duration progressCheckInterval = std::chrono::milliseconds(600);
 // Servers in the same region accept a connection within milliseconds, another region within 160 ms.
 constexpr Duration connectTimeout = std::chrono::milliseconds(500);
-constexpr Duration capacityRetryInterval = std::chrono::milliseconds(150);
-// A datagram to an instance in the same region takes about 4 ms.
-constexpr Duration crashMarkDelay = std::chrono::milliseconds(10);
 // By then, a working server has closed the connection or accepted a new one.
 constexpr Duration serverCheckDelay = std::chrono::milliseconds(300);
 
@@ -111,49 +96,6 @@
     send(target);
 }
 
-// A stream that is rejected after it has started is lost as a whole, while slots and retries become
-// available within tenths of a second. A caller that doesn't want to wait disconnects.
-bool Dispatch::mayWaitForCapacity() const
-{
-    const bool mayContinue
-        = m_streamStarted && m_exchange->service->isResumable && !m_exchange->lastEventId.empty();
-    return mayContinue
-        && remaining() > m_exchange->service->expectedDuration + capacityRetryInterval
-        && !m_exchange->responder->isClosed();
-}
-
-void Dispatch::runAfterCapacityPause(std::function<void()> next)
-{
-    trace("waiting for capacity to resume the stream");
-    m_triedTargets.clear();
-    m_client.postAfter(capacityRetryInterval, std::move(next));
-}
-
-bool Dispatch::waitForCapacity(const Refusal &refusal)
-{
-    const bool noCapacity
-        = refusal.code == ResultCode::noBackendServer || refusal.code == ResultCode::overloaded;
-    if (!noCapacity || !mayWaitForCapacity())
-        return false;
-    runAfterCapacityPause([self = shared_from_this()] { self->route(); });
-    return true;
-}
-
-bool Dispatch::waitForRetry(AttemptOutcome outcome)
-{
-    const RetryInput input = retryInput(outcome, m_runs, false);
-    if (!certainlyNotRun(outcome) || decideRetry(input) != RetryDecision::retry
-        || !mayWaitForCapacity())
-        return false;
-    runAfterCapacityPause([self = shared_from_this(), outcome] {
-        if (self->tryAcquireRetry(outcome, false))
-            self->route();
-        else if (!self->waitForRetry(outcome))
-            self->abortStream(outcome);
-    });
-    return true;
-}
-
 bool Dispatch::checkQuarantine()
 {
     const std::lock_guard lock(m_state.quarantineMutex);
@@ -177,62 +119,6 @@
     return limits;
 }
 
-bool Dispatch::shouldKeepWaiting(const Target &target, const ResponseReader &reader,
-                                 TimePoint lastReceivedAt) const
-{
-    const TimePoint now = m_state.clock.now();
-    const bool hasStarted = reader.isStreaming();
-    const Duration timeout = hasStarted
-        ? maxStreamGap
-        : std::max(minFirstByteTimeout,
-                   m_exchange->service->expectedDuration * firstByteTimeoutFactor);
-    const bool overdue = now - lastReceivedAt >= timeout;
-    const bool unresponsive = isUnresponsive(*target.counters, now);
-    const bool canResume = !m_exchange->lastEventId.empty() || !reader.lastEventId().empty();
-    const bool mayMove = !m_isQuarantineTrial
-        && decideRetry(retryInput(AttemptOutcome::silent, m_runs + 1, hasStarted && !canResume))
-            == RetryDecision::retry
-        && m_state.retryBudget.canAcquire(m_exchange->customer->name, loadKey(*m_exchange));
-    // The request may not be sent to another server, so it would certainly fail if this attempt
-    // ended. A server that responds to other requests may still respond to this one.
-    if (!mayMove)
-        return !overdue || !unresponsive;
-    if (unresponsive)
-        return false;
-    // Another server has to start from the beginning, after all requests that already wait there.
-    const bool hasTimeToMove = remaining() >= timeout / 2;
-    // A stream that pauses usually continues by itself, and is lost if no other server accepts it.
-    const bool callerHasPart = hasStarted || m_streamStarted;
-    const bool silent = !callerHasPart && isSilent(*target.counters, now);
-    const double maxUtilization
-        = callerHasPart ? maxUtilizationForStreams : maxUtilizationForOthers;
-    const bool shouldMove
-        = hasTimeToMove && (overdue || silent) && hasCapacityElsewhere(maxUtilization);
-    return !shouldMove;
-}
-
-// Returns true if a server in this region, or another region, has enough capacity to accept a
-// request even if other instances send requests there at the same time.
-bool Dispatch::hasCapacityElsewhere(double maxUtilization) const
-{
-    const auto table = m_state.routing.read();
-    const auto candidates = candidatesIn(*table);
-    const bool hasLocalCapacity
-        = std::any_of(candidates.begin(), candidates.end(), [maxUtilization](const Candidate &one) {
-              return one.view->status == ServerStatus::usable
-                  && one.load <= maxUtilization * one.slots;
-          });
-    const auto &allowed = m_exchange->allowedRegions;
-    const bool mayUseRemote = !m_stayInRegion && !m_exchange->fromPeer;
-    return hasLocalCapacity
-        || (mayUseRemote
-            && std::any_of(allowed.begin(), allowed.end(), [&](const std::string &region) {
-                   const auto load = m_state.regionLoads.find(region, loadKey(*m_exchange),
-                                                              m_state.clock.now());
-                   return load && load->outstanding < maxUtilization * load->slots;
-               }));
-}
-
 OutgoingRequest Dispatch::makeRequest(const Target &target) const
 {
     const Exchange &exchange = *m_exchange;
@@ -425,16 +311,6 @@
     failRequest(outcome);
 }
 
-// A server that cannot be reached may just have crashed on a copy of this request that came through
-// another instance. The next attempt is delayed until that instance's crash mark has arrived, so
-// that checkQuarantine() finds it; otherwise this copy could crash a third server.
-void Dispatch::routeRetry(AttemptOutcome outcome)
-{
-    if (outcome != AttemptOutcome::notConnected)
-        return route();
-    m_client.postAfter(crashMarkDelay, [self = shared_from_this()] { self->route(); });
-}
-
 void Dispatch::onSuspectedCrash(const Target &target)
 {
     CrashMark mark;
@@ -476,77 +352,4 @@
     });
 }
 
-RetryInput Dispatch::retryInput(AttemptOutcome outcome, int runs, bool callerHasSeenBytes) const
-{
-    RetryInput input;
-    input.outcome = outcome;
-    input.idempotent = m_exchange->service->idempotent;
-    input.callerHasSeenBytes = callerHasSeenBytes;
-    // Once a stream has started, attempts that were refused don't count, so that other servers can
-    // be tried.
-    input.attemptsMade = m_streamStarted ? runs : m_attempts;
-    input.runsMade = m_exchange->previousRuns + runs;
-    input.maxRuns = m_exchange->service->maxAttempts;
-    input.remaining = remaining();
-    input.expected = m_exchange->service->expectedDuration;
-    return input;
-}
-
-bool Dispatch::tryAcquireRetry(AttemptOutcome outcome, bool callerHasSeenBytes)
-{
-    const RetryInput input = retryInput(outcome, m_runs, callerHasSeenBytes);
-    if (decideRetry(input) != RetryDecision::retry || m_exchange->responder->isClosed())
-        return false;
-    // Only the instance that sends to backend servers retries an attempt that may have run. An
-    // instance that forwarded the request retries only if it certainly did not run; otherwise the
-    // retries of both instances would multiply.
-    const bool forwarded = m_forwardedToRegion;
-    if (forwarded && !certainlyNotRun(outcome))
-        return false;
-    // The quarantine trial of a request is one attempt on one server, even if that server has
-    // crashed. A server that refused the request works and has not run it.
-    if (m_isQuarantineTrial && outcome != AttemptOutcome::refusedNotRun)
-        return false;
-    // Only the instance that issued the key may send its booking.
-    if (m_forwardedToIssuer)
-        return false;
-    // An attempt without a connection caused no load on a backend server and needs no retry budget.
-    const bool causedNoLoad = outcome == AttemptOutcome::notConnected;
-    if (!causedNoLoad
-        && !m_state.retryBudget.tryAcquire(m_exchange->customer->name, loadKey(*m_exchange))) {
-        trace("no retry: retry budget exhausted");
-        return false;
-    }
-    m_state.metrics.onRetry();
-    trace("retry");
-    return true;
-}
-
-// Returns true if another region rejected the request for lack of capacity. This happens because
-// its reported load is up to half a second old. The request did not run there, so the local region
-// may still accept it.
-bool Dispatch::isRejectedByRemoteRegion(const Target &target, const Attempt &attempt) const
-{
-    const ResultCode code = attempt.reader().resultCode();
-    const bool noCapacity = code == ResultCode::overloaded || code == ResultCode::noBackendServer
-        || code == ResultCode::deadlineTooShort;
-    const auto &allowed = m_exchange->allowedRegions;
-    const bool localAllowed
-        = std::find(allowed.begin(), allowed.end(), m_state.settings.region) != allowed.end();
-    const bool isRemote = target.isPeer && target.region != m_state.settings.region;
-    const bool mayRunAgain = m_exchange->service->idempotent || !m_mayHaveRun;
-    return isRemote && noCapacity && localAllowed && !m_stayInRegion && mayRunAgain
-        && !m_forwardedToIssuer && !m_exchange->responder->isClosed();
-}
-
-void Dispatch::returnToLocalRegion()
-{
-    trace("rejected by the other region; staying in the local region");
-    m_stayInRegion = true;
-    m_forwardedToRegion = false;
-    if (m_admitted)
-        m_state.admission.onFinished(m_exchange->customer->name, m_exchange->service->name);
-    m_admitted = false;
-}
-
 } // namespace ibisnotch
