A stream that has begun never ends with a code that says not run

Cause: abortStream and failRequest took the code from the last attempt alone, where refuse and deliver heed m_mayHaveRun. All of them now ask finalCode(), or check the same flag.

Ruled out: refuse() and deliver(), which checked the flag already.

--- a/src/entry/dispatch-end.cc
+++ b/src/entry/dispatch-end.cc
@@ -47,11 +47,20 @@
     finish(code);
 }
 
+// Returns the code after a failed attempt. If an earlier attempt may have run, the code must not
+// say that the request didn't run, whatever the last attempt shows.
+ResultCode Dispatch::finalCode(AttemptOutcome outcome) const
+{
+    const bool late = remaining().count() <= 0;
+    const bool isFalseNotRun = m_mayHaveRun && certainlyNotRun(outcome);
+    return finalResultCode(isFalseNotRun ? AttemptOutcome::connectionLost : outcome,
+                           m_exchange->service->idempotent, late);
+}
+
 // Ends a stream early. The caller has part of the response and must see that the rest is missing.
 void Dispatch::abortStream(AttemptOutcome outcome)
 {
-    const bool late = remaining().count() <= 0;
-    const ResultCode code = finalResultCode(outcome, m_exchange->service->idempotent, late);
+    const ResultCode code = finalCode(outcome);
     m_exchange->responder->write(m_protocol.makeStreamError(*m_exchange, code, servedBy({})));
     m_exchange->responder->abort();
     settleUnknown();
@@ -60,7 +69,6 @@
 
 void Dispatch::failRequest(AttemptOutcome outcome)
 {
-    const bool late = remaining().count() <= 0;
     if (outcome == AttemptOutcome::callerLeft) {
         settleUnknown();
         return finish(ResultCode::callerLeft);
@@ -69,12 +77,13 @@
     // must not be "not run".
     if (m_forwardedToIssuer && certainlyNotRun(outcome))
         return refuse({ResultCode::issuerGone, "", {}});
-    if (certainlyNotRun(outcome))
+    const ResultCode code = finalCode(outcome);
+    const bool notRun = resultInfo(code).runState == RunState::notRun;
+    if (notRun)
         settleNotRun();
     else
         settleUnknown();
-    const ResultCode code = finalResultCode(outcome, m_exchange->service->idempotent, late);
-    const bool mayRetry = m_exchange->service->idempotent || certainlyNotRun(outcome);
+    const bool mayRetry = m_exchange->service->idempotent || notRun;
     refuse({code, "", mayRetry ? jitteredRetryAfter(1, m_state.random) : Duration(0)});
 }
 
--- a/src/entry/dispatch.h
+++ b/src/entry/dispatch.h
@@ -141,6 +141,7 @@
 
     // End of the request.
     void failRequest(AttemptOutcome outcome);
+    ResultCode finalCode(AttemptOutcome outcome) const;
     void refuse(const Refusal &refusal);
     void finish(ResultCode code);
 
