A stream is not ended while its retry may be missing, and waits for a retry whatever ended its attempt

What callers saw: a stream cut with seconds left while its server paused or right after it broke off, when the retry budget was empty at that moment.

Cause, by reading: (1) shouldKeepWaiting ended an attempt because canAcquire() said that a retry was left; the retry was taken afterwards, and another loop's thread could take it in between. (2) waitForRetry waited only after an attempt that surely had not run; one that broke off and found no retry was cut. (3) An attempt at a server of this region that failed after another one had been forwarded was taken for the forwarded one.

Now the retry is acquired before the attempt is ended, and given back if the attempt turns out otherwise; one function, retryOrEnd(), decides what follows any failed attempt, by one rule (mayRetry), and a stream that can be resumed waits for the retry budget until its deadline. The last event is known while the attempt runs, so both questions read the same state.

Ruled out: leaving an unresponsive server only where others have room: while all are full a stream would stay at a dead server for longer than callers wait; one that is refused elsewhere waits for room.

--- a/include/ibisnotch/retry.h
+++ b/include/ibisnotch/retry.h
@@ -49,8 +49,8 @@
     void onRequest(const std::string &customer, const std::string &service, double retryShare);
     // Acquires one token for a retry. Returns false if there is none.
     bool tryAcquire(const std::string &customer, const std::string &service);
-    // Returns whether tryAcquire() would succeed now.
-    bool canAcquire(const std::string &customer, const std::string &service);
+    // Returns a token that was acquired for a retry that is not made after all.
+    void release(const std::string &customer, const std::string &service);
 
 private:
     // Returns the tokens of the bucket. m_mutex must be held.
--- a/src/decide/retry.cc
+++ b/src/decide/retry.cc
@@ -73,10 +73,11 @@
     return true;
 }
 
-bool RetryBudget::canAcquire(const std::string &customer, const std::string &service)
+void RetryBudget::release(const std::string &customer, const std::string &service)
 {
     const std::lock_guard lock(m_mutex);
-    return tokens(customer, service) >= 1;
+    double &available = tokens(customer, service);
+    available = std::min(m_burst, available + 1);
 }
 
 RetryDecision decideRetry(const RetryInput &input)
--- a/src/entry/attempt.cc
+++ b/src/entry/attempt.cc
@@ -53,7 +53,7 @@
         m_response.body.clear();
     }
     if (!passed.empty())
-        m_dispatch->writeToCaller(m_response, std::move(passed));
+        m_dispatch->writeToCaller(*this, std::move(passed));
     if (outcome)
         return stopWith(*outcome);
     return !m_dispatch->m_exchange->responder->isClosed();
--- a/src/entry/dispatch-end.cc
+++ b/src/entry/dispatch-end.cc
@@ -57,6 +57,13 @@
                            m_exchange->service->idempotent, late);
 }
 
+void Dispatch::endAfterFailure(AttemptOutcome outcome)
+{
+    if (m_streamStarted)
+        return abortStream(outcome);
+    failRequest(outcome);
+}
+
 // Ends a stream early. The caller has part of the response and must see that the rest is missing.
 void Dispatch::abortStream(AttemptOutcome outcome)
 {
--- a/src/entry/dispatch-retry.cc
+++ b/src/entry/dispatch-retry.cc
@@ -3,7 +3,6 @@
 
 #include "attempt.h"
 #include "dispatch.h"
-#include "ibisnotch/read-delay.h"
 #include "ibisnotch/silence.h"
 
 namespace ibisnotch {
@@ -28,21 +27,27 @@
 
 } // namespace
 
+// Returns whether the caller has part of a stream that another server can continue.
+bool Dispatch::canResume() const
+{
+    return m_streamStarted && m_exchange->service->isResumable && !m_exchange->lastEventId.empty();
+}
+
 // A stream that is rejected after it has started is lost as a whole, while slots and retries become
 // available within tenths of a second. A caller that doesn't want to wait disconnects.
 bool Dispatch::mayWaitForCapacity() const
 {
-    const bool mayContinue
-        = m_streamStarted && m_exchange->service->isResumable && !m_exchange->lastEventId.empty();
-    return mayContinue
+    return canResume()
         && remaining() > m_exchange->service->expectedDuration + capacityRetryInterval
         && !m_exchange->responder->isClosed();
 }
 
+// Servers and regions that rejected the stream before may accept it after the pause.
 void Dispatch::runAfterCapacityPause(std::function<void()> next)
 {
     trace("waiting for capacity to resume the stream");
     m_triedTargets.clear();
+    m_stayInRegion = false;
     m_client.postAfter(capacityRetryInterval, std::move(next));
 }
 
@@ -56,23 +61,8 @@
     return true;
 }
 
-bool Dispatch::waitForRetry(AttemptOutcome outcome)
-{
-    const RetryInput input = retryInput(outcome, m_runs, false);
-    if (!certainlyNotRun(outcome) || decideRetry(input) != RetryDecision::retry
-        || !mayWaitForCapacity())
-        return false;
-    runAfterCapacityPause([self = shared_from_this(), outcome] {
-        if (self->tryAcquireRetry(outcome, false))
-            self->route();
-        else if (!self->waitForRetry(outcome))
-            self->abortStream(outcome);
-    });
-    return true;
-}
-
 bool Dispatch::shouldKeepWaiting(const Target &target, const ResponseReader &reader,
-                                 TimePoint lastReceivedAt) const
+                                 TimePoint lastReceivedAt)
 {
     const TimePoint now = m_state.clock.now();
     const bool hasStarted = reader.isStreaming();
@@ -82,27 +72,32 @@
                    m_exchange->service->expectedDuration * firstByteTimeoutFactor);
     const bool overdue = now - lastReceivedAt >= timeout;
     const bool unresponsive = isUnresponsive(*target.counters, now);
-    const bool canResume = !m_exchange->lastEventId.empty() || !reader.lastEventId().empty();
-    const bool mayMove = !m_isQuarantineTrial
-        && decideRetry(retryInput(AttemptOutcome::silent, m_runs + 1, hasStarted && !canResume))
-            == RetryDecision::retry
-        && m_state.retryBudget.canAcquire(m_exchange->customer->name, loadKey(*m_exchange));
+    const bool mayMove = mayRetry(target, AttemptOutcome::silent, m_runs + 1);
+    const bool mayEnd = overdue && unresponsive;
     // The request may not be sent to another server, so it would certainly fail if this attempt
     // ended. A server that responds to other requests may still respond to this one.
     if (!mayMove)
-        return !overdue || !unresponsive;
-    if (unresponsive)
-        return false;
+        return !mayEnd;
+    if (!unresponsive && !shouldMove(target, hasStarted || m_streamStarted, overdue, timeout))
+        return true;
+    // Other threads acquire retries too. If the attempt ended before its retry is acquired, a
+    // stream could be left without either.
+    m_retryAcquired = tryAcquireBudget(AttemptOutcome::silent);
+    return !m_retryAcquired && (m_streamStarted || !mayEnd);
+}
+
+// Returns whether an attempt without progress at a working server should end because another server
+// would respond sooner.
+bool Dispatch::shouldMove(const Target &target, bool callerHasPart, bool overdue,
+                          Duration timeout) const
+{
     // Another server has to start from the beginning, after all requests that already wait there.
     const bool hasTimeToMove = remaining() >= timeout / 2;
     // A stream that pauses usually continues by itself, and is lost if no other server accepts it.
-    const bool callerHasPart = hasStarted || m_streamStarted;
-    const bool silent = !callerHasPart && isSilent(*target.counters, now);
+    const bool silent = !callerHasPart && isSilent(*target.counters, m_state.clock.now());
     const double maxUtilization
         = callerHasPart ? maxUtilizationForStreams : maxUtilizationForOthers;
-    const bool shouldMove
-        = hasTimeToMove && (overdue || silent) && hasCapacityElsewhere(maxUtilization);
-    return !shouldMove;
+    return hasTimeToMove && (overdue || silent) && hasCapacityElsewhere(maxUtilization);
 }
 
 // Returns true if a server in this region, or another region, has enough capacity to accept a
@@ -127,22 +122,12 @@
                }));
 }
 
-// A server that cannot be reached may just have crashed on a copy of this request that came through
-// another instance. The next attempt is delayed until that instance's crash mark has arrived, so
-// that checkQuarantine() finds it; otherwise this copy could crash a third server.
-void Dispatch::routeRetry(AttemptOutcome outcome)
-{
-    if (outcome != AttemptOutcome::notConnected)
-        return route();
-    m_client.postAfter(crashMarkDelay, [self = shared_from_this()] { self->route(); });
-}
-
-RetryInput Dispatch::retryInput(AttemptOutcome outcome, int runs, bool callerHasSeenBytes) const
+RetryInput Dispatch::retryInput(AttemptOutcome outcome, int runs) const
 {
     RetryInput input;
     input.outcome = outcome;
     input.idempotent = m_exchange->service->idempotent;
-    input.callerHasSeenBytes = callerHasSeenBytes;
+    input.callerHasSeenBytes = m_streamStarted && !canResume();
     // Once a stream has started, attempts that were refused don't count, so that other servers can
     // be tried.
     input.attemptsMade = m_streamStarted ? runs : m_attempts;
@@ -153,16 +138,12 @@
     return input;
 }
 
-bool Dispatch::tryAcquireRetry(AttemptOutcome outcome, bool callerHasSeenBytes)
+// Returns whether the rules, apart from the retry budget, allow another attempt after this one at
+// `target`, if `runs` attempts of this instance may have run.
+bool Dispatch::mayRetry(const Target &target, AttemptOutcome outcome, int runs) const
 {
-    const RetryInput input = retryInput(outcome, m_runs, callerHasSeenBytes);
-    if (decideRetry(input) != RetryDecision::retry || m_exchange->responder->isClosed())
-        return false;
-    // Only the instance that sends to backend servers retries an attempt that may have run. An
-    // instance that forwarded the request retries only if it certainly did not run; otherwise the
-    // retries of both instances would multiply.
-    const bool forwarded = m_forwardedToRegion;
-    if (forwarded && !certainlyNotRun(outcome))
+    if (decideRetry(retryInput(outcome, runs)) != RetryDecision::retry
+        || m_exchange->responder->isClosed())
         return false;
     // The quarantine trial of a request is one attempt on one server, even if that server has
     // crashed. A server that refused the request works and has not run it.
@@ -171,16 +152,52 @@
     // Only the instance that issued the key may send its booking.
     if (m_forwardedToIssuer)
         return false;
+    // Only the instance that sends to backend servers retries an attempt that may have run. An
+    // instance that forwarded the request retries only if it certainly did not run; otherwise the
+    // retries of both instances would multiply.
+    const bool forwarded = target.isPeer && target.region != m_state.settings.region;
+    return !forwarded || certainlyNotRun(outcome);
+}
+
+// Acquires the retry budget for an attempt after one that ended with `outcome`.
+bool Dispatch::tryAcquireBudget(AttemptOutcome outcome)
+{
     // An attempt without a connection caused no load on a backend server and needs no retry budget.
-    const bool causedNoLoad = outcome == AttemptOutcome::notConnected;
-    if (!causedNoLoad
-        && !m_state.retryBudget.tryAcquire(m_exchange->customer->name, loadKey(*m_exchange))) {
-        trace("no retry: retry budget exhausted");
-        return false;
+    if (outcome == AttemptOutcome::notConnected)
+        return true;
+    return m_state.retryBudget.tryAcquire(m_exchange->customer->name, loadKey(*m_exchange));
+}
+
+// Makes another attempt, or ends the request if the rules or the retry budget forbid it. A stream
+// that can be resumed waits for the retry budget.
+void Dispatch::retryOrEnd(const Target &target, AttemptOutcome outcome)
+{
+    const bool acquiredBefore = std::exchange(m_retryAcquired, false);
+    if (!mayRetry(target, outcome, m_runs)) {
+        if (acquiredBefore)
+            m_state.retryBudget.release(m_exchange->customer->name, loadKey(*m_exchange));
+        return endAfterFailure(outcome);
     }
-    m_state.metrics.onRetry();
-    trace("retry");
-    return true;
+    if (acquiredBefore || tryAcquireBudget(outcome)) {
+        m_state.metrics.onRetry();
+        trace("retry");
+        return routeRetry(outcome);
+    }
+    trace("retry budget exhausted");
+    if (!mayWaitForCapacity())
+        return endAfterFailure(outcome);
+    runAfterCapacityPause(
+        [self = shared_from_this(), target, outcome] { self->retryOrEnd(target, outcome); });
+}
+
+// A server that cannot be reached may just have crashed on a copy of this request that came through
+// another instance. The next attempt is delayed until that instance's crash mark has arrived, so
+// that checkQuarantine() finds it; otherwise this copy could crash a third server.
+void Dispatch::routeRetry(AttemptOutcome outcome)
+{
+    if (outcome != AttemptOutcome::notConnected)
+        return route();
+    m_client.postAfter(crashMarkDelay, [self = shared_from_this()] { self->route(); });
 }
 
 // Returns true if another region rejected the request for lack of capacity. This happens because
--- a/src/entry/dispatch.cc
+++ b/src/entry/dispatch.cc
@@ -181,8 +181,9 @@
                                        m_state.clock.now());
 }
 
-void Dispatch::writeToCaller(const HttpResponse &response, std::string data)
+void Dispatch::writeToCaller(const Attempt &attempt, std::string data)
 {
+    const HttpResponse &response = attempt.response();
     if (!m_streamStarted) {
         m_streamStarted = true;
         m_firstByteAt = m_state.clock.now();
@@ -191,6 +192,8 @@
                                                                     response.headers,
                                                                     servedBy(response.headers)));
     }
+    if (const std::string last = attempt.reader().lastEventId(); !last.empty())
+        m_exchange->lastEventId = last;
     m_exchange->responder->write(std::move(data));
 }
 
@@ -275,8 +278,6 @@
         outcome = AttemptOutcome::serverError;
     recordAttempt(target, outcome);
     m_runs += certainlyNotRun(outcome) ? 0 : 1;
-    if (const std::string last = attempt.reader().lastEventId(); !last.empty())
-        m_exchange->lastEventId = last;
     if (outcome == AttemptOutcome::serverError && m_protocol.passesServerErrors()
         && !m_streamStarted)
         m_serverError = attempt.response();
@@ -301,14 +302,7 @@
                                                m_state.clock.now());
     if (outcome == AttemptOutcome::answered)
         return deliver(attempt);
-    const bool mayResume = m_exchange->service->isResumable && !m_exchange->lastEventId.empty();
-    if (tryAcquireRetry(outcome, m_streamStarted && !mayResume))
-        return routeRetry(outcome);
-    if (waitForRetry(outcome))
-        return;
-    if (m_streamStarted)
-        return abortStream(outcome);
-    failRequest(outcome);
+    retryOrEnd(target, outcome);
 }
 
 void Dispatch::onSuspectedCrash(const Target &target)
--- a/src/entry/dispatch.h
+++ b/src/entry/dispatch.h
@@ -101,10 +101,10 @@
 
     // Attempts.
     void route();
-    // Schedule another attempt for a stream that has started and has to be resumed, if no server
-    // accepts it now or no retry is left. Return true if there will be one.
+    bool canResume() const;
+    // Schedules another attempt for a stream that has started and has to be resumed, if no server
+    // accepts it now. Returns true if there will be one.
     bool waitForCapacity(const Refusal &refusal);
-    bool waitForRetry(AttemptOutcome outcome);
     bool mayWaitForCapacity() const;
     void runAfterCapacityPause(std::function<void()> next);
     void send(const Target &target);
@@ -114,15 +114,17 @@
     OutgoingRequest makeRequest(const Target &target) const;
     // Called by the current attempt.
     void onServerResponse(const Target &target, const ResponseReader &reader);
-    void writeToCaller(const HttpResponse &response, std::string data);
+    // Writes complete events, or data of a long response, that the attempt received.
+    void writeToCaller(const Attempt &attempt, std::string data);
     void onCallerLeft();
     // Returns the prompt tokens that the server has to read if it has the shared ones cached.
     std::int64_t tokensToRead() const;
     void recordFirstByte(const Target &target);
     // Returns true if an attempt that has received nothing since `lastReceivedAt` should continue,
-    // false if it should end so that another server can be tried.
+    // false if it should end so that another server can be tried. Then the retry is acquired.
     bool shouldKeepWaiting(const Target &target, const ResponseReader &reader,
-                           TimePoint lastReceivedAt) const;
+                           TimePoint lastReceivedAt);
+    bool shouldMove(const Target &target, bool callerHasPart, bool overdue, Duration timeout) const;
     bool hasCapacityElsewhere(double maxUtilization) const;
     void removeAwaitedFirstToken(const Target &target);
     TransferLimits limitsFor(const Target &target) const;
@@ -131,13 +133,16 @@
     void recordAttempt(const Target &target, AttemptOutcome outcome);
     void onSuspectedCrash(const Target &target);
     void checkServerAlive(const Target &target);
-    RetryInput retryInput(AttemptOutcome outcome, int runs, bool callerHasSeenBytes) const;
-    bool tryAcquireRetry(AttemptOutcome outcome, bool callerHasSeenBytes);
+    RetryInput retryInput(AttemptOutcome outcome, int runs) const;
+    bool mayRetry(const Target &target, AttemptOutcome outcome, int runs) const;
+    bool tryAcquireBudget(AttemptOutcome outcome);
+    void retryOrEnd(const Target &target, AttemptOutcome outcome);
     bool isRejectedByRemoteRegion(const Target &target, const Attempt &attempt) const;
     void returnToLocalRegion();
     void deliver(Attempt &attempt);
     void reply(HttpResponse response, ResultCode code);
     void abortStream(AttemptOutcome outcome);
+    void endAfterFailure(AttemptOutcome outcome);
 
     // End of the request.
     void failRequest(AttemptOutcome outcome);
@@ -174,6 +179,7 @@
     int m_coldCheckWaits = 0; // times that the request waited for checks of possibly cold servers
     int m_attempts = 0; // all attempts, also those that did not run
     int m_runs = 0; // attempts that may have run
+    bool m_retryAcquired = false; // the retry budget for the next attempt is acquired
     std::weak_ptr<Attempt> m_currentAttempt;
     bool m_callerLeft = false; // the caller closed its connection
     std::uint32_t m_recoveryEpoch = 0; // of the current attempt's server (silence.h)
--- a/test/retry-test.cc
+++ b/test/retry-test.cc
@@ -131,3 +131,15 @@
     CHECK(budget.tryAcquire("c1", "s"));
     CHECK_FALSE(budget.tryAcquire("c2", "s"));
 }
+
+// Guards against retries that are lost to all requests because an attempt ended otherwise after its
+// retry had been acquired.
+TEST_CASE("retryBudget_released_isAvailableAgainUpToTheBurst")
+{
+    RetryBudget budget(1);
+    REQUIRE(budget.tryAcquire("c", "s"));
+    budget.release("c", "s");
+    budget.release("c", "s");
+    CHECK(budget.tryAcquire("c", "s"));
+    CHECK_FALSE(budget.tryAcquire("c", "s"));
+}
