A stream to be resumed needs the time for its prompt and one event, not that of a whole run

Cause: the rule of retries, and mayWaitForCapacity, ask for the usual duration of a whole run. A stream that goes on needs less; how much less is unknown. It is tried if the time suffices to read the prompt (at the reading rate of the pool, shared parts taken as cached) and to get one event. Without the attempt its caller gets nothing of the rest for certain; the retry budget bounds what such attempts cost.

Ruled out: scaling by the events received so far, as the number of events of a stream is not known.

--- a/src/entry/dispatch-retry.cc
+++ b/src/entry/dispatch-retry.cc
@@ -3,6 +3,7 @@
 
 #include "attempt.h"
 #include "dispatch.h"
+#include "ibisnotch/read-delay.h"
 #include "ibisnotch/silence.h"
 
 namespace ibisnotch {
@@ -22,6 +23,8 @@
 constexpr double maxUtilizationForStreams = 0.5;
 constexpr double maxUtilizationForOthers = 0.9;
 constexpr Duration capacityRetryInterval = std::chrono::milliseconds(150);
+// Time for a connection to a server in the same region and the first event it sends.
+constexpr Duration minEventTime = std::chrono::milliseconds(50);
 // A datagram to an instance in the same region takes about 4 ms.
 constexpr Duration crashMarkDelay = std::chrono::milliseconds(10);
 
@@ -33,12 +36,21 @@
     return m_streamStarted && m_exchange->service->isResumable && !m_exchange->lastEventId.empty();
 }
 
+// Returns the least time that another attempt needs. How much of a stream is left is unknown, so a
+// stream is resumed even if the time suffices only for its prompt and the next event: the caller
+// may get the rest, and without another attempt gets none of it.
+Duration Dispatch::minAttemptTime() const
+{
+    if (!canResume())
+        return m_exchange->service->expectedDuration;
+    return readTime(m_routeInputs.tokensPerMs, tokensToRead()) + minEventTime;
+}
+
 // A stream that is rejected after it has started is lost as a whole, while slots and retries become
 // available within tenths of a second. A caller that doesn't want to wait disconnects.
 bool Dispatch::mayWaitForCapacity() const
 {
-    return canResume()
-        && remaining() > m_exchange->service->expectedDuration + capacityRetryInterval
+    return canResume() && remaining() > minAttemptTime() + capacityRetryInterval
         && !m_exchange->responder->isClosed();
 }
 
@@ -134,7 +146,7 @@
     input.runsMade = m_exchange->previousRuns + runs;
     input.maxRuns = m_exchange->service->maxAttempts;
     input.remaining = remaining();
-    input.expected = m_exchange->service->expectedDuration;
+    input.expected = minAttemptTime();
     return input;
 }
 
--- a/src/entry/dispatch.h
+++ b/src/entry/dispatch.h
@@ -102,6 +102,7 @@
     // Attempts.
     void route();
     bool canResume() const;
+    Duration minAttemptTime() const;
     // Schedules another attempt for a stream that has started and has to be resumed, if no server
     // accepts it now. Returns true if there will be one.
     bool waitForCapacity(const Refusal &refusal);
