A stream whose peer stops or crashes is resumed by the instance that forwarded it

The same code cuts where a peer stops as planned.

Cause: an instance retried a forwarded request only if that certainly had not run, lest the retries of two instances multiply; it did not know how often the peer had sent it. A peer now reports the runs with a stream's header fields, and with the first event after each later attempt (a comment line before the event, taken off by the receiver), so both together keep the service's limit; the stream goes on after its last event. Without a report (an older peer) all is as before; an older receiver passes the comment on, which readers of event streams ignore.

A begun stream that another region refuses counts as refused there, not as failed: it was cut, as the refusal was taken for an answer of another kind. It returns to the local region like any other request, and may go out again after the pause in which it waits for room.

Weighed: the peer never resumes and leaves it to the first instance (one more way between regions for each failed server, 160 ms); the first instance keeps one run for itself (with two runs allowed, none would be left for a failed server, which is more frequent than a failed peer). A request without a first byte is not sent again, as the runs of a peer that is gone are not known then.

--- a/src/decide/event-stream.cc
+++ b/src/decide/event-stream.cc
@@ -1,5 +1,6 @@
 #include "ibisnotch/event-stream.h"
 
+#include <algorithm>
 #include <optional>
 
 #include <absl/strings/ascii.h>
@@ -37,7 +38,8 @@
 
 } // namespace
 
-EventStreamParser::EventStreamParser(const std::string &lastEventId) : m_lastEventId(lastEventId)
+EventStreamParser::EventStreamParser(const std::string &lastEventId, Comments comments)
+    : m_comments(comments), m_lastEventId(lastEventId)
 {
     m_lastNumber = parseNumber(lastEventId).value_or(-1);
 }
@@ -54,6 +56,17 @@
     return true;
 }
 
+// Returns where the event in [begin, end) continues after its comment, if it has one that is to be
+// removed.
+std::size_t EventStreamParser::skipComment(std::size_t begin, std::size_t end)
+{
+    if (m_comments != Comments::remove || m_partial[begin] != ':')
+        return begin;
+    const std::size_t commentEnd = m_partial.find('\n', begin);
+    m_lastComment = m_partial.substr(begin + 1, commentEnd - begin - 1);
+    return std::min(commentEnd + 1, end);
+}
+
 bool EventStreamParser::consume(std::string_view data, std::string &out)
 {
     m_partial.append(data);
@@ -62,10 +75,11 @@
         const std::size_t end = m_partial.find(eventSeparator, begin);
         if (end == std::string::npos)
             break;
-        if (!acceptEvent(std::string_view(m_partial).substr(begin, end - begin)))
-            return false;
         const std::size_t next = end + eventSeparator.size();
-        out.append(m_partial, begin, next - begin);
+        const std::size_t eventBegin = skipComment(begin, end);
+        if (!acceptEvent(std::string_view(m_partial).substr(eventBegin, end - eventBegin)))
+            return false;
+        out.append(m_partial, eventBegin, next - eventBegin);
         begin = next;
     }
     m_partial.erase(0, begin);
--- a/src/entry/dispatch-retry.cc
+++ b/src/entry/dispatch-retry.cc
@@ -164,11 +164,11 @@
     // Only the instance that issued the key may send its booking.
     if (m_forwardedToIssuer)
         return false;
-    // Only the instance that sends to backend servers retries an attempt that may have run. An
-    // instance that forwarded the request retries only if it certainly did not run; otherwise the
-    // retries of both instances would multiply.
+    // Usually the instance that sends to backend servers makes the retries, since it knows how
+    // often the request has run. If that peer stops or crashes while it streams, this instance
+    // resumes the stream; the peer reported the runs with the events.
     const bool forwarded = target.isPeer && target.region != m_state.settings.region;
-    return !forwarded || certainlyNotRun(outcome);
+    return !forwarded || certainlyNotRun(outcome) || (canResume() && !m_runsUnknown);
 }
 
 // Acquires the retry budget for an attempt after one that ended with `outcome`.
--- a/src/entry/dispatch.cc
+++ b/src/entry/dispatch.cc
@@ -183,16 +183,22 @@
 
 void Dispatch::writeToCaller(const Attempt &attempt, std::string data)
 {
-    const HttpResponse &response = attempt.response();
+    const ResponseReader &reader = attempt.reader();
+    const int runs = std::max(m_exchange->previousRuns + m_runs + 1, reader.reportedRuns());
     if (!m_streamStarted) {
         m_streamStarted = true;
         m_firstByteAt = m_state.clock.now();
-        m_exchange->responder->start(response.status,
-                                     m_protocol.makeResponseHeaders(*m_exchange, ResultCode::served,
-                                                                    response.headers,
-                                                                    servedBy(response.headers)));
+        const HttpResponse &response = attempt.response();
+        Headers headers = m_protocol.makeResponseHeaders(
+            *m_exchange, ResultCode::served, response.headers, servedBy(response.headers));
+        if (m_exchange->fromPeer)
+            headers.add(std::string(previousRunsHeader), std::to_string(runs));
+        m_exchange->responder->start(response.status, std::move(headers));
+    } else if (m_exchange->fromPeer && runs != m_reportedRuns) {
+        data.insert(0, m_protocol.makeRunsReport(runs));
     }
-    if (const std::string last = attempt.reader().lastEventId(); !last.empty())
+    m_reportedRuns = runs;
+    if (const std::string last = reader.lastEventId(); !last.empty())
         m_exchange->lastEventId = last;
     m_exchange->responder->write(std::move(data));
 }
@@ -273,11 +279,14 @@
 
 void Dispatch::onAttemptFinished(const Target &target, AttemptOutcome outcome, Attempt &attempt)
 {
+    const bool isRejected
+        = outcome == AttemptOutcome::answered && isRejectedByRemoteRegion(target, attempt);
     // The caller already has part of a stream, which a response of another kind cannot continue.
     if (outcome == AttemptOutcome::answered && m_streamStarted && !attempt.reader().isStreaming())
-        outcome = AttemptOutcome::serverError;
+        outcome = isNotRunAtPeer(target, attempt) ? AttemptOutcome::refusedNotRun
+                                                  : AttemptOutcome::serverError;
     recordAttempt(target, outcome);
-    m_runs += certainlyNotRun(outcome) ? 0 : 1;
+    countRuns(target, outcome, attempt.reader());
     if (outcome == AttemptOutcome::serverError && m_protocol.passesServerErrors()
         && !m_streamStarted)
         m_serverError = attempt.response();
@@ -290,7 +299,7 @@
     if (!target.isPeer && outcome == AttemptOutcome::connectionLost
         && !m_exchange->responder->isClosed())
         onSuspectedCrash(target);
-    if (outcome == AttemptOutcome::answered && isRejectedByRemoteRegion(target, attempt)) {
+    if (isRejected) {
         returnToLocalRegion();
         return route();
     }
@@ -305,6 +314,21 @@
     retryOrEnd(target, outcome);
 }
 
+// A peer's attempts count as this instance's, as both together may make no more than the service
+// permits.
+void Dispatch::countRuns(const Target &target, AttemptOutcome outcome, const ResponseReader &reader)
+{
+    m_runs += certainlyNotRun(outcome) ? 0 : 1;
+    m_runsUnknown = target.isPeer && !certainlyNotRun(outcome) && reader.reportedRuns() == 0;
+    m_runs = std::max(m_runs, reader.reportedRuns() - m_exchange->previousRuns);
+}
+
+// Returns whether a peer reports that it refused the request and that no attempt of it ran.
+bool Dispatch::isNotRunAtPeer(const Target &target, const Attempt &attempt)
+{
+    return target.isPeer && resultInfo(attempt.reader().resultCode()).runState == RunState::notRun;
+}
+
 void Dispatch::onSuspectedCrash(const Target &target)
 {
     CrashMark mark;
--- a/src/entry/dispatch.h
+++ b/src/entry/dispatch.h
@@ -132,6 +132,8 @@
     void onAttemptFinished(const Target &target, AttemptOutcome outcome, Attempt &attempt);
     void routeRetry(AttemptOutcome outcome);
     void recordAttempt(const Target &target, AttemptOutcome outcome);
+    void countRuns(const Target &target, AttemptOutcome outcome, const ResponseReader &reader);
+    static bool isNotRunAtPeer(const Target &target, const Attempt &attempt);
     void onSuspectedCrash(const Target &target);
     void checkServerAlive(const Target &target);
     RetryInput retryInput(AttemptOutcome outcome, int runs) const;
@@ -179,7 +181,9 @@
     bool m_stayInRegion = false; // another region rejected the request
     int m_coldCheckWaits = 0; // times that the request waited for checks of possibly cold servers
     int m_attempts = 0; // all attempts, also those that did not run
-    int m_runs = 0; // attempts that may have run
+    int m_runs = 0; // attempts that may have run, also those that a peer made for this instance
+    bool m_runsUnknown = false; // the last attempt was at a peer that didn't report its runs
+    int m_reportedRuns = 0; // reported to the peer that forwarded the request
     bool m_retryAcquired = false; // the retry budget for the next attempt is acquired
     std::weak_ptr<Attempt> m_currentAttempt;
     bool m_callerLeft = false; // the caller closed its connection
--- a/src/entry/protocol.h
+++ b/src/entry/protocol.h
@@ -61,6 +61,9 @@
     virtual int eventCount() const { return 0; }
     // Returns the result code that a peer reported; always `served` for a backend server.
     virtual ResultCode resultCode() const { return ResultCode::served; }
+    // Returns the number of attempts at the request that a peer reported and that may have run,
+    // including those before it was forwarded; 0 if not reported.
+    virtual int reportedRuns() const { return 0; }
     // Returns true if the server reports that it is draining.
     virtual bool isServerLeaving() const { return false; }
     virtual std::optional<ResponseLoad> reportedLoad() const { return std::nullopt; }
@@ -93,6 +96,10 @@
     virtual std::string makeStreamError(const Exchange &exchange, ResultCode code,
                                         const std::string &servedBy) const = 0;
 
+    // Returns what precedes an event of a stream to tell the peer that forwarded the request how
+    // often it has run now; empty if the protocol cannot resume streams.
+    virtual std::string makeRunsReport(int) const { return {}; }
+
     // Make the request of one attempt. The caller adds limits and forwarding headers.
     virtual OutgoingRequest makeServerRequest(const Exchange &exchange, const Target &target,
                                               Duration remaining) const = 0;
--- a/test/event-stream-test.cc
+++ b/test/event-stream-test.cc
@@ -51,3 +51,38 @@
     EventStreamParser unnumbered("");
     CHECK_FALSE(unnumbered.consume("data: x\n\n", out));
 }
+
+// Guards against a comment of a peer that reaches the caller, wherever the data is divided.
+TEST_CASE("eventStream_commentsRemoved_passesEventsOnly")
+{
+    rc::prop("events are passed on, the last comment is kept", [] {
+        const std::string all = event(1) + ":a\n" + event(2) + ":b=2\n" + event(3);
+        EventStreamParser stream("", Comments::remove);
+        std::string out;
+        for (std::size_t begin = 0; begin < all.size();) {
+            const auto size = *rc::gen::inRange<std::size_t>(1, 12);
+            RC_ASSERT(stream.consume(all.substr(begin, size), out));
+            begin += size;
+        }
+        RC_ASSERT(out == event(1) + event(2) + event(3));
+        RC_ASSERT(stream.lastComment() == "b=2");
+        RC_ASSERT(stream.eventCount() == 3);
+    });
+}
+
+TEST_CASE("eventStream_commentsKept_passesThemWithTheirEvents")
+{
+    EventStreamParser stream("");
+    std::string out;
+    CHECK(stream.consume(":a\n" + event(1), out));
+    CHECK(out == ":a\n" + event(1));
+    CHECK(stream.lastComment().empty());
+}
+
+// Guards against a comment without an event, after which a stream could not be resumed.
+TEST_CASE("eventStream_commentWithoutEvent_isRejected")
+{
+    EventStreamParser stream("", Comments::remove);
+    std::string out;
+    CHECK_FALSE(stream.consume(":a\n\n", out));
+}
