Dispatch: log failed attempts at peers and decisions about retries

Callers of a forwarded stream saw it cut, and the log did not say why: an attempt at a peer that failed wrote no "Attempt failed." line, and an exhausted retry budget or a wait for capacity was a step of the trace only.

recordAttempt returned before the line for a peer; it now writes it for both. Four decisions write a line with their inputs, each at most once for a request: "Retry budget exhausted.", "Waiting for capacity.", "Not retried." (the request or stream ends with its last attempt) and "Not resumed." (a stream that has begun is refused). No decision is changed.

--- a/src/entry/dispatch-end.cc
+++ b/src/entry/dispatch-end.cc
@@ -68,6 +68,7 @@
 void Dispatch::abortStream(AttemptOutcome outcome)
 {
     const ResultCode code = finalCode(outcome);
+    logRetryDecision("Not retried.", attemptOutcomeName(outcome));
     m_exchange->responder->write(m_protocol.makeStreamError(*m_exchange, code, servedBy({})));
     m_exchange->responder->abort();
     settleUnknown();
@@ -80,6 +81,7 @@
         settleUnknown();
         return finish(ResultCode::callerLeft);
     }
+    logRetryDecision("Not retried.", attemptOutcomeName(outcome));
     // The issuer cannot be reached. It may have sent a booking with this key before, so the result
     // must not be "not run".
     if (m_forwardedToIssuer && certainlyNotRun(outcome))
@@ -105,6 +107,7 @@
     // The headers of a stream were sent, so no other response can follow on this connection.
     if (m_streamStarted) {
         trace("stream aborted: " + std::string(resultInfo(refusal.code).name));
+        logRetryDecision("Not resumed.", resultInfo(wanted.code).name);
         m_exchange->responder->abort();
         settleUnknown();
         return finish(resultInfo(refusal.code).runState == RunState::notRun
--- a/src/entry/dispatch-retry.cc
+++ b/src/entry/dispatch-retry.cc
@@ -1,8 +1,11 @@
 // Dispatch: whether an attempt without progress ends, and whether another one follows a failed one.
 #include <algorithm>
 
+#include <fmt/format.h>
+
 #include "attempt.h"
 #include "dispatch.h"
+#include "ibisnotch/log.h"
 #include "ibisnotch/read-delay.h"
 #include "ibisnotch/silence.h"
 
@@ -63,12 +66,35 @@
     m_client.postAfter(capacityRetryInterval, std::move(next));
 }
 
+void Dispatch::logRetryDecision(std::string_view sentence, std::string_view cause)
+{
+    if (!m_loggedDecisions.insert(sentence).second)
+        return;
+    const Service &service = *m_exchange->service;
+    logLine(
+        LogPart::request, LogLevel::warn, sentence,
+        {{"request", m_exchange->id},
+         {"service", service.name},
+         {"cause", std::string(cause)},
+         {"attempts", std::to_string(m_attempts)},
+         {"runs", fmt::format("{}+{}/{}", m_exchange->previousRuns, m_runs, service.maxAttempts)},
+         {"idempotent", fmt::to_string(service.idempotent)},
+         {"resumable", fmt::to_string(service.isResumable)},
+         {"started", fmt::to_string(m_streamStarted)},
+         {"hasEventId", fmt::to_string(!m_exchange->lastEventId.empty())},
+         {"fromPeer", fmt::to_string(m_exchange->fromPeer)},
+         {"toRegion", fmt::to_string(m_forwardedToRegion)},
+         {"neededMs", millisecondsText(minAttemptTime())},
+         {"leftMs", millisecondsText(remaining())}});
+}
+
 bool Dispatch::waitForCapacity(const Refusal &refusal)
 {
     const bool noCapacity
         = refusal.code == ResultCode::noBackendServer || refusal.code == ResultCode::overloaded;
     if (!noCapacity || !mayWaitForCapacity())
         return false;
+    logRetryDecision("Waiting for capacity.", resultInfo(refusal.code).name);
     runAfterCapacityPause([self = shared_from_this()] { self->route(); });
     return true;
 }
@@ -196,6 +222,7 @@
         return routeRetry(outcome);
     }
     trace("retry budget exhausted");
+    logRetryDecision("Retry budget exhausted.", attemptOutcomeName(outcome));
     if (!mayWaitForCapacity())
         return endAfterFailure(outcome);
     runAfterCapacityPause(
--- a/src/entry/dispatch.cc
+++ b/src/entry/dispatch.cc
@@ -246,7 +246,7 @@
     if (target.isPeer) {
         if (target.region != m_state.settings.region)
             m_state.regionLoads.onForwardedFinished(target.region, loadKey(*m_exchange));
-        return;
+        return logFailedAttempt(target, outcome);
     }
     const Duration duration = m_state.clock.now() - m_attemptStartedAt;
     m_cost += target.cost * std::chrono::duration<double>(duration).count();
@@ -268,15 +268,25 @@
     m_state.servers.onAttempt(target.name, health, m_state.clock.now());
     if (failed) {
         m_control.scheduleRoutingUpdate();
-        logLine(LogPart::request, LogLevel::warn, "Attempt failed.",
-                {{"request", m_exchange->id},
-                 {"customer", m_exchange->customer->name},
-                 {"server", target.name},
-                 {"end", std::string(attemptOutcomeName(outcome))},
-                 {"ms", millisecondsText(m_state.clock.now() - m_attemptStartedAt)}});
+        logFailedAttempt(target, outcome);
     }
 }
 
+void Dispatch::logFailedAttempt(const Target &target, AttemptOutcome outcome) const
+{
+    const bool failed = outcome != AttemptOutcome::answered
+        && outcome != AttemptOutcome::refusedNotRun && outcome != AttemptOutcome::rejected
+        && outcome != AttemptOutcome::callerLeft;
+    if (!failed)
+        return;
+    logLine(LogPart::request, LogLevel::warn, "Attempt failed.",
+            {{"request", m_exchange->id},
+             {"customer", m_exchange->customer->name},
+             {"server", target.name},
+             {"end", std::string(attemptOutcomeName(outcome))},
+             {"ms", millisecondsText(m_state.clock.now() - m_attemptStartedAt)}});
+}
+
 void Dispatch::onAttemptFinished(const Target &target, AttemptOutcome outcome, Attempt &attempt)
 {
     const bool isRejected
--- a/src/entry/dispatch.h
+++ b/src/entry/dispatch.h
@@ -108,6 +108,8 @@
     bool waitForCapacity(const Refusal &refusal);
     bool mayWaitForCapacity() const;
     void runAfterCapacityPause(std::function<void()> next);
+    // Logs a decision about another attempt with its inputs, the first time for each sentence.
+    void logRetryDecision(std::string_view sentence, std::string_view cause);
     void send(const Target &target);
     // Returns false if the request is quarantined, or held while a trial of it is running. Starts
     // the trial if it is due.
@@ -134,6 +136,7 @@
     void recordAttempt(const Target &target, AttemptOutcome outcome);
     void countRuns(const Target &target, AttemptOutcome outcome, const ResponseReader &reader);
     static bool isNotRunAtPeer(const Target &target, const Attempt &attempt);
+    void logFailedAttempt(const Target &target, AttemptOutcome outcome) const;
     void onSuspectedCrash(const Target &target);
     void checkServerAlive(const Target &target);
     RetryInput retryInput(AttemptOutcome outcome, int runs) const;
@@ -194,6 +197,7 @@
     // A complete error response of a backend server, sent to the caller if no attempt succeeds.
     std::optional<HttpResponse> m_serverError;
     std::set<std::string> m_triedTargets; // names of servers and peers
+    std::set<std::string_view> m_loggedDecisions; // see logRetryDecision()
     std::string m_servedBy;
     TimePoint m_attemptStartedAt{};
     double m_cost = 0; // of all attempts: seconds at a server times the server's cost
