Silence: decide what to believe of a server in one pure function

No change of behaviour. The monitor marked a server silent, and told its region, straight from isSilent(). decideBelief() now takes that decision, so that it can be tested with a paused clock; it still believes every silence. The state 'doubted' and the flag 'canJudge' are not used yet by the monitor, which returns before it decides while it receives nothing from any server, as before.

--- a/include/ibisnotch/silence.h
+++ b/include/ibisnotch/silence.h
@@ -45,6 +45,19 @@
 // Returns whether a server is silent and has also failed a status check since.
 bool isUnresponsive(const ServerCounters &counters, TimePoint now);
 
+// What an instance believes of a server.
+enum class ServerBelief {
+    responding,
+    doubted, // this instance sends it nothing new
+    silent, // nor does any other instance of the region
+};
+
+// Decides what to believe of a server that was believed `before` to be responding or doubted.
+// `canJudge` is false while the fault may be on this instance's side, because it receives nothing
+// from any server or its event loop was stalled.
+ServerBelief decideBelief(const ServerCounters &counters, ServerBelief before, bool canJudge,
+                          TimePoint now);
+
 // Message by which an instance reports at once that a server has become silent or has recovered, so
 // that instances of the region that await no response from it stop sending to it too.
 struct SilenceUpdate
--- a/src/decide/silence.cc
+++ b/src/decide/silence.cc
@@ -113,4 +113,12 @@
     return isSilent(counters, now) && counters.statusCheckFailedAt > lastSign;
 }
 
+ServerBelief decideBelief(const ServerCounters &counters, ServerBelief before, bool canJudge,
+                          TimePoint now)
+{
+    const ServerBelief belief
+        = isSilent(counters, now) ? ServerBelief::silent : ServerBelief::responding;
+    return canJudge ? belief : std::min(belief, before);
+}
+
 } // namespace ibisnotch
--- a/src/entry/silent-server-monitor.cc
+++ b/src/entry/silent-server-monitor.cc
@@ -70,7 +70,8 @@
     for (const ServerView &view : table->servers) {
         if (!inUse(view) || m_silent.count(view.server.name) > 0)
             continue;
-        if (!isSilent(*view.counters, now))
+        if (decideBelief(*view.counters, ServerBelief::responding, true, now)
+            != ServerBelief::silent)
             continue;
         markSilent(view, "own");
         updates.push_back({serverId(view.server.name), true});
