Silence: a region leaves a server for evidence, not for one paused stream

What callers saw: with a hundred instances in a region each has one or two streams at a server. When all that one instance awaited there paused for 0.6 s, the whole region sent the server nothing for about half a second, and its requests crowded elsewhere.

Cause: the belief was isSilent() itself. What ended attempts was mended before (isUnresponsive()), what ends new requests was not.

Now decideBelief() knows three beliefs. 'Doubted': silent here, status check under way; only this instance sends nothing new, and that doesn't count as an ejection, so a second pause asks for no trial. 'Silent', which the region is told: the status check failed; or no data since a recovery (unchanged, whatever the checks say); or one second more without data here and without news of a response to another instance, since a server may pass checks without doing any work. An instance that receives nothing from any server believes nothing worse than before, also when a check ends. A check that failed while the instance itself was stalled is not recorded. A failed check is judged when it ends, so the region leaves a dead server 300 ms later than before and no more; the instance that noticed leaves it as early as before.

Ruled out: asking at half of the time, for the price of the checks; asking without doubt, which sends bookings to a dead server for 300 ms more.

No existing test was changed.

--- a/include/ibisnotch/server-table.h
+++ b/include/ibisnotch/server-table.h
@@ -253,6 +253,8 @@
 
     // Records the outcome of an attempt and ejects a server that fails repeatedly.
     void onAttempt(const std::string &server, AttemptHealth health, TimePoint now);
+    // Sets whether the server gets no new requests of this instance, without counting as ejected.
+    void setDoubted(std::uint32_t server, bool doubted);
     // Ejects a silent server.
     void onSilence(std::uint32_t server, TimePoint now);
     // Called when a silent server responds again, also to a health check. Ends the ejection, unless
@@ -290,6 +292,7 @@
         TimePoint ejectedUntil{};
         TimePoint recoveredAt{};
         bool needsTrial = false; // only a successful attempt ends the ejection
+        bool doubted = false; // see setDoubted()
         std::uint64_t revision = 0; // of the entry in the platform's list
         TimePoint coldSince{};
         TimePoint coldUntil{};
--- a/include/ibisnotch/silence.h
+++ b/include/ibisnotch/silence.h
@@ -48,13 +48,13 @@
 // What an instance believes of a server.
 enum class ServerBelief {
     responding,
-    doubted, // this instance sends it nothing new
-    silent, // nor does any other instance of the region
+    doubted, // it is silent here, which proves nothing: this instance sends it nothing new
+    silent, // it fails checks or does no work: the region sends it nothing
 };
 
 // Decides what to believe of a server that was believed `before` to be responding or doubted.
 // `canJudge` is false while the fault may be on this instance's side, because it receives nothing
-// from any server or its event loop was stalled.
+// from any server; the belief then gets no worse.
 ServerBelief decideBelief(const ServerCounters &counters, ServerBelief before, bool canJudge,
                           TimePoint now);
 
--- a/src/decide/server-table.cc
+++ b/src/decide/server-table.cc
@@ -319,6 +319,13 @@
     return found == m_records.end() ? nullptr : &found->second;
 }
 
+void ServerTable::setDoubted(std::uint32_t server, bool doubted)
+{
+    const std::lock_guard lock(m_mutex);
+    if (Record *record = find(server))
+        record->doubted = doubted;
+}
+
 void ServerTable::onSilence(std::uint32_t server, TimePoint now)
 {
     const std::lock_guard lock(m_mutex);
@@ -382,7 +389,7 @@
         return ServerStatus::leaving;
     if (record.everReported && !record.report.reachable)
         return ServerStatus::unreachable;
-    if (now < record.ejectedUntil)
+    if (now < record.ejectedUntil || record.doubted)
         return ServerStatus::ejected;
     return record.ejections > 0 ? ServerStatus::trial : ServerStatus::usable;
 }
--- a/src/decide/silence.cc
+++ b/src/decide/silence.cc
@@ -15,6 +15,9 @@
 // The same for responses without a stream: half of the two seconds after which callers leave.
 constexpr Duration maxResponseWait = std::chrono::milliseconds(1000);
 constexpr Duration statusCheckInterval = std::chrono::milliseconds(300);
+// Most reports of responses to other instances arrive within this time. A server that has been
+// silent for that much longer does no work for any instance, even if it passes status checks.
+constexpr Duration reportDelay = std::chrono::milliseconds(1000);
 
 Duration maxStreamPause(const ServerCounters &counters)
 {
@@ -30,6 +33,32 @@
                      counters.lastRespondedAt.load()});
 }
 
+Duration maxSilence(const ServerCounters &counters)
+{
+    return counters.awaitedStreams > 0 ? maxStreamPause(counters) : maxResponseWait;
+}
+
+bool hasReceivedSinceRecovery(const ServerCounters &counters)
+{
+    return counters.lastReceivedAt >= counters.recoveredAt;
+}
+
+ServerBelief judge(const ServerCounters &counters, TimePoint now)
+{
+    if (!isSilent(counters, now))
+        return ServerBelief::responding;
+    // A server may pass checks without doing any work, so checks don't excuse these two.
+    const bool idleSinceRecovery = !hasReceivedSinceRecovery(counters);
+    const Duration silence = now.time_since_epoch() - Duration(lastActivity(counters));
+    const bool idleForAll = silence >= maxSilence(counters) + reportDelay;
+    if (idleSinceRecovery || idleForAll || isUnresponsive(counters, now))
+        return ServerBelief::silent;
+    // A single stream may pause by chance; several at once hardly do.
+    const bool passed = counters.statusCheckPassedAt > lastActivity(counters);
+    return passed && counters.awaitedStreams <= 1 ? ServerBelief::responding
+                                                  : ServerBelief::doubted;
+}
+
 } // namespace
 
 std::uint32_t recordSent(ServerCounters &counters, TimePoint now)
@@ -82,13 +111,12 @@
     // Missing first tokens don't show silence: at a full engine they take seconds, and with a limit
     // of 1 s instances ejected working engines. They do show it at an engine that has sent nothing
     // since it recovered: it isn't full, and it may pass health checks without doing any work.
-    const bool receivedSinceRecovery = counters.lastReceivedAt >= counters.recoveredAt;
+    const bool receivedSinceRecovery = hasReceivedSinceRecovery(counters);
     const bool firstTokensOnly = counters.awaitedStreams <= 0 && counters.awaitingFirstToken > 0;
     if (firstTokensOnly && receivedSinceRecovery)
         return false;
     const Duration since(lastActivity(counters));
-    const Duration allowed
-        = counters.awaitedStreams > 0 ? maxStreamPause(counters) : maxResponseWait;
+    const Duration allowed = maxSilence(counters);
     return now.time_since_epoch() - since >= allowed;
 }
 
@@ -116,8 +144,7 @@
 ServerBelief decideBelief(const ServerCounters &counters, ServerBelief before, bool canJudge,
                           TimePoint now)
 {
-    const ServerBelief belief
-        = isSilent(counters, now) ? ServerBelief::silent : ServerBelief::responding;
+    const ServerBelief belief = judge(counters, now);
     return canJudge ? belief : std::min(belief, before);
 }
 
--- a/src/entry/control-loads.cc
+++ b/src/entry/control-loads.cc
@@ -140,12 +140,12 @@
 
 void Control::checkSilentServers()
 {
-    broadcastSilenceUpdates(m_silentServers.tick());
+    onSilenceChanges(m_silentServers.tick());
     for (const ServerView &view : m_silentServers.dueForStatusCheck()) {
         sendBuffered(m_client, makeRegionStatusCheck(m_protocol, view.server),
                      [this, view](const BufferedResponse &reply) {
                          m_link.post([this, view, reply] {
-                             m_silentServers.onStatusCheckEnded(view, reply);
+                             onSilenceChanges(m_silentServers.onStatusCheckEnded(view, reply));
                          });
                      });
     }
@@ -158,7 +158,7 @@
                      [this, check](const BufferedResponse &reply) {
                          m_link.post([this, check, reply] {
                              broadcastColdUpdate(m_coldServers.onHealthCheckEnded(check, reply));
-                             broadcastSilenceUpdates(
+                             onSilenceChanges(
                                  m_silentServers.onHealthCheckEnded(check.view, reply));
                          });
                      });
@@ -190,13 +190,14 @@
     sendTwiceToRegion(std::move(message));
 }
 
-void Control::broadcastSilenceUpdates(std::vector<SilenceUpdate> updates)
+void Control::onSilenceChanges(SilenceChanges changes)
 {
-    if (updates.empty())
+    if (changes.routingTable)
+        publishRoutingTable();
+    if (changes.updates.empty())
         return;
-    publishRoutingTable();
     GossipMessage message = makeEmptyMessage();
-    message.silenceUpdates = std::move(updates);
+    message.silenceUpdates = std::move(changes.updates);
     sendToRegion(message);
 }
 
--- a/src/entry/control.h
+++ b/src/entry/control.h
@@ -92,7 +92,7 @@
     void checkColdServers();
     void broadcastColdUpdate(const std::optional<ColdUpdate> &update);
     void checkSilentServers();
-    void broadcastSilenceUpdates(std::vector<SilenceUpdate> updates);
+    void onSilenceChanges(SilenceChanges changes);
     void sendToRegion(const GossipMessage &message);
     void sendTwiceToRegion(GossipMessage message);
     GossipMessage makeEmptyMessage();
--- a/src/entry/silent-server-monitor.cc
+++ b/src/entry/silent-server-monitor.cc
@@ -18,12 +18,32 @@
 // cost more calls, because the platform counts every health check.
 constexpr Duration checkPeriod = std::chrono::milliseconds(500);
 
-std::string timeSinceReceived(const ServerCounters &counters, TimePoint now)
+std::string timeSince(Duration::rep at, TimePoint now)
 {
-    const Duration::rep at = counters.lastReceivedAt;
     return at == 0 ? "never" : millisecondsText(now.time_since_epoch() - Duration(at));
 }
 
+// Logs a change of belief with what it was decided by.
+void logBelief(LogLevel level, std::string_view sentence, const ServerView &view,
+               std::string_view source, TimePoint now)
+{
+    const ServerCounters &counters = *view.counters;
+    const Duration::rep passedAt = counters.statusCheckPassedAt;
+    const Duration::rep failedAt = counters.statusCheckFailedAt;
+    const char *check = passedAt >= failedAt ? "passed" : "failed";
+    logLine(LogPart::load, level, sentence,
+            {{"server", view.server.name},
+             {"source", std::string(source)},
+             {"inFlight", std::to_string(counters.inFlight)},
+             {"awaited", std::to_string(counters.awaitedRequests)},
+             {"streaming", std::to_string(counters.awaitedStreams)},
+             {"heardMsAgo", timeSince(counters.lastReceivedAt, now)},
+             {"respondedMsAgo", timeSince(counters.lastRespondedAt, now)},
+             {"recoveredMsAgo", timeSince(counters.recoveredAt, now)},
+             {"statusCheck", passedAt == 0 && failedAt == 0 ? "none" : check},
+             {"checkedMsAgo", timeSince(std::max(passedAt, failedAt), now)}});
+}
+
 const ServerView *findView(const RoutingTable &table, const std::string &name)
 {
     const auto found
@@ -44,53 +64,82 @@
 {
 }
 
-bool SilentServerMonitor::isAfterStall(TimePoint now)
+bool SilentServerMonitor::isStalled(TimePoint now) const
 {
-    const bool stalled = m_lastTick != TimePoint{} && now - m_lastTick > stallThreshold;
-    m_lastTick = now;
-    if (stalled)
-        m_ignoreUntil = now + ignoreAfterStall;
-    return now < m_ignoreUntil;
+    return m_lastTick != TimePoint{} && now - m_lastTick > stallThreshold;
+}
+
+// Also true if the next tick has yet to notice the stall.
+bool SilentServerMonitor::isAfterStall(TimePoint now) const
+{
+    return isStalled(now) || now < m_ignoreUntil;
 }
 
-std::vector<SilenceUpdate> SilentServerMonitor::tick()
+// Returns false while the fault may be on this instance's side.
+bool SilentServerMonitor::canJudge(const RoutingTable &table, TimePoint now) const
 {
-    std::vector<SilenceUpdate> updates;
+    return std::any_of(table.servers.begin(), table.servers.end(), [&](const ServerView &view) {
+        return receivedWithin(*view.counters, instanceCutOffAfter, now);
+    });
+}
+
+SilenceChanges SilentServerMonitor::tick()
+{
+    SilenceChanges changes;
     const TimePoint now = m_state.clock.now();
     const auto table = m_state.routing.read();
+    if (isStalled(now))
+        m_ignoreUntil = now + ignoreAfterStall;
+    m_lastTick = now;
     if (isAfterStall(now) || !table)
-        return updates;
-    removeEnded(*table, updates);
-    const bool receivesAnything
-        = std::any_of(table->servers.begin(), table->servers.end(), [&](const ServerView &view) {
-              return receivedWithin(*view.counters, instanceCutOffAfter, now);
-          });
-    if (!receivesAnything)
-        return updates;
-    for (const ServerView &view : table->servers) {
-        if (!inUse(view) || m_silent.count(view.server.name) > 0)
-            continue;
-        if (decideBelief(*view.counters, ServerBelief::responding, true, now)
-            != ServerBelief::silent)
-            continue;
-        markSilent(view, "own");
-        updates.push_back({serverId(view.server.name), true});
-    }
-    return updates;
+        return changes;
+    removeEnded(*table, changes);
+    const bool mayJudge = canJudge(*table, now);
+    for (const ServerView &view : table->servers)
+        judge(view, mayJudge, changes);
+    return changes;
+}
+
+void SilentServerMonitor::judge(const ServerView &view, bool mayJudge, SilenceChanges &changes)
+{
+    const std::string &name = view.server.name;
+    const bool doubted = m_doubted.count(name) > 0;
+    if (m_silent.count(name) > 0 || (!doubted && !inUse(view)))
+        return;
+    const ServerBelief before = doubted ? ServerBelief::doubted : ServerBelief::responding;
+    const ServerBelief belief = decideBelief(*view.counters, before, mayJudge, m_state.clock.now());
+    if (belief == before)
+        return;
+    changes.routingTable = true;
+    if (belief != ServerBelief::silent)
+        return setDoubted(view, belief == ServerBelief::doubted);
+    markSilent(view, "own");
+    changes.updates.push_back({serverId(name), true});
+}
+
+void SilentServerMonitor::setDoubted(const ServerView &view, bool doubted)
+{
+    const std::string &name = view.server.name;
+    if (doubted)
+        m_doubted.insert(name);
+    else
+        m_doubted.erase(name);
+    m_state.servers.setDoubted(serverId(name), doubted);
+    logBelief(LogLevel::info,
+              doubted ? "Backend server doubted." : "Backend server no longer doubted.", view,
+              "own", m_state.clock.now());
 }
 
 void SilentServerMonitor::markSilent(const ServerView &view, std::string_view source)
 {
     const TimePoint now = m_state.clock.now();
-    m_silent[view.server.name] = {now, now + checkPeriod};
-    m_state.servers.onSilence(serverId(view.server.name), now);
+    const std::string &name = view.server.name;
+    if (m_doubted.erase(name) > 0)
+        m_state.servers.setDoubted(serverId(name), false);
+    m_silent[name] = {now, now + checkPeriod};
+    m_state.servers.onSilence(serverId(name), now);
     m_state.metrics.onServerSilent();
-    logLine(LogPart::load, LogLevel::warn, "Backend server silent.",
-            {{"server", view.server.name},
-             {"source", std::string(source)},
-             {"inFlight", std::to_string(view.counters->inFlight)},
-             {"streaming", std::to_string(view.counters->awaitedStreams)},
-             {"heardMsAgo", timeSinceReceived(*view.counters, now)}});
+    logBelief(LogLevel::warn, "Backend server silent.", view, source, now);
 }
 
 void SilentServerMonitor::restore(const std::string &name, std::string_view source)
@@ -110,9 +159,10 @@
 }
 
 // Removes servers that are no longer in the table, and restores those that have sent data since.
-void SilentServerMonitor::removeEnded(const RoutingTable &table,
-                                      std::vector<SilenceUpdate> &updates)
+void SilentServerMonitor::removeEnded(const RoutingTable &table, SilenceChanges &changes)
 {
+    std::erase_if(m_doubted,
+                  [&](const std::string &name) { return findView(table, name) == nullptr; });
     std::vector<std::string> responding;
     std::erase_if(m_silent, [&](const auto &entry) {
         const ServerView *view = findView(table, entry.first);
@@ -124,7 +174,8 @@
     });
     for (const std::string &name : responding) {
         restore(name, "own");
-        updates.push_back({serverId(name), false});
+        changes.routingTable = true;
+        changes.updates.push_back({serverId(name), false});
     }
 }
 
@@ -162,16 +213,28 @@
     return due;
 }
 
-void SilentServerMonitor::onStatusCheckEnded(const ServerView &view, const BufferedResponse &reply)
+SilenceChanges SilentServerMonitor::onStatusCheckEnded(const ServerView &view,
+                                                       const BufferedResponse &reply)
 {
-    const bool responded = reply.result.outcome == TransferOutcome::complete;
-    recordStatusCheck(*view.counters, responded, m_state.clock.now());
-    if (responded)
-        return;
-    logLine(LogPart::load, LogLevel::info, "Backend server did not respond to a status check.",
-            {{"server", view.server.name},
-             {"streaming", std::to_string(view.counters->awaitedStreams)},
-             {"heardMsAgo", timeSinceReceived(*view.counters, m_state.clock.now())}});
+    SilenceChanges changes;
+    const TimePoint now = m_state.clock.now();
+    const bool passed = reply.result.outcome == TransferOutcome::complete;
+    // After a stall, the response may have arrived in time without having been read.
+    if (!passed && isAfterStall(now))
+        return changes;
+    recordStatusCheck(*view.counters, passed, now);
+    if (!passed) {
+        logLine(LogPart::load, LogLevel::info, "Backend server did not respond to a status check.",
+                {{"server", view.server.name},
+                 {"streaming", std::to_string(view.counters->awaitedStreams)},
+                 {"heardMsAgo", timeSince(view.counters->lastReceivedAt, now)}});
+    }
+    // Judged now rather than with the next tick, so that the region knows as soon as possible.
+    const auto table = m_state.routing.read();
+    const ServerView *current = table ? findView(*table, view.server.name) : nullptr;
+    if (current != nullptr && !isAfterStall(now))
+        judge(*current, canJudge(*table, now), changes);
+    return changes;
 }
 
 std::vector<ServerView> SilentServerMonitor::dueForHealthCheck()
@@ -191,8 +254,8 @@
     return due;
 }
 
-std::vector<SilenceUpdate> SilentServerMonitor::onHealthCheckEnded(const ServerView &view,
-                                                                   const BufferedResponse &reply)
+SilenceChanges SilentServerMonitor::onHealthCheckEnded(const ServerView &view,
+                                                       const BufferedResponse &reply)
 {
     constexpr int statusOk = 200;
     const std::string &name = view.server.name;
@@ -204,7 +267,7 @@
     if (!healthy || m_silent.count(name) == 0)
         return {};
     restoreWithoutResponse(view, "health check");
-    return {{serverId(name), false}};
+    return {true, {{serverId(name), false}}};
 }
 
 } // namespace ibisnotch
--- a/test/server-table-test.cc
+++ b/test/server-table-test.cc
@@ -79,6 +79,18 @@
     CHECK(status() == ServerStatus::usable);
 }
 
+// Guards against a working server that needs a trial request because its streams paused twice.
+TEST_CASE_METHOD(TableFixture, "doubtedServer_noLongerDoubted_isUsableAtOnce")
+{
+    for (int i = 0; i < 2; ++i) {
+        table.setDoubted(serverId("a-m"), true);
+        CHECK(status() == ServerStatus::ejected);
+        now += 10ms;
+        table.setDoubted(serverId("a-m"), false);
+        CHECK(status() == ServerStatus::usable);
+    }
+}
+
 // Guards against requests lost at a server that answers health checks but does no work: if it is
 // silent again within seconds of a check, only a successful request makes it usable.
 TEST_CASE_METHOD(TableFixture, "silentServer_silentSoonAfterAHealthCheck_needsATrial")
--- a/test/silence-test.cc
+++ b/test/silence-test.cc
@@ -21,6 +21,11 @@
         recordStreamStarted(counters, recoveryEpoch);
         return recoveryEpoch;
     }
+
+    ServerBelief beliefAt(Duration later, ServerBelief before = ServerBelief::responding) const
+    {
+        return decideBelief(counters, before, true, now + later);
+    }
 };
 
 } // namespace
@@ -151,3 +156,84 @@
     CHECK_FALSE(isSilent(counters, now + 1100ms));
     CHECK(isSilent(counters, now + 1200ms));
 }
+
+// Guards against a region that stops sending to a working server because one stream pauses there.
+TEST_CASE_METHOD(SilenceFixture, "belief_singleStreamPauses_isDoubtedUntilAStatusCheckPasses")
+{
+    beginStream();
+    CHECK(beliefAt(500ms) == ServerBelief::responding);
+    CHECK(beliefAt(600ms) == ServerBelief::doubted);
+    recordStatusCheck(counters, true, now + 610ms);
+    CHECK(beliefAt(610ms, ServerBelief::doubted) == ServerBelief::responding);
+    CHECK(beliefAt(1500ms) == ServerBelief::responding);
+}
+
+// Guards against a region that keeps sending to a server that has lost power.
+TEST_CASE_METHOD(SilenceFixture, "belief_statusCheckFails_isSilentAtOnce")
+{
+    beginStream();
+    recordStatusCheck(counters, false, now + 900ms);
+    CHECK(beliefAt(900ms, ServerBelief::doubted) == ServerBelief::silent);
+}
+
+// Guards against a region that leaves a server because of a status check that failed before the
+// server sent data again.
+TEST_CASE_METHOD(SilenceFixture, "belief_dataSinceTheFailedStatusCheck_isOnlyDoubted")
+{
+    beginStream();
+    recordStatusCheck(counters, false, now + 900ms);
+    recordReceived(counters, now + 950ms);
+    CHECK(beliefAt(1000ms) == ServerBelief::responding);
+    CHECK(beliefAt(1550ms) == ServerBelief::doubted);
+}
+
+// Guards against new requests of this instance to a server at which all of its streams hang; by
+// chance several seldom pause at once.
+TEST_CASE_METHOD(SilenceFixture, "belief_severalStreamsPause_staysDoubtedAfterAPassedStatusCheck")
+{
+    beginStream();
+    beginStream();
+    recordStatusCheck(counters, true, now + 610ms);
+    CHECK(beliefAt(620ms) == ServerBelief::doubted);
+    recordReceived(counters, now + 700ms);
+    CHECK(beliefAt(710ms, ServerBelief::doubted) == ServerBelief::responding);
+}
+
+// Guards against requests sent to a recovered server that passes every check without doing any
+// work.
+TEST_CASE_METHOD(SilenceFixture, "belief_noDataSinceRecovery_isSilentDespitePassedStatusChecks")
+{
+    beginStream();
+    now += 2s;
+    recordRecovered(counters, now);
+    send();
+    counters.awaitingFirstToken = 1;
+    recordStatusCheck(counters, true, now + 900ms);
+    CHECK(beliefAt(900ms) == ServerBelief::responding);
+    CHECK(beliefAt(1s) == ServerBelief::silent);
+}
+
+// Guards against a server that stays in use because it passes status checks although it does no
+// work for any instance.
+TEST_CASE_METHOD(SilenceFixture,
+                 "belief_noProgressForAnyInstance_isSilentDespitePassedStatusChecks")
+{
+    beginStream();
+    recordStatusCheck(counters, true, now + 1400ms);
+    CHECK(beliefAt(1500ms) == ServerBelief::responding);
+    CHECK(beliefAt(1600ms) == ServerBelief::silent);
+    counters.lastRespondedAt = (now + 500ms).time_since_epoch().count();
+    CHECK(beliefAt(1600ms) == ServerBelief::responding);
+}
+
+// Guards against an instance that is cut off and takes all servers out of use for its region.
+TEST_CASE_METHOD(SilenceFixture, "belief_instanceCannotJudge_getsNoWorse")
+{
+    beginStream();
+    recordStatusCheck(counters, false, now + 900ms);
+    for (const ServerBelief before : {ServerBelief::responding, ServerBelief::doubted})
+        CHECK(decideBelief(counters, before, false, now + 1s) == before);
+    recordReceived(counters, now + 1s);
+    CHECK(decideBelief(counters, ServerBelief::doubted, false, now + 1s)
+          == ServerBelief::responding);
+}
