--- a/src/entry/dispatch-end.cc
+++ b/src/entry/dispatch-end.cc
@@ -68,7 +68,8 @@
 void Dispatch::abortStream(AttemptOutcome outcome)
 {
     const ResultCode code = finalCode(outcome);
-    logRetryDecision("Not retried.", attemptOutcomeName(outcome));
+    if (outcome != AttemptOutcome::callerLeft)
+        logRetryDecision("Not retried.", attemptOutcomeName(outcome));
     m_exchange->responder->write(m_protocol.makeStreamError(*m_exchange, code, servedBy({})));
     m_exchange->responder->abort();
     settleUnknown();
