A stream on trial is not cut when its trial did not run

What callers saw: a stream whose server broke off was cut, with seconds left, when the next server could not be reached or its address belonged to another server by then.

Cause: after a break the next attempt is a quarantine trial, and the rule of retries let only a trial that was refused be repeated. One that was not connected, or reached another server, has not run either. The quarantine is asked again before each attempt, after the delay in which marks of other instances arrive, so two servers remain the limit.

instance_trialReachesAnotherServer_resumesTheStreamElsewhere failed before (2 of 2 runs: "attempt 2 at s1: another server", then the end).

--- a/src/entry/dispatch-retry.cc
+++ b/src/entry/dispatch-retry.cc
@@ -183,9 +183,8 @@
     if (decideRetry(retryInput(outcome, runs)) != RetryDecision::retry
         || m_exchange->responder->isClosed())
         return false;
-    // The quarantine trial of a request is one attempt on one server, even if that server has
-    // crashed. A server that refused the request works and has not run it.
-    if (m_isQuarantineTrial && outcome != AttemptOutcome::refusedNotRun)
+    // The quarantine trial of a request is one run on one server, even if that server has crashed.
+    if (m_isQuarantineTrial && !certainlyNotRun(outcome))
         return false;
     // Only the instance that issued the key may send its booking.
     if (m_forwardedToIssuer)
