--- a/include/ibisnotch/event-stream.h
+++ b/include/ibisnotch/event-stream.h
@@ -7,16 +7,14 @@
 
 namespace ibisnotch {
 
-// What happens to a comment, a line that starts with a colon, at the beginning of an event.
-enum class Comments { keep, remove };
-
 // Splits a stream into complete events. A server that fails may stop in the middle of an event; a
 // stream whose caller has received half an event could not be resumed.
 class EventStreamParser
 {
 public:
-    // `lastEventId` is the id of the last event that the caller has received; empty if none.
-    explicit EventStreamParser(const std::string &lastEventId, Comments comments = Comments::keep);
+    // `lastEventId` is the id of the last event that the caller has received; empty if none. A
+    // comment at the beginning of an event that starts with `removedComment` is not passed on.
+    explicit EventStreamParser(const std::string &lastEventId, std::string removedComment = "");
 
     // Consumes data and appends the events that it completes to `out`. Returns false if an event's
     // id is missing or not above the last one, that is, if data is duplicated or belongs to another
@@ -27,7 +25,7 @@
     int eventCount() const { return m_eventCount; }
     // Returns whether the data ends with a complete event.
     bool isComplete() const { return m_partial.empty(); }
-    // Returns the last comment that was removed, without its colon; empty if there was none.
+    // Returns what followed the beginning of the last removed comment; empty if there was none.
     const std::string &lastComment() const { return m_lastComment; }
     // Returns the id of the last complete event as the server sent it; empty if none.
     const std::string &lastEventId() const { return m_lastEventId; }
@@ -36,7 +34,7 @@
     bool acceptEvent(std::string_view event);
     std::size_t skipComment(std::size_t begin, std::size_t end);
 
-    Comments m_comments;
+    std::string m_removedComment;
     std::string m_partial;
     std::string m_lastComment;
     std::string m_lastEventId;
--- a/src/decide/event-stream.cc
+++ b/src/decide/event-stream.cc
@@ -38,8 +38,8 @@
 
 } // namespace
 
-EventStreamParser::EventStreamParser(const std::string &lastEventId, Comments comments)
-    : m_comments(comments), m_lastEventId(lastEventId)
+EventStreamParser::EventStreamParser(const std::string &lastEventId, std::string removedComment)
+    : m_removedComment(std::move(removedComment)), m_lastEventId(lastEventId)
 {
     m_lastNumber = parseNumber(lastEventId).value_or(-1);
 }
@@ -60,11 +60,12 @@
 // removed.
 std::size_t EventStreamParser::skipComment(std::size_t begin, std::size_t end)
 {
-    if (m_comments != Comments::remove || m_partial[begin] != ':')
+    const std::string_view block = std::string_view(m_partial).substr(begin, end - begin);
+    if (m_removedComment.empty() || !block.starts_with(m_removedComment))
         return begin;
-    const std::size_t commentEnd = m_partial.find('\n', begin);
-    m_lastComment = m_partial.substr(begin + 1, commentEnd - begin - 1);
-    return std::min(commentEnd + 1, end);
+    const std::size_t lineEnd = std::min(block.find('\n'), block.size());
+    m_lastComment = block.substr(m_removedComment.size(), lineEnd - m_removedComment.size());
+    return begin + std::min(lineEnd + 1, block.size());
 }
 
 bool EventStreamParser::consume(std::string_view data, std::string &out)
--- a/src/entry/dispatch-end.cc
+++ b/src/entry/dispatch-end.cc
@@ -38,11 +38,18 @@
     reply(attempt.response(), code);
 }
 
+void Dispatch::addRunsToPeer(Headers &headers, int runs) const
+{
+    if (m_exchange->fromPeer)
+        headers.add(std::string(previousRunsHeader), std::to_string(runs));
+}
+
 void Dispatch::reply(HttpResponse response, ResultCode code)
 {
     m_firstByteAt = m_state.clock.now();
     response.headers = m_protocol.makeResponseHeaders(*m_exchange, code, response.headers,
                                                       servedBy(response.headers));
+    addRunsToPeer(response.headers, m_exchange->previousRuns + m_runs);
     m_exchange->responder->reply(std::move(response));
     finish(code);
 }
@@ -121,7 +128,9 @@
         return reply(*std::exchange(m_serverError, std::nullopt), ResultCode::backendFailed);
     }
     trace("refused: " + std::string(resultInfo(refusal.code).name));
-    m_exchange->responder->reply(m_protocol.makeRefusal(*m_exchange, refusal, servedBy({})));
+    HttpResponse response = m_protocol.makeRefusal(*m_exchange, refusal, servedBy({}));
+    addRunsToPeer(response.headers, m_exchange->previousRuns + m_runs);
+    m_exchange->responder->reply(std::move(response));
     finish(refusal.code);
 }
 
--- a/src/entry/dispatch-retry.cc
+++ b/src/entry/dispatch-retry.cc
@@ -57,15 +57,6 @@
         && !m_exchange->responder->isClosed();
 }
 
-// Servers and regions that rejected the stream before may accept it after the pause.
-void Dispatch::runAfterCapacityPause(std::function<void()> next)
-{
-    trace("waiting for capacity to resume the stream");
-    m_triedTargets.clear();
-    m_stayInRegion = false;
-    m_client.postAfter(capacityRetryInterval, std::move(next));
-}
-
 void Dispatch::logRetryDecision(std::string_view sentence, std::string_view cause)
 {
     if (!m_loggedDecisions.insert(sentence).second)
@@ -94,8 +85,12 @@
         = refusal.code == ResultCode::noBackendServer || refusal.code == ResultCode::overloaded;
     if (!noCapacity || !mayWaitForCapacity())
         return false;
+    trace("waiting for capacity to resume the stream");
     logRetryDecision("Waiting for capacity.", resultInfo(refusal.code).name);
-    runAfterCapacityPause([self = shared_from_this()] { self->route(); });
+    // Servers and regions that rejected the stream before may accept it after the pause.
+    m_triedTargets.clear();
+    m_stayInRegion = false;
+    m_client.postAfter(capacityRetryInterval, [self = shared_from_this()] { self->route(); });
     return true;
 }
 
@@ -220,12 +215,14 @@
         trace("retry");
         return routeRetry(outcome);
     }
-    trace("retry budget exhausted");
     logRetryDecision("Retry budget exhausted.", attemptOutcomeName(outcome));
     if (!mayWaitForCapacity())
         return endAfterFailure(outcome);
-    runAfterCapacityPause(
-        [self = shared_from_this(), target, outcome] { self->retryOrEnd(target, outcome); });
+    trace("waiting for the retry budget");
+    m_client.postAfter(capacityRetryInterval, [self = shared_from_this(), target, outcome] {
+        const bool left = self->m_exchange->responder->isClosed();
+        self->retryOrEnd(target, left ? AttemptOutcome::callerLeft : outcome);
+    });
 }
 
 // A server that cannot be reached may just have crashed on a copy of this request that came through
@@ -260,9 +257,11 @@
     trace("rejected by the other region; staying in the local region");
     m_stayInRegion = true;
     m_forwardedToRegion = false;
-    if (m_admitted)
+    // A begun stream is not admitted again and keeps its admission.
+    if (m_admitted && !m_streamStarted) {
         m_state.admission.onFinished(m_exchange->customer->name, m_exchange->service->name);
-    m_admitted = false;
+        m_admitted = false;
+    }
 }
 
 } // namespace ibisnotch
--- a/src/entry/dispatch.cc
+++ b/src/entry/dispatch.cc
@@ -191,8 +191,7 @@
         const HttpResponse &response = attempt.response();
         Headers headers = m_protocol.makeResponseHeaders(
             *m_exchange, ResultCode::served, response.headers, servedBy(response.headers));
-        if (m_exchange->fromPeer)
-            headers.add(std::string(previousRunsHeader), std::to_string(runs));
+        addRunsToPeer(headers, runs);
         m_exchange->responder->start(response.status, std::move(headers));
     } else if (m_exchange->fromPeer && runs != m_reportedRuns) {
         data.insert(0, m_protocol.makeRunsReport(runs));
@@ -217,12 +216,14 @@
     m_attemptStartedAt = m_state.clock.now();
     m_triedTargets.insert(target.name);
     m_servedBy = target.name;
+    if (target.isPeer)
+        m_isQuarantineTrial = false; // of an earlier attempt
     if (target.isPeer && target.region != m_state.settings.region) {
         m_forwardedToRegion = true;
         m_state.regionLoads.onForwarded(target.region, loadKey(*m_exchange));
     }
     if (target.counters) {
-        if (m_attempts == 1)
+        if (m_attempts == 1 && m_exchange->previousRuns == 0)
             m_state.retryBudget.onRequest(m_exchange->customer->name, loadKey(*m_exchange),
                                           m_exchange->config().limits.retryShare);
         target.counters->trialInProgress = target.trial;
@@ -296,7 +297,7 @@
         outcome = isNotRunAtPeer(target, attempt) ? AttemptOutcome::refusedNotRun
                                                   : AttemptOutcome::serverError;
     recordAttempt(target, outcome);
-    countRuns(target, outcome, attempt.reader());
+    countRuns(target, outcome, attempt);
     if (outcome == AttemptOutcome::serverError && m_protocol.passesServerErrors()
         && !m_streamStarted)
         m_serverError = attempt.response();
@@ -311,7 +312,9 @@
         onSuspectedCrash(target);
     if (isRejected) {
         returnToLocalRegion();
-        return route();
+        // A begun stream passes no admission, so its further attempts count as retries.
+        if (!m_streamStarted)
+            return route();
     }
     const bool completeStream
         = outcome == AttemptOutcome::answered && attempt.reader().eventCount() > 0;
@@ -326,11 +329,15 @@
 
 // A peer's attempts count as this instance's, as both together may make no more than the service
 // permits.
-void Dispatch::countRuns(const Target &target, AttemptOutcome outcome, const ResponseReader &reader)
+void Dispatch::countRuns(const Target &target, AttemptOutcome outcome, const Attempt &attempt)
 {
-    m_runs += certainlyNotRun(outcome) ? 0 : 1;
-    m_runsUnknown = target.isPeer && !certainlyNotRun(outcome) && reader.reportedRuns() == 0;
-    m_runs = std::max(m_runs, reader.reportedRuns() - m_exchange->previousRuns);
+    const bool refusedByPeer
+        = outcome == AttemptOutcome::answered && isNotRunAtPeer(target, attempt);
+    const bool mayHaveRun = !certainlyNotRun(outcome) && !refusedByPeer;
+    const int reportedRuns = attempt.reader().reportedRuns();
+    m_runs += mayHaveRun ? 1 : 0;
+    m_runsUnknown = target.isPeer && mayHaveRun && reportedRuns == 0;
+    m_runs = std::max(m_runs, reportedRuns - m_exchange->previousRuns);
 }
 
 // Returns whether a peer reports that it refused the request and that no attempt of it ran.
--- a/src/entry/dispatch.h
+++ b/src/entry/dispatch.h
@@ -107,7 +107,6 @@
     // accepts it now. Returns true if there will be one.
     bool waitForCapacity(const Refusal &refusal);
     bool mayWaitForCapacity() const;
-    void runAfterCapacityPause(std::function<void()> next);
     // Logs a decision about another attempt with its inputs, the first time for each sentence.
     void logRetryDecision(std::string_view sentence, std::string_view cause);
     void send(const Target &target);
@@ -134,7 +133,9 @@
     void onAttemptFinished(const Target &target, AttemptOutcome outcome, Attempt &attempt);
     void routeRetry(AttemptOutcome outcome);
     void recordAttempt(const Target &target, AttemptOutcome outcome);
-    void countRuns(const Target &target, AttemptOutcome outcome, const ResponseReader &reader);
+    void countRuns(const Target &target, AttemptOutcome outcome, const Attempt &attempt);
+    // Adds the number of runs to a response if it goes to the peer that forwarded the request.
+    void addRunsToPeer(Headers &headers, int runs) const;
     static bool isNotRunAtPeer(const Target &target, const Attempt &attempt);
     void logFailedAttempt(const Target &target, AttemptOutcome outcome) const;
     void onSuspectedCrash(const Target &target);
--- a/test/event-stream-test.cc
+++ b/test/event-stream-test.cc
@@ -52,12 +52,12 @@
     CHECK_FALSE(unnumbered.consume("data: x\n\n", out));
 }
 
-// Guards against a comment of a peer that reaches the caller, wherever the data is divided.
-TEST_CASE("eventStream_commentsRemoved_passesEventsOnly")
+// Guards against a report of a peer that reaches the caller, wherever the data is divided.
+TEST_CASE("eventStream_reportsOfAPeer_areNotPassedOn")
 {
-    rc::prop("events are passed on, the last comment is kept", [] {
-        const std::string all = event(1) + ":a\n" + event(2) + ":b=2\n" + event(3);
-        EventStreamParser stream("", Comments::remove);
+    rc::prop("events are passed on, the last report is kept", [] {
+        const std::string all = event(1) + ":n=1\n" + event(2) + ":n=2\n" + event(3);
+        EventStreamParser stream("", ":n=");
         std::string out;
         for (std::size_t begin = 0; begin < all.size();) {
             const auto size = *rc::gen::inRange<std::size_t>(1, 12);
@@ -65,24 +65,25 @@
             begin += size;
         }
         RC_ASSERT(out == event(1) + event(2) + event(3));
-        RC_ASSERT(stream.lastComment() == "b=2");
+        RC_ASSERT(stream.lastComment() == "2");
         RC_ASSERT(stream.eventCount() == 3);
     });
 }
 
-TEST_CASE("eventStream_commentsKept_passesThemWithTheirEvents")
+// Guards against a comment of a backend server that is lost on its way through a peer.
+TEST_CASE("eventStream_otherComments_arePassedOnWithTheirEvents")
 {
-    EventStreamParser stream("");
+    EventStreamParser stream("", ":n=");
     std::string out;
     CHECK(stream.consume(":a\n" + event(1), out));
     CHECK(out == ":a\n" + event(1));
     CHECK(stream.lastComment().empty());
 }
 
-// Guards against a comment without an event, after which a stream could not be resumed.
-TEST_CASE("eventStream_commentWithoutEvent_isRejected")
+// Guards against a report without an event, after which a stream could not be resumed.
+TEST_CASE("eventStream_reportWithoutEvent_isRejected")
 {
-    EventStreamParser stream("", Comments::remove);
+    EventStreamParser stream("", ":n=");
     std::string out;
-    CHECK_FALSE(stream.consume(":a\n\n", out));
+    CHECK_FALSE(stream.consume(":n=1\n\n" + event(1), out));
 }
