--- a/src/entry/dispatch.cc
+++ b/src/entry/dispatch.cc
@@ -202,6 +202,18 @@
     m_exchange->responder->write(std::move(data));
 }
 
+// Adds the request's share to the retry budget. If it runs in another region, the instance there
+// and the one that forwards it may both have to retry it, and each adds half.
+void Dispatch::addRetryShare(const Target &target)
+{
+    if (m_attempts != 1 || m_exchange->previousRuns > 0)
+        return;
+    const bool isForwarded = target.isPeer || m_exchange->fromPeer;
+    const double share = m_exchange->config().limits.retryShare;
+    m_state.retryBudget.onRequest(m_exchange->customer->name, loadKey(*m_exchange),
+                                  isForwarded ? share / 2 : share);
+}
+
 void Dispatch::send(const Target &target)
 {
     if (remaining().count() <= 0) {
@@ -222,10 +234,8 @@
         m_forwardedToRegion = true;
         m_state.regionLoads.onForwarded(target.region, loadKey(*m_exchange));
     }
+    addRetryShare(target);
     if (target.counters) {
-        if (m_attempts == 1 && m_exchange->previousRuns == 0)
-            m_state.retryBudget.onRequest(m_exchange->customer->name, loadKey(*m_exchange),
-                                          m_exchange->config().limits.retryShare);
         target.counters->trialInProgress = target.trial;
         m_recoveryEpoch = recordSent(*target.counters, m_attemptStartedAt);
         ++target.counters->inFlight;
