A run is ended at a silent server only after two failed status checks

Cause: one check, over a new connection, decides. Suspected, not shown: a lost packet (its repetition takes longer than the check), or a stalled loop at 14.2 to 14.9 s.

A run is what cannot be had back, so two failures in a row are asked for; a region still sends new requests elsewhere after one. Streams at a dead server leave it 300 ms later. Weighed: two checks at once, which costs no time but fails as one if the instance itself stalls. No existing check changes: isUnresponsive() still means one failure.

--- a/include/ibisnotch/server-table.h
+++ b/include/ibisnotch/server-table.h
@@ -96,6 +96,7 @@
     std::atomic<Duration::rep> statusCheckSentAt = 0;
     std::atomic<Duration::rep> statusCheckPassedAt = 0;
     std::atomic<Duration::rep> statusCheckFailedAt = 0;
+    std::atomic<int> statusCheckFailures = 0; // in a row, without a sign of life in between
     std::atomic<bool> trialInProgress = false; // one request is testing the ejected server
 };
 
--- a/include/ibisnotch/silence.h
+++ b/include/ibisnotch/silence.h
@@ -45,6 +45,10 @@
 // Returns whether a server is silent and has also failed a status check since.
 bool isUnresponsive(const ServerCounters &counters, TimePoint now);
 
+// Returns whether it has failed two status checks in a row. What runs there is ended only then:
+// other servers may have no room for it, whereas new requests can be sent elsewhere on less proof.
+bool isConfirmedUnresponsive(const ServerCounters &counters, TimePoint now);
+
 // What an instance believes of a server.
 enum class ServerBelief {
     responding,
--- a/src/decide/silence.cc
+++ b/src/decide/silence.cc
@@ -15,6 +15,8 @@
 // The same for responses without a stream: half of the two seconds after which callers leave.
 constexpr Duration maxResponseWait = std::chrono::milliseconds(1000);
 constexpr Duration statusCheckInterval = std::chrono::milliseconds(300);
+// A single check of a working server fails if one of its packets is lost.
+constexpr int confirmingFailures = 2;
 // Most reports of responses to other instances arrive within this time. A server that has been
 // silent for that much longer does no work for any instance, even if it passes status checks.
 constexpr Duration reportDelay = std::chrono::milliseconds(1000);
@@ -33,6 +35,12 @@
                      counters.lastRespondedAt.load()});
 }
 
+// Returns the time of the last data or passed status check.
+Duration::rep lastSign(const ServerCounters &counters)
+{
+    return std::max(lastActivity(counters), counters.statusCheckPassedAt.load());
+}
+
 Duration maxSilence(const ServerCounters &counters)
 {
     return counters.awaitedStreams > 0 ? maxStreamPause(counters) : maxResponseWait;
@@ -131,14 +139,23 @@
 
 void recordStatusCheck(ServerCounters &counters, bool passed, TimePoint now)
 {
-    (passed ? counters.statusCheckPassedAt : counters.statusCheckFailedAt)
-        = now.time_since_epoch().count();
+    if (passed) {
+        counters.statusCheckPassedAt = now.time_since_epoch().count();
+        return;
+    }
+    const bool inARow = counters.statusCheckFailedAt > lastSign(counters);
+    counters.statusCheckFailures = inARow ? counters.statusCheckFailures + 1 : 1;
+    counters.statusCheckFailedAt = now.time_since_epoch().count();
 }
 
 bool isUnresponsive(const ServerCounters &counters, TimePoint now)
 {
-    const auto lastSign = std::max(lastActivity(counters), counters.statusCheckPassedAt.load());
-    return isSilent(counters, now) && counters.statusCheckFailedAt > lastSign;
+    return isSilent(counters, now) && counters.statusCheckFailedAt > lastSign(counters);
+}
+
+bool isConfirmedUnresponsive(const ServerCounters &counters, TimePoint now)
+{
+    return isUnresponsive(counters, now) && counters.statusCheckFailures >= confirmingFailures;
 }
 
 ServerBelief decideBelief(const ServerCounters &counters, ServerBelief before, bool canJudge,
--- a/src/entry/dispatch-retry.cc
+++ b/src/entry/dispatch-retry.cc
@@ -104,7 +104,7 @@
         : std::max(minFirstByteTimeout,
                    m_exchange->service->expectedDuration * firstByteTimeoutFactor);
     const bool overdue = now - lastReceivedAt >= timeout;
-    const bool unresponsive = isUnresponsive(*target.counters, now);
+    const bool unresponsive = isConfirmedUnresponsive(*target.counters, now);
     const bool mayMove = mayRetry(target, AttemptOutcome::silent, m_runs + 1);
     const bool mayEnd = overdue && unresponsive;
     // The request may not be sent to another server, so it would certainly fail if this attempt
--- a/test/silence-test.cc
+++ b/test/silence-test.cc
@@ -79,6 +79,27 @@
     CHECK(isUnresponsive(counters, now + 900ms));
 }
 
+// Guards against a run that is ended at a working server because a packet of one check was lost.
+TEST_CASE_METHOD(SilenceFixture, "silence_oneStatusCheckFailed_isNotConfirmedUntilASecondFails")
+{
+    beginStream();
+    recordStatusCheck(counters, false, now + 900ms);
+    CHECK_FALSE(isConfirmedUnresponsive(counters, now + 900ms));
+    recordStatusCheck(counters, false, now + 1200ms);
+    CHECK(isConfirmedUnresponsive(counters, now + 1200ms));
+}
+
+TEST_CASE_METHOD(SilenceFixture, "silence_statusCheckPassedBetweenFailures_isNotConfirmed")
+{
+    beginStream();
+    recordStatusCheck(counters, false, now + 900ms);
+    recordStatusCheck(counters, true, now + 1200ms);
+    recordStatusCheck(counters, false, now + 1500ms);
+    CHECK_FALSE(isConfirmedUnresponsive(counters, now + 1500ms));
+    recordStatusCheck(counters, false, now + 1800ms);
+    CHECK(isConfirmedUnresponsive(counters, now + 1800ms));
+}
+
 // Guards against a failed status check of an earlier silence that counts for the next one.
 TEST_CASE_METHOD(SilenceFixture,
                  "silence_dataSinceTheStatusCheck_isNotUnresponsiveUntilTheNextFails")
