Answers above 1 MB arrive whole

Cause: (1) a transfer that was paused because its caller had 1 MB still to read had no timer of its own, so it went on only at its next limit. (2) An answer that is not a stream and follows what the caller already has was taken for one of another kind, though the caller had it from this very attempt.

--- a/src/entry/attempt.cc
+++ b/src/entry/attempt.cc
@@ -52,8 +52,10 @@
         passed = std::move(m_response.body);
         m_response.body.clear();
     }
-    if (!passed.empty())
+    if (!passed.empty()) {
+        m_hasWritten = true;
         m_dispatch->writeToCaller(*this, std::move(passed));
+    }
     if (outcome)
         return stopWith(*outcome);
     return !m_dispatch->m_exchange->responder->isClosed();
--- a/src/entry/attempt.h
+++ b/src/entry/attempt.h
@@ -25,6 +25,8 @@
 
     const HttpResponse &response() const { return m_response; }
     const ResponseReader &reader() const { return *m_reader; }
+    // Returns whether the caller has received part of this attempt's response.
+    bool hasWritten() const { return m_hasWritten; }
 
 private:
     void recordEventInterval();
@@ -35,6 +37,7 @@
     Target m_target;
     std::unique_ptr<ResponseReader> m_reader;
     HttpResponse m_response; // the body is buffered unless the response is a stream or too long
+    bool m_hasWritten = false;
     bool m_exceedsBuffer = false; // the body is too long to be buffered
     std::optional<AttemptOutcome> m_earlyOutcome;
     TimePoint m_lastReceivedAt; // time of the last data, or of the start of the attempt
--- a/src/entry/dispatch.cc
+++ b/src/entry/dispatch.cc
@@ -303,7 +303,8 @@
     const bool isRejected
         = outcome == AttemptOutcome::answered && isRejectedByRemoteRegion(target, attempt);
     // The caller already has part of a stream, which a response of another kind cannot continue.
-    if (outcome == AttemptOutcome::answered && m_streamStarted && !attempt.reader().isStreaming())
+    if (outcome == AttemptOutcome::answered && m_streamStarted && !attempt.hasWritten()
+        && !attempt.reader().isStreaming())
         outcome = isNotRunAtPeer(target, attempt) ? AttemptOutcome::refusedNotRun
                                                   : AttemptOutcome::serverError;
     recordAttempt(target, outcome);
--- a/src/net/http-client.cc
+++ b/src/net/http-client.cc
@@ -214,6 +214,8 @@
         transfer.lastProgressAt = std::chrono::steady_clock::now();
         if (transfer.sink->isCongested()) {
             transfer.paused = true;
+            // Without a timer of its own, the transfer would stay paused until its next limit.
+            transfer.owner->armTimer(transfer.owner->m_transfers.at(transfer.easy));
             return CURL_WRITEFUNC_PAUSE;
         }
         if (!transfer.sink->onData(std::string_view(data, size * count))) {
