HTTP server: drop a closed handler with its responder

Seen: under AddressSanitizer, an instance that is destroyed while a caller doesn't read its response uses freed memory: ~Instance, ~HttpLoop, ~write_group_t (RESTinio ends a pending write with an error), ResponseState::close(), the closed handler of Dispatch::start(), HttpClient::post() of a client that ~Instance destroyed before. One run of a trial build with prints showed this stack; a test of a whole instance that forces it did not succeed, see below. Cause: a pending write keeps the response's state, and with it the handler, beyond the responder. Whoever set the handler is gone by then. Ruled out: destroying the loop before the clients, because the responders of requests in progress refer to the loop's connections. Not shown: a test with a whole instance.

--- a/include/ibisnotch/http-server.h
+++ b/include/ibisnotch/http-server.h
@@ -32,8 +32,8 @@
     virtual bool isClosed() const = 0;
 
     // Sets the task to run once if the client disconnects before the response is complete; the task
-    // runs at once if it has disconnected already. Replaces an earlier task. May be called from any
-    // thread.
+    // runs at once if it has disconnected already. Replaces an earlier task. Dropped with the
+    // responder. May be called from any thread.
     virtual void setClosedHandler(std::function<void()> task) = 0;
 
     // Returns the number of bytes written but not yet sent.
--- a/src/net/http-server.cc
+++ b/src/net/http-server.cc
@@ -34,6 +34,13 @@
         task();
     }
 
+    void dropClosedHandler()
+    {
+        std::function<void()> task;
+        const std::lock_guard lock(m_mutex);
+        task.swap(m_closedHandler);
+    }
+
     void close()
     {
         std::function<void()> task;
@@ -130,6 +137,10 @@
     {
     }
 
+    // Writes that are still pending when the loop is destroyed end with an error, which closes the
+    // response. By then, what the handler refers to no longer exists.
+    ~RestinioResponder() override { m_state->dropClosedHandler(); }
+
     const std::shared_ptr<ResponseState> &state() const { return m_state; }
 
     void reply(HttpResponse response) override
