HTTP server: accept one connection at a time

Seen: ThreadSanitizer, one run each of the platform's test programs: 5 data races, all in RESTinio's create_new_connection (connection.hpp:1740), between the threads of one loop. The counter of connection ids is not atomic, and two accepts run at once on two threads. Why it matters: ConnectionRegistry finds responses by that id. Two connections with the same id would make the end of one cancel the request of the other caller. That consequence is by reading; it was not seen. A single accept is started again by the handler of the one before, so the counter is used by one thread at a time. Not measured: the rate of accepts.

--- a/src/net/http-server.cc
+++ b/src/net/http-server.cc
@@ -297,7 +297,9 @@
         // Reads one request ahead, so that a close is detected while a response is in progress.
         to.max_pipelined_requests(2);
         to.connection_state_listener(m_connections);
-        to.concurrent_accepts_count(2);
+        // RESTinio numbers connections without synchronization between concurrent accepts. If two
+        // got the same number, the end of one would cancel the other caller's request.
+        to.concurrent_accepts_count(1);
         to.socket_options_setter([](restinio::socket_options_t &options) {
             options.set_option(asio::ip::tcp::no_delay{true});
         });
