Instance: stop all threads before any part is destroyed

By reading, not seen: ~Instance destroyed the clients of the requests while the control client still ran, whose claims call back into them (Dispatch::claimCallerKey); and an instance whose address is in use destroyed its parts while their threads ran, because an exception in a constructor runs no destructor. Mend: HttpClient::stop(); ~Instance stops the loop, the control loop and all clients first. The constructor delegates, so the destructor runs also if the start fails. What already guarantees that no Exchange outlives its loop: ~Instance destroys the clients and the claim service, the only owners of a Dispatch, before the member m_loop. Control's queue holds no request.

--- a/include/ibisnotch/http-client.h
+++ b/include/ibisnotch/http-client.h
@@ -86,6 +86,10 @@
     HttpClient(const HttpClient &) = delete;
     HttpClient &operator=(const HttpClient &) = delete;
 
+    // Stops the thread; no sink or task is called after this returns. What is posted or sent later
+    // is dropped with the client.
+    void stop();
+
     // Sends each request at most once. By default libcurl repeats a request, even a POST that the
     // server may have processed, when a pooled connection turns out to be closed; here such a
     // transfer ends as connectionLost. May be called from any thread.
--- a/src/entry/instance.cc
+++ b/src/entry/instance.cc
@@ -34,10 +34,23 @@
     std::unique_ptr<PageHandler> m_pages;
 };
 
-Instance::Instance(const ProcessSettings &settings, std::unique_ptr<InterfaceFactory> interfaces)
+// Once this constructor has returned, an exception in the other one runs the destructor, which
+// stops the threads before anything that they use is destroyed.
+Instance::Instance(std::unique_ptr<InterfaceFactory> interfaces, const ProcessSettings &settings)
     : m_interfaces(std::move(interfaces)), m_state(settings, m_interfaces->configFormat()),
       m_protocol(m_interfaces->protocol())
 {
+}
+
+Instance::Instance(const ProcessSettings &settings, std::unique_ptr<InterfaceFactory> interfaces)
+    : Instance(std::move(interfaces), settings)
+{
+    start();
+}
+
+void Instance::start()
+{
+    const ProcessSettings &settings = m_state.settings;
     for (int i = 0; i < settings.workers; ++i)
         m_clients.push_back(std::make_unique<HttpClient>());
     m_controlClient = std::make_unique<HttpClient>();
@@ -64,12 +77,25 @@
     listen(settings.callerAddress, *m_callerGateway);
 }
 
+// All threads are stopped before any part is destroyed, because the parts refer to each other: a
+// claim that ends resumes its request on another client, and a request settles its claim.
+void Instance::stopThreads()
+{
+    if (m_loop)
+        m_loop->stop();
+    if (m_control)
+        m_control->stop();
+    for (const auto &client : m_clients)
+        client->stop();
+    if (m_controlClient)
+        m_controlClient->stop();
+}
+
 Instance::~Instance()
 {
-    // First the threads are stopped, then the clients, which refer to responses in progress, are
-    // destroyed. The loop with the connections of those responses is destroyed last.
-    m_loop->stop();
-    m_control->stop();
+    stopThreads();
+    // The clients and the claim service refer to responses in progress, so they are destroyed
+    // before the loop with the connections of those responses.
     m_clients.clear();
     m_controlClient.reset();
     m_claimService.reset();
--- a/src/entry/instance.h
+++ b/src/entry/instance.h
@@ -34,6 +34,9 @@
 private:
     class PageServer;
 
+    Instance(std::unique_ptr<InterfaceFactory> interfaces, const ProcessSettings &settings);
+    void start();
+    void stopThreads();
     void listen(const Address &address, RequestHandler &handler);
     bool isBusy();
 
--- a/src/net/http-client.cc
+++ b/src/net/http-client.cc
@@ -82,10 +82,16 @@
         });
     }
 
-    ~Private()
+    void stop()
     {
         m_io.stop();
-        m_thread.join();
+        if (m_thread.joinable())
+            m_thread.join();
+    }
+
+    ~Private()
+    {
+        stop();
         for (auto &[easy, transfer] : m_transfers) {
             curl_multi_remove_handle(m_multi, easy);
             curl_slist_free_all(transfer->headerList);
@@ -406,6 +412,11 @@
 
 HttpClient::~HttpClient() = default;
 
+void HttpClient::stop()
+{
+    m_d->stop();
+}
+
 void HttpClient::send(OutgoingRequest request, std::shared_ptr<ResponseSink> sink)
 {
     asio::post(m_d->m_io,
