--- a/test/control-test.cc
+++ b/test/control-test.cc
@@ -74,6 +74,8 @@
           peer({"127.0.0.1", ports[1]}, newerDocument()), control(state, *protocol, client)
     {
     }
+    // Answers that reach the client are passed on to the control loop.
+    ~ControlFixture() { client.stop(); }
 
     static ProcessSettings settingsAt(std::uint16_t gossip)
     {
