--- a/src/entry/dispatch-end.cc
+++ b/src/entry/dispatch-end.cc
@@ -38,20 +38,45 @@
     reply(attempt.response(), code);
 }
 
+void Dispatch::addRunsToPeer(Headers &headers, int runs) const
+{
+    if (m_exchange->fromPeer)
+        headers.add(std::string(previousRunsHeader), std::to_string(runs));
+}
+
 void Dispatch::reply(HttpResponse response, ResultCode code)
 {
     m_firstByteAt = m_state.clock.now();
     response.headers = m_protocol.makeResponseHeaders(*m_exchange, code, response.headers,
                                                       servedBy(response.headers));
+    addRunsToPeer(response.headers, m_exchange->previousRuns + m_runs);
     m_exchange->responder->reply(std::move(response));
     finish(code);
 }
 
+// Returns the code after a failed attempt. If an earlier attempt may have run, the code must not
+// say that the request didn't run, whatever the last attempt shows.
+ResultCode Dispatch::finalCode(AttemptOutcome outcome) const
+{
+    const bool late = remaining().count() <= 0;
+    const bool isFalseNotRun = m_mayHaveRun && certainlyNotRun(outcome);
+    return finalResultCode(isFalseNotRun ? AttemptOutcome::connectionLost : outcome,
+                           m_exchange->service->idempotent, late);
+}
+
+void Dispatch::endAfterFailure(AttemptOutcome outcome)
+{
+    if (m_streamStarted)
+        return abortStream(outcome);
+    failRequest(outcome);
+}
+
 // Ends a stream early. The caller has part of the response and must see that the rest is missing.
 void Dispatch::abortStream(AttemptOutcome outcome)
 {
-    const bool late = remaining().count() <= 0;
-    const ResultCode code = finalResultCode(outcome, m_exchange->service->idempotent, late);
+    const ResultCode code = finalCode(outcome);
+    if (outcome != AttemptOutcome::callerLeft)
+        logRetryDecision("Not retried.", attemptOutcomeName(outcome));
     m_exchange->responder->write(m_protocol.makeStreamError(*m_exchange, code, servedBy({})));
     m_exchange->responder->abort();
     settleUnknown();
@@ -60,21 +85,22 @@
 
 void Dispatch::failRequest(AttemptOutcome outcome)
 {
-    const bool late = remaining().count() <= 0;
     if (outcome == AttemptOutcome::callerLeft) {
         settleUnknown();
         return finish(ResultCode::callerLeft);
     }
+    logRetryDecision("Not retried.", attemptOutcomeName(outcome));
     // The issuer cannot be reached. It may have sent a booking with this key before, so the result
     // must not be "not run".
     if (m_forwardedToIssuer && certainlyNotRun(outcome))
         return refuse({ResultCode::issuerGone, "", {}});
-    if (certainlyNotRun(outcome))
+    const ResultCode code = finalCode(outcome);
+    const bool notRun = resultInfo(code).runState == RunState::notRun;
+    if (notRun)
         settleNotRun();
     else
         settleUnknown();
-    const ResultCode code = finalResultCode(outcome, m_exchange->service->idempotent, late);
-    const bool mayRetry = m_exchange->service->idempotent || certainlyNotRun(outcome);
+    const bool mayRetry = m_exchange->service->idempotent || notRun;
     refuse({code, "", mayRetry ? jitteredRetryAfter(1, m_state.random) : Duration(0)});
 }
 
@@ -89,6 +115,7 @@
     // The headers of a stream were sent, so no other response can follow on this connection.
     if (m_streamStarted) {
         trace("stream aborted: " + std::string(resultInfo(refusal.code).name));
+        logRetryDecision("Not resumed.", resultInfo(wanted.code).name);
         m_exchange->responder->abort();
         settleUnknown();
         return finish(resultInfo(refusal.code).runState == RunState::notRun
@@ -101,7 +128,9 @@
         return reply(*std::exchange(m_serverError, std::nullopt), ResultCode::backendFailed);
     }
     trace("refused: " + std::string(resultInfo(refusal.code).name));
-    m_exchange->responder->reply(m_protocol.makeRefusal(*m_exchange, refusal, servedBy({})));
+    HttpResponse response = m_protocol.makeRefusal(*m_exchange, refusal, servedBy({}));
+    addRunsToPeer(response.headers, m_exchange->previousRuns + m_runs);
+    m_exchange->responder->reply(std::move(response));
     finish(refusal.code);
 }
 
--- a/src/entry/dispatch.h
+++ b/src/entry/dispatch.h
@@ -101,12 +101,15 @@
 
     // Attempts.
     void route();
-    // Schedule another attempt for a stream that has started and has to be resumed, if no server
-    // accepts it now or no retry is left. Return true if there will be one.
+    bool canResume() const;
+    Duration minAttemptTime() const;
+    // Schedules another attempt for a stream that has started and has to be resumed, if no server
+    // accepts it now. Returns true if there will be one.
     bool waitForCapacity(const Refusal &refusal);
-    bool waitForRetry(AttemptOutcome outcome);
     bool mayWaitForCapacity() const;
-    void runAfterCapacityPause(std::function<void()> next);
+    // Logs a decision about another attempt with its inputs, the first time for each sentence.
+    void logRetryDecision(std::string_view sentence, std::string_view cause);
+    void addRetryShare(const Target &target);
     void send(const Target &target);
     // Returns false if the request is quarantined, or held while a trial of it is running. Starts
     // the trial if it is due.
@@ -114,33 +117,44 @@
     OutgoingRequest makeRequest(const Target &target) const;
     // Called by the current attempt.
     void onServerResponse(const Target &target, const ResponseReader &reader);
-    void writeToCaller(const HttpResponse &response, std::string data);
+    // Writes complete events, or data of a long response, that the attempt received.
+    void writeToCaller(const Attempt &attempt, std::string data);
     void onCallerLeft();
     // Returns the prompt tokens that the server has to read if it has the shared ones cached.
     std::int64_t tokensToRead() const;
     void recordFirstByte(const Target &target);
     // Returns true if an attempt that has received nothing since `lastReceivedAt` should continue,
-    // false if it should end so that another server can be tried.
+    // false if it should end so that another server can be tried. Then the retry is acquired.
     bool shouldKeepWaiting(const Target &target, const ResponseReader &reader,
-                           TimePoint lastReceivedAt) const;
+                           TimePoint lastReceivedAt);
+    bool shouldMove(const Target &target, bool callerHasPart, bool overdue, Duration timeout) const;
     bool hasCapacityElsewhere(double maxUtilization) const;
     void removeAwaitedFirstToken(const Target &target);
     TransferLimits limitsFor(const Target &target) const;
     void onAttemptFinished(const Target &target, AttemptOutcome outcome, Attempt &attempt);
     void routeRetry(AttemptOutcome outcome);
     void recordAttempt(const Target &target, AttemptOutcome outcome);
+    void countRuns(const Target &target, AttemptOutcome outcome, const Attempt &attempt);
+    // Adds the number of runs to a response if it goes to the peer that forwarded the request.
+    void addRunsToPeer(Headers &headers, int runs) const;
+    static bool isNotRunAtPeer(const Target &target, const Attempt &attempt);
+    void logFailedAttempt(const Target &target, AttemptOutcome outcome) const;
     void onSuspectedCrash(const Target &target);
     void checkServerAlive(const Target &target);
-    RetryInput retryInput(AttemptOutcome outcome, int runs, bool callerHasSeenBytes) const;
-    bool tryAcquireRetry(AttemptOutcome outcome, bool callerHasSeenBytes);
+    RetryInput retryInput(AttemptOutcome outcome, int runs) const;
+    bool mayRetry(const Target &target, AttemptOutcome outcome, int runs) const;
+    bool tryAcquireBudget(AttemptOutcome outcome);
+    void retryOrEnd(const Target &target, AttemptOutcome outcome);
     bool isRejectedByRemoteRegion(const Target &target, const Attempt &attempt) const;
     void returnToLocalRegion();
     void deliver(Attempt &attempt);
     void reply(HttpResponse response, ResultCode code);
     void abortStream(AttemptOutcome outcome);
+    void endAfterFailure(AttemptOutcome outcome);
 
     // End of the request.
     void failRequest(AttemptOutcome outcome);
+    ResultCode finalCode(AttemptOutcome outcome) const;
     void refuse(const Refusal &refusal);
     void finish(ResultCode code);
 
@@ -172,7 +186,10 @@
     bool m_stayInRegion = false; // another region rejected the request
     int m_coldCheckWaits = 0; // times that the request waited for checks of possibly cold servers
     int m_attempts = 0; // all attempts, also those that did not run
-    int m_runs = 0; // attempts that may have run
+    int m_runs = 0; // attempts that may have run, also those that a peer made for this instance
+    bool m_runsUnknown = false; // the last attempt was at a peer that didn't report its runs
+    int m_reportedRuns = 0; // reported to the peer that forwarded the request
+    bool m_retryAcquired = false; // the retry budget for the next attempt is acquired
     std::weak_ptr<Attempt> m_currentAttempt;
     bool m_callerLeft = false; // the caller closed its connection
     std::uint32_t m_recoveryEpoch = 0; // of the current attempt's server (silence.h)
@@ -182,6 +199,7 @@
     // A complete error response of a backend server, sent to the caller if no attempt succeeds.
     std::optional<HttpResponse> m_serverError;
     std::set<std::string> m_triedTargets; // names of servers and peers
+    std::set<std::string_view> m_loggedDecisions; // see logRetryDecision()
     std::string m_servedBy;
     TimePoint m_attemptStartedAt{};
     double m_cost = 0; // of all attempts: seconds at a server times the server's cost
