--- a/src/net/http-server.cc
+++ b/src/net/http-server.cc
@@ -34,6 +34,13 @@
         task();
     }
 
+    void dropClosedHandler()
+    {
+        std::function<void()> task;
+        const std::lock_guard lock(m_mutex);
+        task.swap(m_closedHandler);
+    }
+
     void close()
     {
         std::function<void()> task;
@@ -130,6 +137,10 @@
     {
     }
 
+    // Writes that are still pending when the loop is destroyed end with an error, which closes the
+    // response. By then, what the handler refers to no longer exists.
+    ~RestinioResponder() override { m_state->dropClosedHandler(); }
+
     const std::shared_ptr<ResponseState> &state() const { return m_state; }
 
     void reply(HttpResponse response) override
@@ -286,7 +297,9 @@
         // Reads one request ahead, so that a close is detected while a response is in progress.
         to.max_pipelined_requests(2);
         to.connection_state_listener(m_connections);
-        to.concurrent_accepts_count(2);
+        // RESTinio numbers connections without synchronization between concurrent accepts. If two
+        // got the same number, the end of one would cancel the other caller's request.
+        to.concurrent_accepts_count(1);
         to.socket_options_setter([](restinio::socket_options_t &options) {
             options.set_option(asio::ip::tcp::no_delay{true});
         });
