Dispatch: one name for what is a peer of another region, runs in both directions, bounded traces

A trace keeps its first 100 steps, as a stream that waits adds several a second. No other behaviour changes; the texts of requests and answers are the same.

--- a/include/ibisnotch/forward-path.h
+++ b/include/ibisnotch/forward-path.h
@@ -21,9 +21,10 @@
 using ForwardPath = std::vector<Hop>;
 
 constexpr std::string_view forwardPathHeader = "X-Ibisnotch-Path";
-// Number of attempts of the request so far that may have run. Without it each instance would allow
-// the full number of attempts, and a request would run on more servers than its service permits.
-constexpr std::string_view previousRunsHeader = "X-Ibisnotch-Runs";
+// Number of attempts that may have run: in a request, those before it was forwarded; in a response
+// to a peer, those so far. Without it each instance would allow the full number of attempts, and a
+// request would run on more servers than its service permits.
+constexpr std::string_view runsHeader = "X-Ibisnotch-Runs";
 
 // Returns the path in the format "bp-1@budapest,gy-1@gyor".
 std::string formatForwardPath(const ForwardPath &path);
--- a/src/entry/dispatch-end.cc
+++ b/src/entry/dispatch-end.cc
@@ -41,7 +41,7 @@
 void Dispatch::addRunsToPeer(Headers &headers, int runs) const
 {
     if (m_exchange->fromPeer)
-        headers.add(std::string(previousRunsHeader), std::to_string(runs));
+        headers.add(std::string(runsHeader), std::to_string(runs));
 }
 
 void Dispatch::reply(HttpResponse response, ResultCode code)
--- a/src/entry/dispatch-retry.cc
+++ b/src/entry/dispatch-retry.cc
@@ -186,9 +186,8 @@
         return false;
     // Usually the instance that sends to backend servers makes the retries, since it knows how
     // often the request has run. If that peer stops or crashes while it streams, this instance
-    // resumes the stream; the peer reported the runs with the events.
-    const bool forwarded = target.isPeer && target.region != m_state.settings.region;
-    return !forwarded || certainlyNotRun(outcome) || (canResume() && !m_runsUnknown);
+    // resumes the stream. It doesn't know of a run that has sent the peer no event yet.
+    return !isRemote(target) || certainlyNotRun(outcome) || (canResume() && !m_runsUnknown);
 }
 
 // Acquires the retry budget for an attempt after one that ended with `outcome`.
@@ -246,9 +245,8 @@
     const auto &allowed = m_exchange->allowedRegions;
     const bool localAllowed
         = std::find(allowed.begin(), allowed.end(), m_state.settings.region) != allowed.end();
-    const bool isRemote = target.isPeer && target.region != m_state.settings.region;
     const bool mayRunAgain = m_exchange->service->idempotent || !m_mayHaveRun;
-    return isRemote && noCapacity && localAllowed && !m_stayInRegion && mayRunAgain
+    return isRemote(target) && noCapacity && localAllowed && !m_stayInRegion && mayRunAgain
         && !m_forwardedToIssuer && !m_exchange->responder->isClosed();
 }
 
--- a/src/entry/dispatch.cc
+++ b/src/entry/dispatch.cc
@@ -132,8 +132,7 @@
     ForwardPath path = exchange.path;
     path.push_back(m_state.hop());
     request.headers.add(std::string(forwardPathHeader), formatForwardPath(path));
-    request.headers.add(std::string(previousRunsHeader),
-                        std::to_string(exchange.previousRuns + m_runs));
+    request.headers.add(std::string(runsHeader), std::to_string(exchange.previousRuns + m_runs));
     const bool holdsRight = m_sendRight == SendRight::claim || m_sendRight == SendRight::issuedKey;
     if (holdsRight || exchange.sendRightAcquired)
         request.headers.add("X-Ibisnotch-Cleared-By", m_state.settings.name);
@@ -202,6 +201,12 @@
     m_exchange->responder->write(std::move(data));
 }
 
+// Returns whether the target is an instance of another region.
+bool Dispatch::isRemote(const Target &target) const
+{
+    return target.isPeer && target.region != m_state.settings.region;
+}
+
 // Adds the request's share to the retry budget. If it runs in another region, the instance there
 // and the one that forwards it may both have to retry it, and each adds half.
 void Dispatch::addRetryShare(const Target &target)
@@ -230,7 +235,7 @@
     m_servedBy = target.name;
     if (target.isPeer)
         m_isQuarantineTrial = false; // of an earlier attempt
-    if (target.isPeer && target.region != m_state.settings.region) {
+    if (isRemote(target)) {
         m_forwardedToRegion = true;
         m_state.regionLoads.onForwarded(target.region, loadKey(*m_exchange));
     }
@@ -255,7 +260,7 @@
     trace(
         fmt::format("attempt {} at {}: {}", m_attempts, target.name, attemptOutcomeName(outcome)));
     if (target.isPeer) {
-        if (target.region != m_state.settings.region)
+        if (isRemote(target))
             m_state.regionLoads.onForwardedFinished(target.region, loadKey(*m_exchange));
         return logFailedAttempt(target, outcome);
     }
--- a/src/entry/dispatch.h
+++ b/src/entry/dispatch.h
@@ -109,6 +109,7 @@
     bool mayWaitForCapacity() const;
     // Logs a decision about another attempt with its inputs, the first time for each sentence.
     void logRetryDecision(std::string_view sentence, std::string_view cause);
+    bool isRemote(const Target &target) const;
     void addRetryShare(const Target &target);
     void send(const Target &target);
     // Returns false if the request is quarantined, or held while a trial of it is running. Starts
--- a/src/entry/exchange.cc
+++ b/src/entry/exchange.cc
@@ -6,8 +6,17 @@
 
 namespace ibisnotch {
 
+namespace {
+
+// A stream that waits for a server may try several times a second until its deadline.
+constexpr std::size_t maxTraceSteps = 100;
+
+} // namespace
+
 void addTraceStep(Exchange &exchange, const Clock &clock, std::string description)
 {
+    if (exchange.trace.steps.size() >= maxTraceSteps)
+        return;
     const auto at
         = std::chrono::duration_cast<std::chrono::milliseconds>(clock.now() - exchange.arrived);
     exchange.trace.steps.push_back({at.count(), std::move(description)});
--- a/src/entry/filters.cc
+++ b/src/entry/filters.cc
@@ -35,9 +35,9 @@
         if (!checked.ok())
             return Refusal{resultCodeOf(checked), std::string(checked.message()), {}};
         exchange.path = *path;
-        const std::string runs = exchange.request.headers.get(previousRunsHeader).value_or("0");
+        const std::string runs = exchange.request.headers.get(runsHeader).value_or("0");
         if (!absl::SimpleAtoi(runs, &exchange.previousRuns) || exchange.previousRuns < 0)
-            return Refusal{ResultCode::malformedRequest, std::string(previousRunsHeader), {}};
+            return Refusal{ResultCode::malformedRequest, std::string(runsHeader), {}};
         return std::nullopt;
     }
 
