--- a/src/entry/dispatch.cc
+++ b/src/entry/dispatch.cc
@@ -191,7 +191,7 @@
         Headers headers = m_protocol.makeResponseHeaders(
             *m_exchange, ResultCode::served, response.headers, servedBy(response.headers));
         addRunsToPeer(headers, runs);
-        m_exchange->responder->start(response.status, std::move(headers));
+        m_exchange->responder->start(response.status, headers);
     } else if (m_exchange->fromPeer && runs != m_reportedRuns) {
         data.insert(0, m_protocol.makeRunsReport(runs));
     }
