FAILBACK: an instance that has just started asks for all members before it sends to cold servers

Callers saw: a cold server of a large region flooded, which then breaks off all that runs there.

Cause: what a cold server bears in a second is dealt out over the senders that an instance knows. An instance took itself for informed two seconds after its start, by the clock; a comment said that it receives the other members in its first round. It does so only if a peer's message comes before the store's configuration, which is rare. Probes bring three or four members each, so of 64 instances it knew a quarter, counted itself among the first six senders of every server and took up to half of the bound. Class: a view taken for complete after a time, where nothing shows that it is.

Change: until two exchanges of the whole table with random members in a row bring nobody new, an instance asks one twice a second, tells its region of itself, and sends nothing to cold servers; again after a stall. One that hears of nobody for two seconds counts as alone. "Members exchanged." says what was received and how many senders are counted on.

--- a/include/ibisnotch/membership.h
+++ b/include/ibisnotch/membership.h
@@ -85,6 +85,12 @@
     std::size_t syncEntriesPerProbe = 2;
     // A longer gap between two ticks means that this process was stalled.
     Duration stallThreshold = std::chrono::seconds(3);
+    // Interval between two exchanges of the whole table while it may be incomplete.
+    Duration exchangeInterval = std::chrono::milliseconds(500);
+    // The table counts as complete after this many exchanges in a row that brought no new member.
+    int exchangesWithoutNews = 2;
+    // Time after the start, or a stall, before an instance that hears of no other counts as alone.
+    Duration aloneTime = std::chrono::seconds(2);
 };
 
 // Decides which probes to send and which state each member has. Does no I/O; not thread safe.
@@ -103,8 +109,19 @@
     // changed the state known here.
     bool applyUpdate(const Member &member, TimePoint now);
 
+    // Returns the address of a random member with which to exchange the whole table now. Empty
+    // unless the table may be incomplete: probes bring only a few members each, so an instance that
+    // has just joined a large fleet knows few of the others for some seconds.
+    std::optional<std::string> nextExchange(TimePoint now, Random &random);
+    // Applies the members of such an exchange. Returns true if any of them was unknown.
+    bool onExchange(const std::vector<Member> &members, TimePoint now);
+    // Returns whether the table holds all members that others know, or this instance is alone.
+    bool isComplete(TimePoint now) const;
+
     // Returns pings to `fanout` random members, for updates that must not wait for the next probe.
     std::vector<OutgoingProbe> broadcast(int fanout, Random &random);
+    // Returns pings to all members of the own region.
+    std::vector<OutgoingProbe> broadcastToRegion();
 
     // Announces with the next probes that this instance is stopping.
     void leave();
@@ -170,6 +187,9 @@
     TimePoint m_nextProbe{};
     std::optional<TimePoint> m_lastTick;
     bool m_stalled = false;
+    TimePoint m_joinedAt{}; // the first tick, or the first one after a stall
+    TimePoint m_nextExchange{};
+    int m_exchangesWithoutNews = 0; // in a row
 };
 
 } // namespace ibisnotch
--- a/include/ibisnotch/server-table.h
+++ b/include/ibisnotch/server-table.h
@@ -197,6 +197,7 @@
     // request that this instance sends.
     double trafficFactor = 1;
     std::vector<std::string> senders; // names of the instances that may send to these servers
+    bool sendersComplete = false; // false while this instance may not know all of them
 };
 
 // Returns the reported load plus an estimate of its change since the report: the requests that this
@@ -232,7 +233,8 @@
     // Sets the data centres whose servers get no requests.
     void setEvacuated(std::set<std::string> dataCentres);
     // Sets the instances of the region that may send to its servers, including this one.
-    void setSenders(std::vector<std::string> senders);
+    // `complete` is false while there may be more. Returns true if that is a change.
+    bool setSenders(std::vector<std::string> senders, bool complete);
 
     // Records the load that a server reported in a response to this instance.
     void onResponseLoad(const std::string &server, std::uint32_t running, std::uint32_t waiting,
@@ -330,6 +332,7 @@
     // again since.
     std::map<std::string, TimePoint> m_selfReportedCold;
     std::vector<std::string> m_senders;
+    bool m_sendersComplete = false;
     // Average load that servers reported, and what this instance had in flight there at that time.
     double m_reportedTraffic = 0;
     double m_ownTraffic = 0;
--- a/src/decide/membership.cc
+++ b/src/decide/membership.cc
@@ -84,6 +84,8 @@
 std::vector<OutgoingProbe> Membership::tick(TimePoint now, Random &random)
 {
     std::vector<OutgoingProbe> out;
+    if (!m_lastTick)
+        m_joinedAt = now;
     if (m_lastTick && now - *m_lastTick > m_settings.stallThreshold)
         restartTimersAfterStall(now);
     m_lastTick = now;
@@ -102,6 +104,9 @@
     // Timers that expired while this process was stalled say nothing about the other members;
     // acting on them would declare healthy members dead.
     m_stalled = true;
+    // Members that joined meanwhile are unknown.
+    m_joinedAt = now;
+    m_exchangesWithoutNews = 0;
     m_pendingProbes.clear();
     m_relayedProbes.clear();
     for (auto &[name, entry] : m_entries) {
@@ -315,6 +320,34 @@
     return out;
 }
 
+std::optional<std::string> Membership::nextExchange(TimePoint now, Random &random)
+{
+    if (now < m_nextExchange || m_exchangesWithoutNews >= m_settings.exchangesWithoutNews)
+        return std::nullopt;
+    const std::vector<Member> alive = aliveMembers();
+    if (alive.empty())
+        return std::nullopt;
+    m_nextExchange = now + m_settings.exchangeInterval;
+    return alive[random.below(alive.size())].gossipAddress;
+}
+
+bool Membership::onExchange(const std::vector<Member> &members, TimePoint now)
+{
+    const std::size_t before = m_entries.size();
+    for (const Member &member : members)
+        applyUpdate(member, now);
+    const bool hasNews = m_entries.size() > before;
+    m_exchangesWithoutNews = hasNews ? 0 : m_exchangesWithoutNews + 1;
+    return hasNews;
+}
+
+bool Membership::isComplete(TimePoint now) const
+{
+    if (m_exchangesWithoutNews >= m_settings.exchangesWithoutNews)
+        return true;
+    return m_lastTick && now - m_joinedAt >= m_settings.aloneTime && aliveMembers().empty();
+}
+
 std::vector<OutgoingProbe> Membership::broadcast(int fanout, Random &random)
 {
     std::deque<std::string> addresses;
@@ -328,6 +361,16 @@
     return out;
 }
 
+std::vector<OutgoingProbe> Membership::broadcastToRegion()
+{
+    std::vector<OutgoingProbe> out;
+    for (const Member &member : aliveMembers()) {
+        if (member.region == m_self.region)
+            out.push_back({member.gossipAddress, makeProbe(ProbeKind::ping, ++m_sequence)});
+    }
+    return out;
+}
+
 void Membership::leave()
 {
     m_self.state = MemberState::leaving;
--- a/src/decide/server-table.cc
+++ b/src/decide/server-table.cc
@@ -189,10 +189,14 @@
     return result;
 }
 
-void ServerTable::setSenders(std::vector<std::string> senders)
+bool ServerTable::setSenders(std::vector<std::string> senders, bool complete)
 {
     const std::lock_guard lock(m_mutex);
+    if (m_senders == senders && m_sendersComplete == complete)
+        return false;
     m_senders = std::move(senders);
+    m_sendersComplete = complete;
+    return true;
 }
 
 void ServerTable::startIncarnation(Record &record, const LoadReport &report)
@@ -400,6 +404,7 @@
     RoutingTable result;
     result.config = m_config;
     result.senders = m_senders;
+    result.sendersComplete = m_sendersComplete;
     result.remote = m_remote;
     result.list = m_listState;
     constexpr double minOwnTraffic = 0.05; // avoids a division by nearly zero
--- a/src/entry/control.cc
+++ b/src/entry/control.cc
@@ -127,6 +127,7 @@
 {
     const TimePoint now = m_state.clock.now();
     sendProbes(m_membership.tick(now, m_state.random));
+    exchangeMembers();
     if (m_membership.consumeStall()) {
         logLine(LogPart::control, LogLevel::warn, "Event loop resumed after a stall.");
         m_pullInProgress = false;
@@ -217,7 +218,9 @@
 
 void Control::publishMembers()
 {
-    m_state.servers.setSenders(m_membership.possibleSenders(m_state.clock.now()));
+    const TimePoint now = m_state.clock.now();
+    m_routingDirty |= m_state.servers.setSenders(m_membership.possibleSenders(now),
+                                                 m_membership.isComplete(now));
     std::vector<Member> members = m_membership.members();
     members.push_back(m_membership.self());
     updateRetryBurst(members.size());
@@ -395,19 +398,47 @@
     m_pullInProgress = true;
     PeerRequest request;
     request.knownVersion = m_state.activeConfig.version();
-    request.wantsMembers = request.knownVersion == 0;
     m_link.sendRequest(gossipAddress, request, [this](const std::optional<PeerReply> &reply) {
         m_pullInProgress = false;
+        if (reply)
+            applyDelta(reply->delta);
+    });
+}
+
+void Control::applyDelta(const ConfigDelta &delta)
+{
+    if (delta.toVersion == 0)
+        return;
+    const auto before = m_state.activeConfig.document();
+    const auto document = ibisnotch::applyDelta(before.get(), delta);
+    if (document.ok())
+        applyConfig(*document, "peer");
+}
+
+// Gets the whole list of members from another member while this instance may not know all of them,
+// and tells the region of itself if it did not.
+void Control::exchangeMembers()
+{
+    const auto address = m_membership.nextExchange(m_state.clock.now(), m_state.random);
+    if (!address)
+        return;
+    PeerRequest request;
+    request.knownVersion = m_state.activeConfig.version();
+    request.wantsMembers = true;
+    m_link.sendRequest(*address, request, [this](const std::optional<PeerReply> &reply) {
         if (!reply)
             return;
-        for (const Member &member : reply->members)
-            m_membership.applyUpdate(member, m_state.clock.now());
-        if (reply->delta.toVersion == 0)
-            return;
-        const auto before = m_state.activeConfig.document();
-        const auto document = applyDelta(before.get(), reply->delta);
-        if (document.ok())
-            applyConfig(*document, "peer");
+        applyDelta(reply->delta);
+        const TimePoint now = m_state.clock.now();
+        const bool hasNews = m_membership.onExchange(reply->members, now);
+        if (hasNews)
+            sendProbes(m_membership.broadcastToRegion());
+        logLine(LogPart::control, LogLevel::info, "Members exchanged.",
+                {{"received", std::to_string(reply->members.size())},
+                 {"news", hasNews ? "yes" : "no"},
+                 {"senders", std::to_string(m_membership.possibleSenders(now).size())},
+                 {"complete", m_membership.isComplete(now) ? "yes" : "no"}});
+        publishMembers();
     });
 }
 
--- a/src/entry/control.h
+++ b/src/entry/control.h
@@ -100,6 +100,8 @@
     void pollServer(const BackendServer &server);
     void onPollResponse(const std::string &server, const BufferedResponse &reply);
     void pullConfigFrom(const std::string &gossipAddress);
+    void exchangeMembers();
+    void applyDelta(const ConfigDelta &delta);
     void announceConfig();
 
     EntryState &m_state;
--- a/src/entry/dispatch-plan.cc
+++ b/src/entry/dispatch-plan.cc
@@ -17,7 +17,7 @@
 // network round trip.
 constexpr Duration coldCheckWait = std::chrono::milliseconds(30);
 constexpr int maxColdCheckWaits = 16;
-// Two rounds of probes. A member that joins receives the other members in its first round.
+// Two rounds of probes, with which the other members learn of one that has joined.
 constexpr Duration membershipSettleTime = std::chrono::seconds(2);
 
 } // namespace
@@ -64,8 +64,9 @@
         return true;
     if (now < view.cooldownUntil)
         return false;
-    // An instance that has just started doesn't yet know the other senders.
-    if (now < m_state.startedAt + membershipSettleTime)
+    // An instance that has just started may not know all other senders, and they may not know it.
+    // With a part of them only, its share of the server's rate would be too large.
+    if (now < m_state.startedAt + membershipSettleTime || !table.sendersComplete)
         return false;
     const auto interval = warmupIntervalOf(table, view);
     return interval && canSendWarmupRequest(*view.counters, *interval, view.coldSince, now);
--- a/src/experiment/experiment.cc
+++ b/src/experiment/experiment.cc
@@ -192,7 +192,7 @@
         for (int i = 0; i < entriesPerRegion; ++i) {
             auto entry = std::make_unique<Entry>();
             entry->servers.setConfig(config);
-            entry->servers.setSenders(std::vector<std::string>(entriesPerRegion, "entry"));
+            entry->servers.setSenders(std::vector<std::string>(entriesPerRegion, "entry"), true);
             entry->picker = makePicker(m_setup.policy.pick);
             m_entries[region].push_back(std::move(entry));
         }
--- a/test/membership-test.cc
+++ b/test/membership-test.cc
@@ -49,6 +49,8 @@
         m_isolatedRegion = isolated ? region : "";
     }
     void setLoss(double loss) { m_loss = loss; }
+    // Lets instances exchange their whole tables too, as the control loop does.
+    void enableExchanges() { m_exchanges = true; }
     Membership &node(const std::string &name) { return m_nodes.at(name); }
 
     void run(Duration time)
@@ -56,8 +58,11 @@
         for (Duration passed{}; passed < time; passed += 100ms) {
             m_now += 100ms;
             for (auto &[name, node] : m_nodes) {
-                if (m_stalled.count(name) == 0)
-                    send(name, node.tick(m_now, m_random));
+                if (m_stalled.count(name) > 0)
+                    continue;
+                send(name, node.tick(m_now, m_random));
+                if (m_exchanges)
+                    exchange(name, node);
             }
             deliver();
         }
@@ -81,6 +86,18 @@
             m_inTransit.push_back({from, probe});
     }
 
+    void exchange(const std::string &name, Membership &node)
+    {
+        const auto address = node.nextExchange(m_now, m_random);
+        const auto other = address ? m_nodes.find(*address) : m_nodes.end();
+        if (other == m_nodes.end() || m_random.uniform() < m_loss)
+            return;
+        std::vector<Member> members = other->second.members();
+        members.push_back(other->second.self());
+        if (node.onExchange(members, m_now))
+            send(name, node.broadcastToRegion());
+    }
+
     void deliver()
     {
         for (int round = 0; round < 4; ++round) {
@@ -105,6 +122,7 @@
     std::set<std::string> m_stalled;
     std::string m_isolatedRegion;
     double m_loss = 0;
+    bool m_exchanges = false;
     TimePoint m_now{};
     std::vector<std::pair<std::string, OutgoingProbe>> m_inTransit;
 };
@@ -253,6 +271,39 @@
     CHECK_FALSE(b1.applyUpdate(makeMember("a3", 1), fleet.now()));
 }
 
+// Guards against cold servers that are flooded by instances that were restarted together: each knew
+// a few members of a large region only and took too large a share of what the servers can handle.
+TEST_CASE("membership_newcomersInALargeFleet_knowTheirRegionOnceComplete")
+{
+    rc::prop("all of the region are possible senders", [] {
+        constexpr int membersPerRegion = 21;
+        std::vector<std::string> names;
+        std::vector<std::string> region;
+        for (const std::string prefix : {"a", "b", "c"}) {
+            for (int i = 0; i < membersPerRegion; ++i)
+                names.push_back(prefix + std::to_string(i));
+        }
+        std::copy(names.begin(), names.begin() + membersPerRegion, std::back_inserter(region));
+        FakeFleet fleet(names, *rc::gen::inRange<std::uint64_t>(1, 1U << 30));
+        fleet.enableExchanges();
+        fleet.run(6s);
+        const int restarted = *rc::gen::inRange(1, membersPerRegion + 1);
+        for (int i = 0; i < restarted; ++i)
+            fleet.start(region[membersPerRegion - 1 - i], 2);
+        fleet.setLoss(*rc::gen::inRange(0, 20) / 100.0);
+        for (Duration passed{}; passed < 8s; passed += 100ms) {
+            fleet.run(100ms);
+            for (const std::string &name : region) {
+                const Membership &node = fleet.node(name);
+                if (passed > 2s && node.isComplete(fleet.now()))
+                    RC_ASSERT(node.possibleSenders(fleet.now()).size() == membersPerRegion);
+            }
+        }
+        for (const std::string &name : region)
+            RC_ASSERT(fleet.node(name).isComplete(fleet.now()));
+    });
+}
+
 TEST_CASE("overrides_ofAnyTwoStates_isAStrictOrder")
 {
     rc::prop("at most one overrides the other", [] {
--- a/test/server-table-test.cc
+++ b/test/server-table-test.cc
@@ -205,7 +205,7 @@
 // instances, it must not assume that the other two send as much as itself.
 TEST_CASE_METHOD(TableFixture, "trafficFactor_unevenCallers_followsReports")
 {
-    table.setSenders({"a", "b", "c"});
+    table.setSenders({"a", "b", "c"}, true);
     const auto counters = table.routingTable(now).servers.at(1).counters;
     const auto factorAfter = [&](std::uint32_t reported, int own) {
         counters->inFlight = own;
