BUDGET: a request that servers of another region rejected takes a retry of the budget here

Callers saw: under overload in several regions, servers that get more repeats than they bear, and reject more for it.

Cause: a request that another region turns away for lack of room is served at home without a retry, as it did not run there. The refusal says "not run", not "never arrived": that region may have sent it to servers that rejected it, and each such arrival counts. Each forwarded request could so add one arrival beyond the budget. Class: a promise about runs read as one about arrivals.

Change: instances tell each other how many attempts at servers were made for a request, beside how many may have run. If the other region made none, the way home is free as before; else it takes a retry, and without one the caller gets the refusal at once with its time to come back. An instance of an older version tells nothing and counts as having made none, until it is replaced.

Ruled out: a retry for each way home; most such refusals are admission's, before any server.

--- a/include/ibisnotch/forward-path.h
+++ b/include/ibisnotch/forward-path.h
@@ -25,6 +25,10 @@
 // to a peer, those so far. Without it each instance would allow the full number of attempts, and a
 // request would run on more servers than its service permits.
 constexpr std::string_view runsHeader = "X-Ibisnotch-Runs";
+// Number of attempts at backend servers, counted like the runs but including those that the servers
+// rejected. Without it a request that was rejected by servers of another region would be sent to
+// one of this region without a retry of the budget.
+constexpr std::string_view attemptsHeader = "X-Ibisnotch-Attempts";
 
 // Returns the path in the format "bp-1@budapest,gy-1@gyor".
 std::string formatForwardPath(const ForwardPath &path);
--- a/src/entry/chat-protocol.cc
+++ b/src/entry/chat-protocol.cc
@@ -32,6 +32,8 @@
         int code = 0;
         if (absl::SimpleAtoi(headers.get("X-Result-Code").value_or(""), &code))
             m_resultCode = static_cast<ResultCode>(code);
+        if (!absl::SimpleAtoi(headers.get(attemptsHeader).value_or(""), &m_reportedAttempts))
+            m_reportedAttempts = 0;
         return std::nullopt;
     }
 
@@ -55,6 +57,7 @@
 
     bool isStreaming() const override { return m_isStreaming; }
     ResultCode resultCode() const override { return m_resultCode; }
+    int reportedAttempts() const override { return m_reportedAttempts; }
     bool isServerLeaving() const override { return m_isServerLeaving; }
 
 private:
@@ -73,6 +76,7 @@
     bool m_isStreaming = false;
     bool m_isServerLeaving = false;
     ResultCode m_resultCode = ResultCode::served;
+    int m_reportedAttempts = 0;
 };
 
 class ChatProtocol final : public Protocol
--- a/src/entry/dispatch-end.cc
+++ b/src/entry/dispatch-end.cc
@@ -38,10 +38,13 @@
     reply(attempt.response(), code);
 }
 
-void Dispatch::addRunsToPeer(Headers &headers, int runs) const
+void Dispatch::addCountsToPeer(Headers &headers, int runs) const
 {
-    if (m_exchange->fromPeer)
-        headers.add(std::string(runsHeader), std::to_string(runs));
+    if (!m_exchange->fromPeer)
+        return;
+    headers.add(std::string(runsHeader), std::to_string(runs));
+    headers.add(std::string(attemptsHeader),
+                std::to_string(m_exchange->previousAttempts + m_serverAttempts));
 }
 
 void Dispatch::reply(HttpResponse response, ResultCode code)
@@ -49,7 +52,7 @@
     m_firstByteAt = m_state.clock.now();
     response.headers = m_protocol.makeResponseHeaders(*m_exchange, code, response.headers,
                                                       servedBy(response.headers));
-    addRunsToPeer(response.headers, m_exchange->previousRuns + m_runs);
+    addCountsToPeer(response.headers, m_exchange->previousRuns + m_runs);
     m_exchange->responder->reply(std::move(response));
     finish(code);
 }
@@ -129,7 +132,7 @@
     }
     trace("refused: " + std::string(resultInfo(refusal.code).name));
     HttpResponse response = m_protocol.makeRefusal(*m_exchange, refusal, servedBy({}));
-    addRunsToPeer(response.headers, m_exchange->previousRuns + m_runs);
+    addCountsToPeer(response.headers, m_exchange->previousRuns + m_runs);
     m_exchange->responder->reply(std::move(response));
     finish(refusal.code);
 }
--- a/src/entry/dispatch-retry.cc
+++ b/src/entry/dispatch-retry.cc
@@ -250,6 +250,19 @@
         && !m_forwardedToIssuer && !m_exchange->responder->isClosed();
 }
 
+// Acquires the retry budget for a request that servers of another region rejected: an attempt at a
+// server of this region is one more arrival at the service, although the request did not run.
+bool Dispatch::acquireRetryAfterRejection()
+{
+    if (!tryAcquireBudget(AttemptOutcome::refusedNotRun)) {
+        logRetryDecision("Retry budget exhausted.", "rejected in another region");
+        return false;
+    }
+    m_state.metrics.onRetry();
+    trace("retry");
+    return true;
+}
+
 void Dispatch::returnToLocalRegion()
 {
     trace("rejected by the other region; staying in the local region");
--- a/src/entry/dispatch.cc
+++ b/src/entry/dispatch.cc
@@ -133,6 +133,8 @@
     path.push_back(m_state.hop());
     request.headers.add(std::string(forwardPathHeader), formatForwardPath(path));
     request.headers.add(std::string(runsHeader), std::to_string(exchange.previousRuns + m_runs));
+    request.headers.add(std::string(attemptsHeader),
+                        std::to_string(exchange.previousAttempts + m_serverAttempts));
     const bool holdsRight = m_sendRight == SendRight::claim || m_sendRight == SendRight::issuedKey;
     if (holdsRight || exchange.sendRightAcquired)
         request.headers.add("X-Ibisnotch-Cleared-By", m_state.settings.name);
@@ -190,7 +192,7 @@
         const HttpResponse &response = attempt.response();
         Headers headers = m_protocol.makeResponseHeaders(
             *m_exchange, ResultCode::served, response.headers, servedBy(response.headers));
-        addRunsToPeer(headers, runs);
+        addCountsToPeer(headers, runs);
         m_exchange->responder->start(response.status, headers);
     } else if (m_exchange->fromPeer && runs != m_reportedRuns) {
         data.insert(0, m_protocol.makeRunsReport(runs));
@@ -230,6 +232,7 @@
         return refuse({ResultCode::heldForTrial, "", jitteredRetryAfter(2, m_state.random)});
     }
     ++m_attempts;
+    m_serverAttempts += target.isPeer ? 0 : 1;
     m_attemptStartedAt = m_state.clock.now();
     m_triedTargets.insert(target.name);
     m_servedBy = target.name;
@@ -314,6 +317,7 @@
                                                   : AttemptOutcome::serverError;
     recordAttempt(target, outcome);
     countRuns(target, outcome, attempt);
+    const bool reachedServers = countPeerAttempts(attempt);
     if (outcome == AttemptOutcome::serverError && m_protocol.passesServerErrors()
         && !m_streamStarted)
         m_serverError = attempt.response();
@@ -327,8 +331,10 @@
         && !m_exchange->responder->isClosed())
         onSuspectedCrash(target);
     if (isRejected) {
-        returnToLocalRegion();
         // A begun stream passes no admission, so its further attempts count as retries.
+        if (!m_streamStarted && reachedServers && !acquireRetryAfterRejection())
+            return deliver(attempt);
+        returnToLocalRegion();
         if (!m_streamStarted)
             return route();
     }
@@ -356,6 +362,14 @@
     m_runs = std::max(m_runs, reportedRuns - m_exchange->previousRuns);
 }
 
+bool Dispatch::countPeerAttempts(const Attempt &attempt)
+{
+    const int before = m_serverAttempts;
+    const int reported = attempt.reader().reportedAttempts() - m_exchange->previousAttempts;
+    m_serverAttempts = std::max(m_serverAttempts, reported);
+    return m_serverAttempts > before;
+}
+
 // Returns whether a peer reports that it refused the request and that no attempt of it ran.
 bool Dispatch::isNotRunAtPeer(const Target &target, const Attempt &attempt)
 {
--- a/src/entry/dispatch.h
+++ b/src/entry/dispatch.h
@@ -136,8 +136,12 @@
     void routeRetry(AttemptOutcome outcome);
     void recordAttempt(const Target &target, AttemptOutcome outcome);
     void countRuns(const Target &target, AttemptOutcome outcome, const Attempt &attempt);
-    // Adds the number of runs to a response if it goes to the peer that forwarded the request.
-    void addRunsToPeer(Headers &headers, int runs) const;
+    // Adds the numbers of runs and attempts to a response if it goes to the peer that forwarded the
+    // request.
+    void addCountsToPeer(Headers &headers, int runs) const;
+    // Returns whether a peer reports attempts at backend servers that weren't counted yet, and
+    // counts them.
+    bool countPeerAttempts(const Attempt &attempt);
     static bool isNotRunAtPeer(const Target &target, const Attempt &attempt);
     void logFailedAttempt(const Target &target, AttemptOutcome outcome) const;
     void onSuspectedCrash(const Target &target);
@@ -147,6 +151,7 @@
     bool tryAcquireBudget(AttemptOutcome outcome);
     void retryOrEnd(const Target &target, AttemptOutcome outcome);
     bool isRejectedByRemoteRegion(const Target &target, const Attempt &attempt) const;
+    bool acquireRetryAfterRejection();
     void returnToLocalRegion();
     void deliver(Attempt &attempt);
     void reply(HttpResponse response, ResultCode code);
@@ -188,6 +193,8 @@
     int m_coldCheckWaits = 0; // times that the request waited for checks of possibly cold servers
     int m_attempts = 0; // all attempts, also those that did not run
     int m_runs = 0; // attempts that may have run, also those that a peer made for this instance
+    // Attempts at backend servers, also those that a peer made for this instance.
+    int m_serverAttempts = 0;
     bool m_runsUnknown = false; // the last attempt was at a peer that didn't report its runs
     int m_reportedRuns = 0; // reported to the peer that forwarded the request
     bool m_retryAcquired = false; // the retry budget for the next attempt is acquired
--- a/src/entry/exchange.h
+++ b/src/entry/exchange.h
@@ -60,6 +60,7 @@
     std::string apiKey; // as sent by the caller
     std::optional<std::string> forwardedCustomer; // name of the customer, as sent by a peer
     int previousRuns = 0; // attempts of peers that may have run before they forwarded the request
+    int previousAttempts = 0; // attempts at backend servers before the request was forwarded
     std::string host; // the Host header, for services selected by host and path
     std::optional<Duration> callerTimeout; // the timeout that the caller requested
     Prompt prompt;
--- a/src/entry/filters.cc
+++ b/src/entry/filters.cc
@@ -35,13 +35,21 @@
         if (!checked.ok())
             return Refusal{resultCodeOf(checked), std::string(checked.message()), {}};
         exchange.path = *path;
-        const std::string runs = exchange.request.headers.get(runsHeader).value_or("0");
-        if (!absl::SimpleAtoi(runs, &exchange.previousRuns) || exchange.previousRuns < 0)
+        if (!readCount(exchange, runsHeader, exchange.previousRuns))
             return Refusal{ResultCode::malformedRequest, std::string(runsHeader), {}};
+        if (!readCount(exchange, attemptsHeader, exchange.previousAttempts))
+            return Refusal{ResultCode::malformedRequest, std::string(attemptsHeader), {}};
         return std::nullopt;
     }
 
 private:
+    // Returns false if the header doesn't hold a count. A missing header counts as 0.
+    static bool readCount(const Exchange &exchange, std::string_view name, int &count)
+    {
+        const std::string text = exchange.request.headers.get(name).value_or("0");
+        return absl::SimpleAtoi(text, &count) && count >= 0;
+    }
+
     EntryState &m_state;
 };
 
--- a/src/entry/protocol.h
+++ b/src/entry/protocol.h
@@ -64,6 +64,9 @@
     // Returns the number of attempts at the request that a peer reported and that may have run,
     // including those before it was forwarded; 0 if not reported.
     virtual int reportedRuns() const { return 0; }
+    // Returns the number of attempts at backend servers that a peer reported, counted like the runs
+    // but including rejected ones; 0 if not reported.
+    virtual int reportedAttempts() const { return 0; }
     // Returns true if the server reports that it is draining.
     virtual bool isServerLeaving() const { return false; }
     virtual std::optional<ResponseLoad> reportedLoad() const { return std::nullopt; }
