BUDGET: a forwarded retry adds no second share to the retry budget

Cause: the instance that sends a request first adds its share to the budget. If a server rejects it and the retry goes to another region, the instance there took it for a new request and added half a share more: 1.5 shares for one request, in overload for each retry that leaves its region. Only requests that may have run were recognized.

Change: whether a request is new is read from the attempts that the forwarding instance tells.

Before: instance_forwardedRetry_addsNothingToTheRetryBudget failed, 10 arrivals of 6 requests where the budget allows 7.

--- a/src/entry/dispatch.cc
+++ b/src/entry/dispatch.cc
@@ -209,11 +209,13 @@
     return target.isPeer && target.region != m_state.settings.region;
 }
 
-// Adds the request's share to the retry budget. If it runs in another region, the instance there
-// and the one that forwards it may both have to retry it, and each adds half.
+// Adds the request's share to the retry budget. If it is sent to another region first, the instance
+// there and the one that forwards it may both have to retry it, and each adds half.
 void Dispatch::addRetryShare(const Target &target)
 {
-    if (m_attempts != 1 || m_exchange->previousRuns > 0)
+    const bool isFirst
+        = m_attempts == 1 && m_exchange->previousRuns == 0 && m_exchange->previousAttempts == 0;
+    if (!isFirst)
         return;
     const bool isForwarded = target.isPeer || m_exchange->fromPeer;
     const double share = m_exchange->config().limits.retryShare;
