FAILBACK: no requests for a second after the news that a server in use has become cold

Callers saw: a cold server flooded, which then breaks off all that runs there.

Cause: an instance counts what it sent itself before it learned that the server is cold, but not what the others sent. In a region of 21 the whole bound is dealt out to six, who may all send at once, while the fifteen others have just sent by the old list. Nothing is left over: six are borne and six dealt out. Class: a bound that begins anew with the news, not with what it is about.

Change: a server that the list already had gets nothing for 1.06 s after the list first shows it cold, as has been so for one that a health check finds cold. A server that is new in the list was never sent to and gets its share at once.

Ruled out: half of the share in that second, which is a guess at what others sent; counting others' requests, which nobody tells. The price: a server in use that turns cold serves nobody for a second, at most as many requests as the bound.

The two properties before it check the same as before, through a server's view in place of its counters.

--- a/include/ibisnotch/server-table.h
+++ b/include/ibisnotch/server-table.h
@@ -218,8 +218,8 @@
         // A server that is silent again within this time after a health check passes the check
         // without doing any work; it then needs a trial request.
         Duration relapseWindow = std::chrono::seconds(10);
-        // Time without requests after a server is first found cold, since it isn't known what the
-        // other instances sent to it in the last second.
+        // Time without requests after a server in use is first known to be cold, since it isn't
+        // known what the other instances sent to it in the last second.
         Duration coldCooldown = std::chrono::milliseconds(1060);
     };
 
@@ -311,7 +311,9 @@
     // Returns null if the server is unknown. m_mutex must be held.
     Record *find(std::uint32_t server);
     ServerStatus statusOf(const Record &record, TimePoint now) const;
-    static void recordCold(Record &record, Duration remaining, TimePoint now);
+    // Records how long the server is cold from now on. `wasInUse` is false if no instance has sent
+    // requests to it before.
+    void recordCold(Record &record, Duration remaining, bool wasInUse, TimePoint now);
     // Resets the state that belongs to the server's previous process.
     static void startIncarnation(Record &record, const LoadReport &report);
 
--- a/include/ibisnotch/warmup.h
+++ b/include/ibisnotch/warmup.h
@@ -30,16 +30,14 @@
                                        const std::vector<std::string> &senders,
                                        const std::string &self, const std::string &server);
 
-// Returns whether one request may be sent now to a server that this instance has known to be cold
-// since `coldSince`. The server may have been cold shortly before that, so requests sent then count
-// towards the bound too.
-bool canSendWarmupRequest(const ServerCounters &counters, Duration interval, TimePoint coldSince,
-                          TimePoint now);
+// Returns whether one request may be sent now to a cold server, `interval` after the last one at
+// the earliest. The server may have been cold shortly before this instance learned of it, so
+// requests sent then count towards the bound too, whichever instance sent them.
+bool canSendWarmupRequest(const ServerView &view, Duration interval, TimePoint now);
 
 // Acquires the right to send one such request. Returns false if none may be sent now, for example
 // because another thread has just acquired the right.
-bool tryAcquireWarmupRequest(ServerCounters &counters, Duration interval, TimePoint coldSince,
-                             TimePoint now);
+bool tryAcquireWarmupRequest(const ServerView &view, Duration interval, TimePoint now);
 
 // Returns since when the server may have become cold without the list showing it, because the list
 // hasn't been confirmed within its maxAge or the server's entry is missing. Health checks of the
--- a/src/decide/server-table.cc
+++ b/src/decide/server-table.cc
@@ -121,6 +121,7 @@
         record.missingSince = listed.missingSince;
         if (listed.revision <= record.revision)
             continue;
+        const bool wasListed = record.revision > 0;
         // A newer entry replaces the status, also if it shows a leaving server as live again: the
         // server was restarted under the same name.
         record.revision = listed.revision;
@@ -128,7 +129,7 @@
         const auto cold = m_selfReportedCold.find(name);
         const Duration selfReportedRemaining
             = cold == m_selfReportedCold.end() ? Duration(0) : cold->second - now;
-        recordCold(record, std::max(listed.warmup, selfReportedRemaining), now);
+        recordCold(record, std::max(listed.warmup, selfReportedRemaining), wasListed, now);
     }
     m_records = std::move(records);
     m_names.clear();
@@ -136,10 +137,13 @@
         m_names[serverId(name)] = name;
 }
 
-void ServerTable::recordCold(Record &record, Duration remaining, TimePoint now)
+void ServerTable::recordCold(Record &record, Duration remaining, bool wasInUse, TimePoint now)
 {
-    if (remaining.count() > 0 && now >= record.coldUntil)
+    const bool isNews = remaining.count() > 0 && now >= record.coldUntil;
+    if (isNews)
         record.coldSince = now;
+    if (isNews && wasInUse)
+        record.cooldownUntil = now + m_limits.coldCooldown;
     record.coldUntil = remaining.count() > 0 ? now + remaining : TimePoint{};
 }
 
@@ -359,11 +363,9 @@
     if (record == nullptr)
         return false;
     const bool wasCold = now < record->coldUntil;
-    recordCold(*record, std::max(remaining, record->coldUntil - now), now);
+    recordCold(*record, std::max(remaining, record->coldUntil - now), true, now);
     std::erase_if(m_selfReportedCold, [now](const auto &entry) { return entry.second <= now; });
     m_selfReportedCold[record->server.name] = record->coldUntil;
-    if (!wasCold)
-        record->cooldownUntil = now + m_limits.coldCooldown;
     return !wasCold;
 }
 
--- a/src/decide/warmup.cc
+++ b/src/decide/warmup.cc
@@ -59,10 +59,10 @@
     return window / requests;
 }
 
-bool canSendWarmupRequest(const ServerCounters &counters, Duration interval, TimePoint coldSince,
-                          TimePoint now)
+bool canSendWarmupRequest(const ServerView &view, Duration interval, TimePoint now)
 {
-    return canSendAfter(counters.lastSentAt, interval, coldSince, now);
+    return now >= view.cooldownUntil
+        && canSendAfter(view.counters->lastSentAt, interval, view.coldSince, now);
 }
 
 std::optional<TimePoint> possiblyColdSince(const ListState &list, const ServerView &view,
@@ -135,15 +135,16 @@
     return choice;
 }
 
-bool tryAcquireWarmupRequest(ServerCounters &counters, Duration interval, TimePoint coldSince,
-                             TimePoint now)
+bool tryAcquireWarmupRequest(const ServerView &view, Duration interval, TimePoint now)
 {
-    Duration::rep last = counters.lastSentAt;
+    if (now < view.cooldownUntil)
+        return false;
+    Duration::rep last = view.counters->lastSentAt;
     const Duration::rep at = now.time_since_epoch().count();
     do {
-        if (!canSendAfter(last, interval, coldSince, now))
+        if (!canSendAfter(last, interval, view.coldSince, now))
             return false;
-    } while (!counters.lastSentAt.compare_exchange_weak(last, at));
+    } while (!view.counters->lastSentAt.compare_exchange_weak(last, at));
     return true;
 }
 
--- a/src/entry/dispatch-plan.cc
+++ b/src/entry/dispatch-plan.cc
@@ -62,14 +62,12 @@
     const TimePoint now = m_state.clock.now();
     if (now >= view.coldUntil)
         return true;
-    if (now < view.cooldownUntil)
-        return false;
     // An instance that has just started may not know all other senders, and they may not know it.
     // With a part of them only, its share of the server's rate would be too large.
     if (now < m_state.startedAt + membershipSettleTime || !table.sendersComplete)
         return false;
     const auto interval = warmupIntervalOf(table, view);
-    return interval && canSendWarmupRequest(*view.counters, *interval, view.coldSince, now);
+    return interval && canSendWarmupRequest(view, *interval, now);
 }
 
 std::optional<Duration> Dispatch::warmupIntervalOf(const RoutingTable &table,
@@ -124,7 +122,7 @@
     const TimePoint now = m_state.clock.now();
     if (now < view.coldUntil) {
         const auto interval = warmupIntervalOf(table, view);
-        return interval && tryAcquireWarmupRequest(*view.counters, *interval, view.coldSince, now);
+        return interval && tryAcquireWarmupRequest(view, *interval, now);
     }
     const auto since = possiblyColdSince(table.list, view, now);
     if (!since)
--- a/test/warmup-test.cc
+++ b/test/warmup-test.cc
@@ -20,6 +20,29 @@
     return result;
 }
 
+// Returns the views that so many instances have of one server, which they know to be cold.
+std::vector<ServerView> makeViews(std::size_t count, TimePoint coldSince = {})
+{
+    std::vector<ServerView> views(count);
+    for (ServerView &view : views) {
+        view.counters = std::make_shared<ServerCounters>();
+        view.coldSince = coldSince;
+    }
+    return views;
+}
+
+// Returns the entry of the list of servers as it is when the server has been cold for a moment, or
+// is warm.
+ListedServer listedServer(std::uint64_t revision, Duration warmup)
+{
+    ListedServer listed;
+    listed.server.name = "server";
+    listed.server.pool = "pool";
+    listed.revision = revision;
+    listed.warmup = warmup;
+    return listed;
+}
+
 } // namespace
 
 // Guards against a restarted server that crashes again because every instance considers it the
@@ -32,13 +55,13 @@
         const WarmupBound bound{1.5, static_cast<double>(*rc::gen::inRange(0, 5))};
         const auto senders = names(count);
         std::deque<TimePoint> sent;
-        std::vector<ServerCounters> counters(senders.size());
+        const std::vector<ServerView> views = makeViews(senders.size());
         for (TimePoint now{1s}; now < TimePoint{6s}; now += 10ms) {
             while (!sent.empty() && now - sent.front() > 1s)
                 sent.pop_front();
             for (std::size_t i = 0; i < senders.size(); ++i) {
                 const auto interval = warmupInterval(rate, bound, senders, senders[i], "server");
-                if (interval && tryAcquireWarmupRequest(counters[i], *interval, TimePoint{}, now))
+                if (interval && tryAcquireWarmupRequest(views[i], *interval, now))
                     sent.push_back(now);
             }
             RC_ASSERT(static_cast<double>(sent.size()) <= rate * bound.factor + bound.slack);
@@ -64,7 +87,7 @@
         const auto senders = names(3);
         const TimePoint coldAt{2s};
         const TimePoint knownAt = coldAt + std::chrono::milliseconds(*rc::gen::inRange(0, 200));
-        std::vector<ServerCounters> counters(senders.size());
+        const std::vector<ServerView> views = makeViews(senders.size(), knownAt);
         std::deque<TimePoint> sent;
         // Each sender sends up to two requests before it learns that the server is cold.
         std::vector<int> sentBeforeKnown(senders.size(), 0);
@@ -75,11 +98,11 @@
                 const auto interval = warmupInterval(rate, bound, senders, senders[i], "server");
                 const bool sends = now < knownAt
                     ? now >= coldAt && sentBeforeKnown[i] < 2 && *rc::gen::inRange(0, 4) == 0
-                    : interval && tryAcquireWarmupRequest(counters[i], *interval, knownAt, now);
+                    : interval && tryAcquireWarmupRequest(views[i], *interval, now);
                 if (!sends)
                     continue;
                 sentBeforeKnown[i] += now < knownAt ? 1 : 0;
-                recordSent(counters[i], now);
+                recordSent(*views[i].counters, now);
                 sent.push_back(now);
             }
             RC_ASSERT(static_cast<double>(sent.size()) <= rate * bound.factor + bound.slack);
@@ -87,6 +110,55 @@
     });
 }
 
+// Guards against a cold server that is flooded in the second after the news: instances without a
+// share of its rate sent to it before they learned of it, and those with one send at once.
+TEST_CASE("tryAcquireWarmupRequest_lateColdUpdateInALargeRegion_countsRequestsOfOthers")
+{
+    rc::prop("rate in any second since it became cold", [] {
+        const WarmupBound bound{1.5, 3};
+        const double rate = *rc::gen::inRange(20, 42) / 10.0;
+        const auto senders = names(*rc::gen::inRange(1, 30));
+        const std::size_t allowed = static_cast<std::size_t>(rate * bound.factor + bound.slack);
+        const TimePoint coldAt{2s};
+        const TimePoint firstKnownAt
+            = coldAt + std::chrono::milliseconds(*rc::gen::inRange(0, 300));
+        std::vector<TimePoint> knownAt;
+        std::vector<std::unique_ptr<ServerTable>> tables;
+        std::vector<ServerView> views;
+        for (std::size_t i = 0; i < senders.size(); ++i) {
+            knownAt.push_back(firstKnownAt + std::chrono::milliseconds(*rc::gen::inRange(0, 50)));
+            tables.push_back(std::make_unique<ServerTable>(ServerTable::Limits{}));
+            tables[i]->setListed({{"server", listedServer(1, 0s)}}, TimePoint{1s});
+            views.push_back(tables[i]->routingTable(TimePoint{1s}).servers.front());
+        }
+        std::deque<TimePoint> sent;
+        std::size_t sentBeforeKnown = 0;
+        for (TimePoint now = coldAt; now < TimePoint{6s}; now += 10ms) {
+            while (!sent.empty() && now - sent.front() > 1s)
+                sent.pop_front();
+            for (std::size_t i = 0; i < senders.size(); ++i) {
+                const auto interval = warmupInterval(rate, bound, senders, senders[i], "server");
+                if (now < knownAt[i]) {
+                    // As many as the server can handle, so that none may follow within a second.
+                    if (sentBeforeKnown == allowed || *rc::gen::inRange(0, 20) > 0)
+                        continue;
+                    ++sentBeforeKnown;
+                    recordSent(*views[i].counters, now);
+                    sent.push_back(now);
+                    continue;
+                }
+                if (views[i].coldUntil == TimePoint{}) {
+                    tables[i]->setListed({{"server", listedServer(2, 4s)}}, now);
+                    views[i] = tables[i]->routingTable(now).servers.front();
+                }
+                if (interval && tryAcquireWarmupRequest(views[i], *interval, now))
+                    sent.push_back(now);
+            }
+            RC_ASSERT(sent.size() <= allowed);
+        }
+    });
+}
+
 namespace {
 
 struct PossiblyColdFixture
