FAILBACK: an instance that has left counts as a sender until it is certainly gone

Callers saw: a cold server that may be flooded during planned stops.

Cause: an instance that announced its stop was left out of the senders as soon as two probes to it failed, while it still ends, and sends again, what it has; lost datagrams suffice. The others then take its part as well. One that is taken for dead has always been counted for 30 s. Class: a promise about the future read as the state now.

Change: it counts for 10 s more; it is killed after eight on the platform.

Before: possibleSenders_leavingInstanceWithoutResponse_includeItForAWhile failed (not among the senders at once). After: it is for 8 s, and no longer after 18. The price is an unused part of a cold server's rate for ten seconds.

--- a/include/ibisnotch/membership.h
+++ b/include/ibisnotch/membership.h
@@ -77,6 +77,8 @@
     // Time for which a dead member still counts as sending to backend servers: it may still be
     // running and merely be unreachable from this instance.
     Duration deadSenderGrace = std::chrono::seconds(30);
+    // The same for a member that was leaving; it is killed if it doesn't end within this time.
+    Duration leftSenderGrace = std::chrono::seconds(10);
     int indirectProbes = 3;
     // Share of the probes that go to members of the own region. These probes carry load reports,
     // which a region's instances need within seconds, however many other regions there are.
@@ -133,7 +135,8 @@
     std::vector<Member> aliveMembers() const; // without this instance
 
     // Returns the names of the instances of the own region that may be sending to its backend
-    // servers, including this instance. A dead member is included for `deadSenderGrace`.
+    // servers, including this instance. A dead member is included for `deadSenderGrace`, one that
+    // has left for `leftSenderGrace`.
     std::vector<std::string> possibleSenders(TimePoint now) const;
 
     // Returns true if this process has stalled since the last call.
--- a/src/decide/membership.cc
+++ b/src/decide/membership.cc
@@ -388,9 +388,9 @@
 {
     std::vector<std::string> names{m_self.name};
     for (const auto &[name, entry] : m_entries) {
-        const bool cannotSend = entry.member.state == MemberState::left
-            || (entry.member.state == MemberState::dead
-                && entry.changedAt + m_settings.deadSenderGrace <= now);
+        const bool hasLeft = entry.member.state == MemberState::left;
+        const Duration grace = hasLeft ? m_settings.leftSenderGrace : m_settings.deadSenderGrace;
+        const bool cannotSend = isDeadOrLeft(entry.member.state) && entry.changedAt + grace <= now;
         if (entry.member.region == m_self.region && !cannotSend)
             names.push_back(name);
     }
--- a/test/membership-test.cc
+++ b/test/membership-test.cc
@@ -1,5 +1,6 @@
 #include "ibisnotch/membership.h"
 
+#include <algorithm>
 #include <map>
 #include <set>
 
@@ -304,6 +305,30 @@
     });
 }
 
+// Guards against a cold server that is flooded during planned stops: an instance whose probes are
+// lost while it stops still ends, and retries, what it has.
+TEST_CASE("possibleSenders_leavingInstanceWithoutResponse_includeItForAWhile")
+{
+    FakeFleet fleet(instanceNames, 5);
+    fleet.run(20s);
+    fleet.node("a2").leave();
+    fleet.run(2s);
+    fleet.setStalled("a2", true);
+    Duration passed{};
+    for (; passed < 20s && fleet.stateSeenBy("a1", "a2") != MemberState::left; passed += 100ms)
+        fleet.run(100ms);
+    REQUIRE(fleet.stateSeenBy("a1", "a2") == MemberState::left);
+    const auto isSender = [&] {
+        const auto senders = fleet.node("a1").possibleSenders(fleet.now());
+        return std::count(senders.begin(), senders.end(), "a2") > 0;
+    };
+    CHECK(isSender());
+    fleet.run(8s);
+    CHECK(isSender());
+    fleet.run(10s);
+    CHECK_FALSE(isSender());
+}
+
 TEST_CASE("overrides_ofAnyTwoStates_isAStrictOrder")
 {
     rc::prop("at most one overrides the other", [] {
