--- a/src/entry/dispatch-end.cc
+++ b/src/entry/dispatch-end.cc
@@ -177,7 +177,7 @@
 // Returns the inputs of the routing decision for the log, separated by ";":
 // - "home:LOAD/SLOTS+DELAY" of the local region; the same for the other region that was chosen,
 //   under its name, and for the chosen server, both with the age of the report, and "cold" with the
-//   time that the server was still cold;
+//   time that the server was still cold and "senders" with the instances that share its rate;
 // - "pace:MEASURED/ACCEPTABLE", the interval between stream events where the request would run;
 // - "list:REVISION,age" of the list of servers, and "looks" with the number of times that the
 //   request waited for checks of possibly cold servers.
@@ -203,7 +203,9 @@
                             m_routeInputs.reportAge ? millisecondsText(*m_routeInputs.reportAge)
                                                     : "never");
     if (m_routeInputs.remainingColdTime)
-        text += ",cold:" + millisecondsText(*m_routeInputs.remainingColdTime);
+        text += fmt::format(",cold:{},senders:{}",
+                            millisecondsText(*m_routeInputs.remainingColdTime),
+                            m_routeInputs.senders);
     if (m_routeInputs.listAge)
         text += fmt::format(";list:{},age:{}", m_routeInputs.listRevision,
                             millisecondsText(*m_routeInputs.listAge));
--- a/src/entry/dispatch-plan.cc
+++ b/src/entry/dispatch-plan.cc
@@ -180,6 +180,7 @@
     const bool isRemote = *decision.region != input.localRegion;
     m_routeInputs = {};
     m_routeInputs.localLoad = input.localLoad;
+    m_routeInputs.senders = table->senders.size();
     m_routeInputs.listRevision = table->list.revision;
     if (table->list.confirmedAt != TimePoint{})
         m_routeInputs.listAge = now - table->list.confirmedAt;
--- a/src/entry/dispatch.h
+++ b/src/entry/dispatch.h
@@ -39,6 +39,7 @@
     double tokensPerMs = 0; // prompt tokens that servers of its pool read per ms; 0 if unknown
     std::optional<Duration> reportAge; // of its last report; empty if it never reported
     std::optional<Duration> remainingColdTime; // of the chosen server; empty if it was not cold
+    std::size_t senders = 0; // instances among which a cold server's rate is divided
     std::uint64_t listRevision = 0; // of the list of servers
     std::optional<Duration> listAge; // empty if no list has been read
 };
