--- a/include/ibisnotch/server-table.h
+++ b/include/ibisnotch/server-table.h
@@ -197,6 +197,7 @@
     // request that this instance sends.
     double trafficFactor = 1;
     std::vector<std::string> senders; // names of the instances that may send to these servers
+    bool sendersComplete = false; // false while this instance may not know all of them
 };
 
 // Returns the reported load plus an estimate of its change since the report: the requests that this
@@ -217,8 +218,8 @@
         // A server that is silent again within this time after a health check passes the check
         // without doing any work; it then needs a trial request.
         Duration relapseWindow = std::chrono::seconds(10);
-        // Time without requests after a server is first found cold, since it isn't known what the
-        // other instances sent to it in the last second.
+        // Time without requests after a server in use is first known to be cold, since it isn't
+        // known what the other instances sent to it in the last second.
         Duration coldCooldown = std::chrono::milliseconds(1060);
     };
 
@@ -232,7 +233,8 @@
     // Sets the data centres whose servers get no requests.
     void setEvacuated(std::set<std::string> dataCentres);
     // Sets the instances of the region that may send to its servers, including this one.
-    void setSenders(std::vector<std::string> senders);
+    // `complete` is false while there may be more. Returns true if that is a change.
+    bool setSenders(std::vector<std::string> senders, bool complete);
 
     // Records the load that a server reported in a response to this instance.
     void onResponseLoad(const std::string &server, std::uint32_t running, std::uint32_t waiting,
@@ -309,7 +311,9 @@
     // Returns null if the server is unknown. m_mutex must be held.
     Record *find(std::uint32_t server);
     ServerStatus statusOf(const Record &record, TimePoint now) const;
-    static void recordCold(Record &record, Duration remaining, TimePoint now);
+    // Records how long the server is cold from now on. `wasInUse` is false if no instance has sent
+    // requests to it before.
+    void recordCold(Record &record, Duration remaining, bool wasInUse, TimePoint now);
     // Resets the state that belongs to the server's previous process.
     static void startIncarnation(Record &record, const LoadReport &report);
 
@@ -330,6 +334,7 @@
     // again since.
     std::map<std::string, TimePoint> m_selfReportedCold;
     std::vector<std::string> m_senders;
+    bool m_sendersComplete = false;
     // Average load that servers reported, and what this instance had in flight there at that time.
     double m_reportedTraffic = 0;
     double m_ownTraffic = 0;
--- a/src/entry/dispatch-end.cc
+++ b/src/entry/dispatch-end.cc
@@ -38,10 +38,13 @@
     reply(attempt.response(), code);
 }
 
-void Dispatch::addRunsToPeer(Headers &headers, int runs) const
+void Dispatch::addCountsToPeer(Headers &headers, int runs) const
 {
-    if (m_exchange->fromPeer)
-        headers.add(std::string(runsHeader), std::to_string(runs));
+    if (!m_exchange->fromPeer)
+        return;
+    headers.add(std::string(runsHeader), std::to_string(runs));
+    headers.add(std::string(attemptsHeader),
+                std::to_string(m_exchange->previousAttempts + m_serverAttempts));
 }
 
 void Dispatch::reply(HttpResponse response, ResultCode code)
@@ -49,7 +52,7 @@
     m_firstByteAt = m_state.clock.now();
     response.headers = m_protocol.makeResponseHeaders(*m_exchange, code, response.headers,
                                                       servedBy(response.headers));
-    addRunsToPeer(response.headers, m_exchange->previousRuns + m_runs);
+    addCountsToPeer(response.headers, m_exchange->previousRuns + m_runs);
     m_exchange->responder->reply(std::move(response));
     finish(code);
 }
@@ -129,7 +132,7 @@
     }
     trace("refused: " + std::string(resultInfo(refusal.code).name));
     HttpResponse response = m_protocol.makeRefusal(*m_exchange, refusal, servedBy({}));
-    addRunsToPeer(response.headers, m_exchange->previousRuns + m_runs);
+    addCountsToPeer(response.headers, m_exchange->previousRuns + m_runs);
     m_exchange->responder->reply(std::move(response));
     finish(refusal.code);
 }
@@ -174,7 +177,7 @@
 // Returns the inputs of the routing decision for the log, separated by ";":
 // - "home:LOAD/SLOTS+DELAY" of the local region; the same for the other region that was chosen,
 //   under its name, and for the chosen server, both with the age of the report, and "cold" with the
-//   time that the server was still cold;
+//   time that the server was still cold and "senders" with the instances that share its rate;
 // - "pace:MEASURED/ACCEPTABLE", the interval between stream events where the request would run;
 // - "list:REVISION,age" of the list of servers, and "looks" with the number of times that the
 //   request waited for checks of possibly cold servers.
@@ -200,7 +203,9 @@
                             m_routeInputs.reportAge ? millisecondsText(*m_routeInputs.reportAge)
                                                     : "never");
     if (m_routeInputs.remainingColdTime)
-        text += ",cold:" + millisecondsText(*m_routeInputs.remainingColdTime);
+        text += fmt::format(",cold:{},senders:{}",
+                            millisecondsText(*m_routeInputs.remainingColdTime),
+                            m_routeInputs.senders);
     if (m_routeInputs.listAge)
         text += fmt::format(";list:{},age:{}", m_routeInputs.listRevision,
                             millisecondsText(*m_routeInputs.listAge));
--- a/src/entry/dispatch-plan.cc
+++ b/src/entry/dispatch-plan.cc
@@ -17,7 +17,7 @@
 // network round trip.
 constexpr Duration coldCheckWait = std::chrono::milliseconds(30);
 constexpr int maxColdCheckWaits = 16;
-// Two rounds of probes. A member that joins receives the other members in its first round.
+// Two rounds of probes, with which the other members learn of one that has joined.
 constexpr Duration membershipSettleTime = std::chrono::seconds(2);
 
 } // namespace
@@ -62,13 +62,12 @@
     const TimePoint now = m_state.clock.now();
     if (now >= view.coldUntil)
         return true;
-    if (now < view.cooldownUntil)
-        return false;
-    // An instance that has just started doesn't yet know the other senders.
-    if (now < m_state.startedAt + membershipSettleTime)
+    // An instance that has just started may not know all other senders, and they may not know it.
+    // With a part of them only, its share of the server's rate would be too large.
+    if (now < m_state.startedAt + membershipSettleTime || !table.sendersComplete)
         return false;
     const auto interval = warmupIntervalOf(table, view);
-    return interval && canSendWarmupRequest(*view.counters, *interval, view.coldSince, now);
+    return interval && canSendWarmupRequest(view, *interval, now);
 }
 
 std::optional<Duration> Dispatch::warmupIntervalOf(const RoutingTable &table,
@@ -123,7 +122,7 @@
     const TimePoint now = m_state.clock.now();
     if (now < view.coldUntil) {
         const auto interval = warmupIntervalOf(table, view);
-        return interval && tryAcquireWarmupRequest(*view.counters, *interval, view.coldSince, now);
+        return interval && tryAcquireWarmupRequest(view, *interval, now);
     }
     const auto since = possiblyColdSince(table.list, view, now);
     if (!since)
@@ -181,6 +180,7 @@
     const bool isRemote = *decision.region != input.localRegion;
     m_routeInputs = {};
     m_routeInputs.localLoad = input.localLoad;
+    m_routeInputs.senders = table->senders.size();
     m_routeInputs.listRevision = table->list.revision;
     if (table->list.confirmedAt != TimePoint{})
         m_routeInputs.listAge = now - table->list.confirmedAt;
