Shared rate: the division of a server's rate among senders gets a header of its own

What a cold server bears is dealt out in whole requests to the first senders in the server's order. A limit that a server names needs the same, so the division moves out of warmup.cc, unchanged; the functions that acquire such a request are named for both (tryAcquireRateLimited, canSendRateLimited). No change of behaviour; tests and their names follow the functions, no check is changed.

--- a/include/ibisnotch/warmup.h
+++ b/include/ibisnotch/warmup.h
@@ -30,14 +30,14 @@
                                        const std::vector<std::string> &senders,
                                        const std::string &self, const std::string &server);
 
-// Returns whether one request may be sent now to a cold server, `interval` after the last one at
-// the earliest. The server may have been cold shortly before this instance learned of it, so
-// requests sent then count towards the bound too, whichever instance sent them.
-bool canSendWarmupRequest(const ServerView &view, Duration interval, TimePoint now);
+// Returns whether one request may be sent now to a server that is cold or has a limit, `interval`
+// after the last one at the earliest. A server may have been cold shortly before this instance
+// learned of it, so requests sent then count towards the bound too, whichever instance sent them.
+bool canSendRateLimited(const ServerView &view, Duration interval, TimePoint now);
 
 // Acquires the right to send one such request. Returns false if none may be sent now, for example
 // because another thread has just acquired the right.
-bool tryAcquireWarmupRequest(const ServerView &view, Duration interval, TimePoint now);
+bool tryAcquireRateLimited(const ServerView &view, Duration interval, TimePoint now);
 
 // Returns since when the server may have become cold without the list showing it, because the list
 // hasn't been confirmed within its maxAge or the server's entry is missing. Health checks of the
--- a/src/decide/warmup.cc
+++ b/src/decide/warmup.cc
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <cmath>
 
-#include "ibisnotch/hash.h"
+#include "ibisnotch/shared-rate.h"
 
 namespace ibisnotch {
 
@@ -20,23 +20,6 @@
     return static_cast<std::size_t>(std::floor(rate * bound.factor + bound.slack));
 }
 
-// Returns how many of `total` requests are assigned to this instance. The first senders in the
-// rendezvous order of the server get the same number each, the others none.
-std::size_t requestsForInstance(const std::string &self, const std::vector<std::string> &senders,
-                                const std::string &server, std::size_t total)
-{
-    if (total == 0)
-        return 0;
-    const std::uint64_t hash = hash64(server);
-    const std::uint64_t own = rendezvousWeight(self, hash);
-    const auto ahead = static_cast<std::size_t>(
-        std::count_if(senders.begin(), senders.end(), [&](const std::string &name) {
-            return name != self && rendezvousWeight(name, hash) > own;
-        }));
-    const std::size_t senderCount = std::min(std::max<std::size_t>(senders.size(), 1), total);
-    return ahead >= senderCount ? 0 : total / senderCount;
-}
-
 // `last` is the time of the previous request; 0 if there was none.
 bool canSendAfter(Duration::rep last, Duration interval, TimePoint coldSince, TimePoint now)
 {
@@ -52,14 +35,10 @@
                                        const std::vector<std::string> &senders,
                                        const std::string &self, const std::string &server)
 {
-    const std::size_t requests
-        = requestsForInstance(self, senders, server, requestsPerWindow(rate, bound));
-    if (requests == 0)
-        return std::nullopt;
-    return window / requests;
+    return sendInterval({requestsPerWindow(rate, bound), window}, senders, self, server);
 }
 
-bool canSendWarmupRequest(const ServerView &view, Duration interval, TimePoint now)
+bool canSendRateLimited(const ServerView &view, Duration interval, TimePoint now)
 {
     return now >= view.cooldownUntil
         && canSendAfter(view.counters->lastSentAt, interval, view.coldSince, now);
@@ -83,7 +62,7 @@
     if (pool == table.config->pools.end() || pool->second.warmupRate <= 0)
         return std::nullopt;
     const std::size_t total = requestsPerWindow(pool->second.warmupRate, bound);
-    return requestsForInstance(self, table.senders, server.name, std::max<std::size_t>(total, 1));
+    return requestsForInstance(std::max<std::size_t>(total, 1), table.senders, self, server.name);
 }
 
 bool canSendPossiblyCold(const ServerCounters &counters, std::size_t share,
@@ -135,7 +114,7 @@
     return choice;
 }
 
-bool tryAcquireWarmupRequest(const ServerView &view, Duration interval, TimePoint now)
+bool tryAcquireRateLimited(const ServerView &view, Duration interval, TimePoint now)
 {
     if (now < view.cooldownUntil)
         return false;
--- a/src/entry/dispatch-plan.cc
+++ b/src/entry/dispatch-plan.cc
@@ -67,7 +67,7 @@
     if (now < m_state.startedAt + membershipSettleTime || !table.sendersComplete)
         return false;
     const auto interval = warmupIntervalOf(table, view);
-    return interval && canSendWarmupRequest(view, *interval, now);
+    return interval && canSendRateLimited(view, *interval, now);
 }
 
 std::optional<Duration> Dispatch::warmupIntervalOf(const RoutingTable &table,
@@ -122,7 +122,7 @@
     const TimePoint now = m_state.clock.now();
     if (now < view.coldUntil) {
         const auto interval = warmupIntervalOf(table, view);
-        return interval && tryAcquireWarmupRequest(view, *interval, now);
+        return interval && tryAcquireRateLimited(view, *interval, now);
     }
     const auto since = possiblyColdSince(table.list, view, now);
     if (!since)
--- a/test/warmup-test.cc
+++ b/test/warmup-test.cc
@@ -61,7 +61,7 @@
                 sent.pop_front();
             for (std::size_t i = 0; i < senders.size(); ++i) {
                 const auto interval = warmupInterval(rate, bound, senders, senders[i], "server");
-                if (interval && tryAcquireWarmupRequest(views[i], *interval, now))
+                if (interval && tryAcquireRateLimited(views[i], *interval, now))
                     sent.push_back(now);
             }
             RC_ASSERT(static_cast<double>(sent.size()) <= rate * bound.factor + bound.slack);
@@ -79,7 +79,7 @@
 
 // Guards against a cold server that gets its full rate in addition to what was sent before
 // instances learned that it is cold.
-TEST_CASE("tryAcquireWarmupRequest_lateColdUpdate_countsRequestsSentBefore")
+TEST_CASE("tryAcquireRateLimited_lateColdUpdate_countsRequestsSentBefore")
 {
     rc::prop("rate in any second since it became cold", [] {
         const WarmupBound bound{1.5, 3};
@@ -98,7 +98,7 @@
                 const auto interval = warmupInterval(rate, bound, senders, senders[i], "server");
                 const bool sends = now < knownAt
                     ? now >= coldAt && sentBeforeKnown[i] < 2 && *rc::gen::inRange(0, 4) == 0
-                    : interval && tryAcquireWarmupRequest(views[i], *interval, now);
+                    : interval && tryAcquireRateLimited(views[i], *interval, now);
                 if (!sends)
                     continue;
                 sentBeforeKnown[i] += now < knownAt ? 1 : 0;
@@ -112,7 +112,7 @@
 
 // Guards against a cold server that is flooded in the second after the news: instances without a
 // share of its rate sent to it before they learned of it, and those with one send at once.
-TEST_CASE("tryAcquireWarmupRequest_lateColdUpdateInALargeRegion_countsRequestsOfOthers")
+TEST_CASE("tryAcquireRateLimited_lateColdUpdateInALargeRegion_countsRequestsOfOthers")
 {
     rc::prop("rate in any second since it became cold", [] {
         const WarmupBound bound{1.5, 3};
@@ -151,7 +151,7 @@
                     tables[i]->setListed({{"server", listedServer(2, 4s)}}, now);
                     views[i] = tables[i]->routingTable(now).servers.front();
                 }
-                if (interval && tryAcquireWarmupRequest(views[i], *interval, now))
+                if (interval && tryAcquireRateLimited(views[i], *interval, now))
                     sent.push_back(now);
             }
             RC_ASSERT(sent.size() <= allowed);
