LIMIT: a server that names a limit gets no more than that from all instances of its region together

Callers saw: a server in need overrun by machines that it had told, by twice what is allowed.

Class: a rate over all senders that one end states and the other does not know.

Change: the platform's reader parses `Server-Limit`; the control loop keeps it, tells the region at once and every two seconds, and drops it on an answer without it, on the region's word or when nobody hears of it. The requests of four seconds are dealt out in whole numbers, with the code of cold servers, so that also an instance that learned from another keeps its part; one that may not know all others sends nothing. Other regions are told of the load without limited servers. Bad values (no number, negative, infinite) are ignored with one line; of several the least holds.

--- a/include/ibisnotch/peer-link.h
+++ b/include/ibisnotch/peer-link.h
@@ -15,6 +15,7 @@
 #include "ibisnotch/quarantine.h"
 #include "ibisnotch/range-update.h"
 #include "ibisnotch/region-choice.h"
+#include "ibisnotch/request-limit.h"
 #include "ibisnotch/server-table.h"
 #include "ibisnotch/silence.h"
 #include "ibisnotch/usage-cap.h"
@@ -23,7 +24,7 @@
 
 // Increased when fields are appended. A reader ignores bytes after the fields that it knows, so
 // instances of different versions can communicate during a rolling update.
-constexpr std::uint16_t peerProtocolVersion = 4;
+constexpr std::uint16_t peerProtocolVersion = 5;
 
 struct GossipMessage
 {
@@ -44,6 +45,8 @@
     bool hasCustomerUsage = false;
     std::vector<CustomerUsage> customerUsage;
     std::vector<RegionUsage> regionUsage;
+    // Since protocol 5.
+    std::vector<LimitUpdate> limitUpdates;
 
     bool operator==(const GossipMessage &) const = default;
 };
--- a/include/ibisnotch/pick.h
+++ b/include/ibisnotch/pick.h
@@ -42,6 +42,9 @@
 // Removes cold servers. They handle only a few requests per second, whatever their number of slots.
 void removeCold(std::vector<Candidate> &candidates, TimePoint now);
 
+// Removes servers that named a limit, for the same reason.
+void removeLimited(std::vector<Candidate> &candidates);
+
 // Returns the servers of a pool that may run requests.
 std::vector<Candidate> candidatesForPool(const RoutingTable &table, const std::string &pool);
 
--- a/include/ibisnotch/server-table.h
+++ b/include/ibisnotch/server-table.h
@@ -174,6 +174,9 @@
     TimePoint coldUntil{};
     TimePoint cooldownUntil{}; // no requests are sent before this
     TimePoint missingSince{}; // as in ListedServer
+    // Requests a second that the server accepts from all instances together; 0 if it named no
+    // limit.
+    double requestLimit = 0;
     std::shared_ptr<ServerCounters> counters;
 };
 
@@ -268,6 +271,9 @@
     // Returns true if it wasn't known to be cold.
     bool onCold(std::uint32_t server, Duration remaining, TimePoint now);
 
+    // Sets the limit that a server names, in requests a second; 0 if it names none.
+    void setRequestLimit(std::uint32_t server, double perSecond);
+
     // Sets whether an operator drains the server.
     void setDrained(const std::string &server, bool drained);
 
@@ -333,6 +339,7 @@
     // entry that is read late may be older than the report, and may have been removed and added
     // again since.
     std::map<std::string, TimePoint> m_selfReportedCold;
+    std::map<std::uint32_t, double> m_requestLimits; // by serverId()
     std::vector<std::string> m_senders;
     bool m_sendersComplete = false;
     // Average load that servers reported, and what this instance had in flight there at that time.
--- a/src/decide/pick.cc
+++ b/src/decide/pick.cc
@@ -127,6 +127,12 @@
                   [now](const Candidate &candidate) { return now < candidate.view->coldUntil; });
 }
 
+void removeLimited(std::vector<Candidate> &candidates)
+{
+    std::erase_if(candidates,
+                  [](const Candidate &candidate) { return candidate.view->requestLimit > 0; });
+}
+
 std::size_t RandomPicker::pick(const PickInput &input, Random &random)
 {
     return random.below(input.candidates.size());
--- a/src/decide/server-table.cc
+++ b/src/decide/server-table.cc
@@ -369,6 +369,15 @@
     return !wasCold;
 }
 
+void ServerTable::setRequestLimit(std::uint32_t server, double perSecond)
+{
+    const std::lock_guard lock(m_mutex);
+    if (perSecond > 0)
+        m_requestLimits[server] = perSecond;
+    else
+        m_requestLimits.erase(server);
+}
+
 void ServerTable::setDrained(const std::string &server, bool drained)
 {
     const std::lock_guard lock(m_mutex);
@@ -425,6 +434,10 @@
         view.coldUntil = record.coldUntil;
         view.cooldownUntil = record.cooldownUntil;
         view.missingSince = record.missingSince;
+        if (!m_requestLimits.empty()) {
+            const auto limit = m_requestLimits.find(serverId(name));
+            view.requestLimit = limit == m_requestLimits.end() ? 0 : limit->second;
+        }
         view.counters = record.counters;
         result.servers.push_back(std::move(view));
     }
--- a/src/entry/control-loads.cc
+++ b/src/entry/control-loads.cc
@@ -57,6 +57,7 @@
         // Cold servers are left out: when they were counted, other regions sent prompts to a region
         // whose servers had all just restarted, and 324 requests were refused in two seconds.
         removeCold(candidates, now);
+        removeLimited(candidates);
         addEngineEstimates(candidates, m_state.promptLengths.mean(loadKey), now);
         if (loads.size() < maxRegionLoadsPerMessage)
             loads.push_back(summarizeLoad(m_state.settings.region, loadKey, candidates));
@@ -190,6 +191,26 @@
     sendTwiceToRegion(std::move(message));
 }
 
+void Control::onNamedLimit(const std::string &server, const NamedLimit &limit, TimePoint sentAt)
+{
+    m_link.post([this, server, limit, sentAt] {
+        sendLimitUpdate(m_limits.onResponse(server, limit, sentAt));
+    });
+}
+
+void Control::sendLimitUpdate(const LimitResult &result)
+{
+    if (result.isChanged)
+        publishRoutingTable();
+    if (result.news == LimitNews::none)
+        return;
+    GossipMessage message = makeEmptyMessage();
+    message.limitUpdates.push_back(result.update);
+    if (result.news == LimitNews::changed)
+        return sendTwiceToRegion(std::move(message));
+    sendToRegion(message);
+}
+
 void Control::onSilenceChanges(SilenceChanges changes)
 {
     if (changes.routingTable)
--- a/src/entry/control.cc
+++ b/src/entry/control.cc
@@ -47,8 +47,8 @@
 Control::Control(EntryState &state, const Protocol &protocol, HttpClient &client)
     : m_state(state), m_client(client),
       m_membership(selfMember(state), state.settings.seeds, MembershipSettings{}),
-      m_silentServers(state, protocol), m_coldServers(state, protocol), m_protocol(protocol),
-      m_link(state.settings.gossipAddress, *this)
+      m_silentServers(state, protocol), m_coldServers(state, protocol), m_limits(state),
+      m_protocol(protocol), m_link(state.settings.gossipAddress, *this)
 {
 }
 
@@ -141,6 +141,7 @@
     m_source->tick();
     checkSilentServers();
     checkColdServers();
+    m_routingDirty |= m_limits.tick();
     // The usage of a customer near its cap must be reported before its burst is used up.
     m_state.usageCaps.tick(now);
     if (now >= m_nextUsageReport || m_state.usageCaps.isNearAnyCap(now)) {
@@ -350,7 +351,10 @@
         if (message.hasCustomerUsage)
             m_state.usageCaps.onInstanceUsage(message.probe.sender.name, message.customerUsage,
                                               now);
-        if (!message.silenceUpdates.empty() || !message.coldUpdates.empty())
+        bool limitsChanged = false;
+        for (const LimitUpdate &update : message.limitUpdates)
+            limitsChanged |= m_limits.onUpdate(update, message.probe.sender.name);
+        if (!message.silenceUpdates.empty() || !message.coldUpdates.empty() || limitsChanged)
             publishRoutingTable();
     }
     for (const RegionLoad &load : message.regionLoads)
--- a/src/entry/control.h
+++ b/src/entry/control.h
@@ -12,6 +12,7 @@
 #include "ibisnotch/http-client.h"
 #include "ibisnotch/membership.h"
 #include "ibisnotch/peer-link.h"
+#include "limit-monitor.h"
 #include "silent-server-monitor.h"
 #include "state-source.h"
 #include "state.h"
@@ -63,6 +64,9 @@
     // Sends crash marks to all members of this region and to a few of other regions. May be called
     // from any thread.
     void broadcastCrashMarks(std::vector<CrashMark> marks);
+    // Records what a server's response to a request sent at `sentAt` says of its limit. May be
+    // called from any thread.
+    void onNamedLimit(const std::string &server, const NamedLimit &limit, TimePoint sentAt);
     // Publishes a new routing table as soon as the minimum interval allows. May be called from any
     // thread.
     void scheduleRoutingUpdate();
@@ -93,6 +97,7 @@
     void broadcastColdUpdate(const std::optional<ColdUpdate> &update);
     void checkSilentServers();
     void onSilenceChanges(SilenceChanges changes);
+    void sendLimitUpdate(const LimitResult &result);
     void sendToRegion(const GossipMessage &message);
     void sendTwiceToRegion(GossipMessage message);
     GossipMessage makeEmptyMessage();
@@ -109,6 +114,7 @@
     Membership m_membership;
     SilentServerMonitor m_silentServers;
     ColdServerMonitor m_coldServers;
+    LimitMonitor m_limits;
     const Protocol &m_protocol;
     std::size_t m_loadCursor = 0; // position of the next server whose load is gossiped
     std::size_t m_pollCursor = 0; // position of the next server to poll
--- a/src/entry/dispatch-plan.cc
+++ b/src/entry/dispatch-plan.cc
@@ -6,6 +6,7 @@
 #include "dispatch.h"
 #include "ibisnotch/entry-list.h"
 #include "ibisnotch/read-delay.h"
+#include "ibisnotch/request-limit.h"
 #include "ibisnotch/warmup.h"
 
 namespace ibisnotch {
@@ -30,9 +31,8 @@
     // better than the round trip to another region.
     if (candidates.empty() && m_serverError)
         candidates = candidatesForService(table, *m_exchange->service, {}, m_exchange->pool);
-    std::erase_if(candidates, [&](const Candidate &candidate) {
-        return !maySendWhileCold(table, *candidate.view);
-    });
+    std::erase_if(candidates,
+                  [&](const Candidate &candidate) { return !maySend(table, *candidate.view); });
     // An ejected server on trial may still fail, and a request that may run only once is then lost.
     const bool othersUsable
         = std::any_of(candidates.begin(), candidates.end(), [](const Candidate &one) {
@@ -56,28 +56,42 @@
     return seconds(readTime(candidates.front().tokensPerMs, shared));
 }
 
-// Returns false if the server is cold and may not get a request from this instance now.
-bool Dispatch::maySendWhileCold(const RoutingTable &table, const ServerView &view) const
+bool Dispatch::isRateLimited(const ServerView &view) const
 {
-    const TimePoint now = m_state.clock.now();
-    if (now >= view.coldUntil)
+    return m_state.clock.now() < view.coldUntil || view.requestLimit > 0;
+}
+
+// Returns false if the server is cold, or named a limit, and may not get a request from this
+// instance now.
+bool Dispatch::maySend(const RoutingTable &table, const ServerView &view) const
+{
+    if (!isRateLimited(view))
         return true;
+    const TimePoint now = m_state.clock.now();
     // An instance that has just started may not know all other senders, and they may not know it.
     // With a part of them only, its share of the server's rate would be too large.
     if (now < m_state.startedAt + membershipSettleTime || !table.sendersComplete)
         return false;
-    const auto interval = warmupIntervalOf(table, view);
+    const auto interval = sendIntervalOf(table, view);
     return interval && canSendRateLimited(view, *interval, now);
 }
 
-std::optional<Duration> Dispatch::warmupIntervalOf(const RoutingTable &table,
-                                                   const ServerView &view) const
+// Returns the minimum time between two requests of this instance to the server; empty if they are
+// assigned to other instances.
+std::optional<Duration> Dispatch::sendIntervalOf(const RoutingTable &table,
+                                                 const ServerView &view) const
 {
+    const std::string &self = m_state.settings.name;
+    const std::string &server = view.server.name;
     const auto pool = table.config->pools.find(view.server.pool);
-    if (pool == table.config->pools.end())
-        return Duration(0);
-    return warmupInterval(pool->second.warmupRate, m_state.settings.warmup, table.senders,
-                          m_state.settings.name, view.server.name);
+    std::optional<Duration> interval = Duration(0);
+    if (m_state.clock.now() < view.coldUntil && pool != table.config->pools.end())
+        interval = warmupInterval(pool->second.warmupRate, m_state.settings.warmup, table.senders,
+                                  self, server);
+    if (!interval || view.requestLimit <= 0)
+        return interval;
+    const auto limited = limitInterval(view.requestLimit, table.senders, self, server);
+    return limited ? std::optional(std::max(*interval, *limited)) : std::nullopt;
 }
 
 PossiblyColdServer Dispatch::possiblyColdServer(const RoutingTable &table,
@@ -115,16 +129,18 @@
     return possiblyColdShare(table, m_state.settings.warmup, m_state.settings.name, view.server);
 }
 
-// Acquires the right to send to a server that is cold or possibly cold. Returns false if another
-// thread acquired it in between.
-bool Dispatch::tryAcquireColdSend(const RoutingTable &table, const ServerView &view) const
+// Acquires the right to send to a server that is cold or possibly cold, or named a limit. Returns
+// false if another thread acquired it in between.
+bool Dispatch::tryAcquireSend(const RoutingTable &table, const ServerView &view) const
 {
     const TimePoint now = m_state.clock.now();
-    if (now < view.coldUntil) {
-        const auto interval = warmupIntervalOf(table, view);
-        return interval && tryAcquireRateLimited(view, *interval, now);
+    if (isRateLimited(view)) {
+        const auto interval = sendIntervalOf(table, view);
+        if (!interval || !tryAcquireRateLimited(view, *interval, now))
+            return false;
     }
-    const auto since = possiblyColdSince(table.list, view, now);
+    const bool isCold = now < view.coldUntil;
+    const auto since = isCold ? std::nullopt : possiblyColdSince(table.list, view, now);
     if (!since)
         return true;
     const auto share = possiblyColdShareOf(table, view);
@@ -285,7 +301,7 @@
         m_routeInputs.reportAge = now - chosen.view->reportedAt;
     if (now < chosen.view->coldUntil)
         m_routeInputs.remainingColdTime = chosen.view->coldUntil - now;
-    if (!tryAcquireColdSend(table, *chosen.view))
+    if (!tryAcquireSend(table, *chosen.view))
         return Refusal{ResultCode::noBackendServer, "",
                        jitteredRetryAfter(noServerRetrySeconds, m_state.random)};
     return serverTarget(*chosen.view);
@@ -300,6 +316,7 @@
     target.cost = view.server.cost;
     target.counters = view.counters;
     target.trial = view.status == ServerStatus::trial;
+    target.limited = view.requestLimit > 0;
     target.incarnation = view.incarnation;
     return target;
 }
--- a/src/entry/dispatch.cc
+++ b/src/entry/dispatch.cc
@@ -175,6 +175,10 @@
         m_streamRecorded
             = m_streamRecorded || recordStreamStarted(*target.counters, m_recoveryEpoch);
     }
+    // Few servers name a limit, so most responses need not go through the control loop.
+    const NamedLimit limit = reader.namedLimit();
+    if (target.limited || limit.perSecond > 0 || !limit.invalidText.empty())
+        m_control.onNamedLimit(target.name, limit, m_attemptStartedAt);
     if (reader.isServerLeaving())
         m_state.servers.onSelfReportedLeaving(target.name);
     if (const auto load = m_responseLoad)
--- a/src/entry/dispatch.h
+++ b/src/entry/dispatch.h
@@ -90,10 +90,10 @@
     PossiblyColdServer possiblyColdServer(const RoutingTable &table, const ServerView &view) const;
     std::optional<std::size_t> possiblyColdShareOf(const RoutingTable &table,
                                                    const ServerView &view) const;
-    bool tryAcquireColdSend(const RoutingTable &table, const ServerView &view) const;
-    bool maySendWhileCold(const RoutingTable &table, const ServerView &view) const;
-    std::optional<Duration> warmupIntervalOf(const RoutingTable &table,
-                                             const ServerView &view) const;
+    bool isRateLimited(const ServerView &view) const;
+    bool tryAcquireSend(const RoutingTable &table, const ServerView &view) const;
+    bool maySend(const RoutingTable &table, const ServerView &view) const;
+    std::optional<Duration> sendIntervalOf(const RoutingTable &table, const ServerView &view) const;
     AdmissionInput admissionInput(const RegionLoad &load, bool isRemote) const;
     Plan planRemote(const std::string &region);
     Plan pickServer(const RoutingTable &table);
--- a/src/entry/protocol.h
+++ b/src/entry/protocol.h
@@ -25,6 +25,7 @@
     double cost = 0;
     std::shared_ptr<ServerCounters> counters; // null for a peer
     bool trial = false; // whether the attempt tests an ejected server
+    bool limited = false; // whether the server named a limit
     std::uint64_t incarnation = 0; // as last reported by the backend server; 0 for a peer
 };
 
@@ -36,6 +37,16 @@
     bool operator==(const ResponseLoad &) const = default;
 };
 
+// What a response says of its server's limit.
+struct NamedLimit
+{
+    // Requests a second that the server accepts from all instances together, 0 if it names no
+    // limit. Empty if the response says nothing of the server's limit.
+    std::optional<double> perSecond;
+    std::string invalidText; // the limit as sent, if it is not a number that can be used
+    bool operator==(const NamedLimit &) const = default;
+};
+
 // Parses one response as it arrives and decides how the attempt ended.
 class ResponseReader
 {
@@ -70,6 +81,7 @@
     // Returns true if the server reports that it is draining.
     virtual bool isServerLeaving() const { return false; }
     virtual std::optional<ResponseLoad> reportedLoad() const { return std::nullopt; }
+    virtual NamedLimit namedLimit() const { return {}; }
 };
 
 // One wire protocol. Stateless and thread safe.
--- a/src/net/peer-link.cc
+++ b/src/net/peer-link.cc
@@ -35,6 +35,7 @@
 constexpr std::uint16_t protocolWithRangeUpdates = 2;
 constexpr std::uint16_t protocolWithRangePositions = 3;
 constexpr std::uint16_t protocolWithCustomerUsage = 4;
+constexpr std::uint16_t protocolWithRequestLimits = 5;
 
 template <typename Archive> void serializeFields(Archive &archive, GossipMessage &message)
 {
@@ -46,6 +47,8 @@
         archive(message.rangePositions, message.coldUpdates);
     if (message.protocol >= protocolWithCustomerUsage)
         archive(message.hasCustomerUsage, message.customerUsage, message.regionUsage);
+    if (message.protocol >= protocolWithRequestLimits)
+        archive(message.limitUpdates);
 }
 
 template <typename Archive> void serializeFields(Archive &archive, PeerRequest &request)
--- a/test/peer-link-test.cc
+++ b/test/peer-link-test.cc
@@ -20,6 +20,7 @@
     message.rangeUpdates.push_back({"servers/", 4, 6, {{"servers/a", "v", 5, false}}});
     message.rangePositions.push_back({rangeId("servers/"), 5, 40});
     message.coldUpdates.push_back({9, 3000});
+    message.limitUpdates.push_back({9, 1.2});
     return message;
 }
 
@@ -38,6 +39,7 @@
     oldMessage.rangeUpdates.clear();
     oldMessage.rangePositions.clear();
     oldMessage.coldUpdates.clear();
+    oldMessage.limitUpdates.clear();
     CHECK(*decodeGossip(encodeGossip(oldMessage)) == oldMessage);
 }
 
--- a/test/pick-test.cc
+++ b/test/pick-test.cc
@@ -168,6 +168,19 @@
     CHECK(candidates[0].view->server.name == "warm");
 }
 
+// Guards against rejections by a region whose servers accept few requests: their free slots can't be
+// used.
+TEST_CASE_METHOD(RoutingFixture, "removeLimited_serverThatNamedALimit_isLeftOut")
+{
+    add("limited", 0, 8);
+    add("free", 0, 8);
+    views[0].requestLimit = 1.5;
+    makeCandidates();
+    removeLimited(candidates);
+    REQUIRE(candidates.size() == 1);
+    CHECK(candidates[0].view->server.name == "free");
+}
+
 // Guards against a prefix that all servers of a large region read: at a peak its two holders are
 // full, and the overflow must go to few other servers.
 TEST_CASE_METHOD(RoutingFixture, "affinityPicker_bothHoldersFull_overflowGoesToFewServers")
