--- a/src/entry/control-loads.cc
+++ b/src/entry/control-loads.cc
@@ -194,7 +194,7 @@
 void Control::onNamedLimit(const std::string &server, const NamedLimit &limit, TimePoint sentAt)
 {
     m_link.post([this, server, limit, sentAt] {
-        sendLimitUpdate(m_limits.onResponse(server, limit, sentAt));
+        sendLimitUpdate(m_limitedServers.onResponse(server, limit, sentAt));
     });
 }
 
--- a/src/entry/control.cc
+++ b/src/entry/control.cc
@@ -47,7 +47,7 @@
 Control::Control(EntryState &state, const Protocol &protocol, HttpClient &client)
     : m_state(state), m_client(client),
       m_membership(selfMember(state), state.settings.seeds, MembershipSettings{}),
-      m_silentServers(state, protocol), m_coldServers(state, protocol), m_limits(state),
+      m_silentServers(state, protocol), m_coldServers(state, protocol), m_limitedServers(state),
       m_protocol(protocol), m_link(state.settings.gossipAddress, *this)
 {
 }
@@ -141,7 +141,7 @@
     m_source->tick();
     checkSilentServers();
     checkColdServers();
-    m_routingDirty |= m_limits.tick();
+    m_routingDirty |= m_limitedServers.tick();
     // The usage of a customer near its cap must be reported before its burst is used up.
     m_state.usageCaps.tick(now);
     if (now >= m_nextUsageReport || m_state.usageCaps.isNearAnyCap(now)) {
@@ -353,7 +353,7 @@
                                               now);
         bool limitsChanged = false;
         for (const LimitUpdate &update : message.limitUpdates)
-            limitsChanged |= m_limits.onUpdate(update, message.probe.sender.name);
+            limitsChanged |= m_limitedServers.onUpdate(update, message.probe.sender.name);
         if (!message.silenceUpdates.empty() || !message.coldUpdates.empty() || limitsChanged)
             publishRoutingTable();
     }
@@ -405,16 +405,16 @@
     m_link.sendRequest(gossipAddress, request, [this](const std::optional<PeerReply> &reply) {
         m_pullInProgress = false;
         if (reply)
-            applyDelta(reply->delta);
+            applyConfigDelta(reply->delta);
     });
 }
 
-void Control::applyDelta(const ConfigDelta &delta)
+void Control::applyConfigDelta(const ConfigDelta &delta)
 {
     if (delta.toVersion == 0)
         return;
     const auto before = m_state.activeConfig.document();
-    const auto document = ibisnotch::applyDelta(before.get(), delta);
+    const auto document = applyDelta(before.get(), delta);
     if (document.ok())
         applyConfig(*document, "peer");
 }
@@ -432,7 +432,7 @@
     m_link.sendRequest(*address, request, [this](const std::optional<PeerReply> &reply) {
         if (!reply)
             return;
-        applyDelta(reply->delta);
+        applyConfigDelta(reply->delta);
         const TimePoint now = m_state.clock.now();
         const bool hasNews = m_membership.onExchange(reply->members, now);
         if (hasNews)
--- a/src/entry/control.h
+++ b/src/entry/control.h
@@ -106,7 +106,7 @@
     void onPollResponse(const std::string &server, const BufferedResponse &reply);
     void pullConfigFrom(const std::string &gossipAddress);
     void exchangeMembers();
-    void applyDelta(const ConfigDelta &delta);
+    void applyConfigDelta(const ConfigDelta &delta);
     void announceConfig();
 
     EntryState &m_state;
@@ -114,7 +114,7 @@
     Membership m_membership;
     SilentServerMonitor m_silentServers;
     ColdServerMonitor m_coldServers;
-    LimitMonitor m_limits;
+    LimitMonitor m_limitedServers;
     const Protocol &m_protocol;
     std::size_t m_loadCursor = 0; // position of the next server whose load is gossiped
     std::size_t m_pollCursor = 0; // position of the next server to poll
