--- a/test/pick-test.cc
+++ b/test/pick-test.cc
@@ -168,8 +168,8 @@
     CHECK(candidates[0].view->server.name == "warm");
 }
 
-// Guards against rejections by a region whose servers accept few requests: their free slots can't be
-// used.
+// Guards against rejections by a region whose servers accept few requests: their free slots can't
+// be used.
 TEST_CASE_METHOD(RoutingFixture, "removeLimited_serverThatNamedALimit_isLeftOut")
 {
     add("limited", 0, 8);
