A begun stream waits while a copy of it is on trial, in place of being cut

What callers saw: a stream of which they have a part ends with time left, at a sound server, because an identical request (same caller, path and body) that ran at the same crashed server is tried again at that moment.

Order of events (forced on stand-ins): two copies of a stream run at s0; s0 breaks both off; the first copy goes on at s1 as the trial; the second one picks s1 too, is held, and refuse() aborts it: 5003 after 200 ms of 5 s, one run of two.

Cause: Dispatch::send refused with heldForTrial whatever the request had delivered; waitForCapacity, the only way in which a begun stream waits, knew only noBackendServer and overloaded. Both codes and the hold now count as temporary (the function is renamed, since capacity is one reason of three). A quarantined request does not wait: no trial follows.

Which other refusals meet a begun stream: residencyForbids of plan() (only if no allowed region is left; the request keeps the configuration with which it came) and deadlineTooShort (its time is over): both end it for a reason.

Ruled out: runs (1 of 2), retry budget ("retry" is in the trace), time.

--- a/src/entry/dispatch-retry.cc
+++ b/src/entry/dispatch-retry.cc
@@ -31,6 +31,14 @@
 // A datagram to an instance in the same region takes about 4 ms.
 constexpr Duration crashMarkDelay = std::chrono::milliseconds(10);
 
+// Returns whether a refusal with this code may end before the caller's deadline: servers get room,
+// and a trial of the same request ends.
+bool isTemporary(ResultCode code)
+{
+    return code == ResultCode::noBackendServer || code == ResultCode::overloaded
+        || code == ResultCode::heldForTrial;
+}
+
 } // namespace
 
 // Returns whether the caller has part of a stream that another server can continue.
@@ -51,7 +59,7 @@
 
 // A stream that is rejected after it has started is lost as a whole, while slots and retries become
 // available within tenths of a second. A caller that doesn't want to wait disconnects.
-bool Dispatch::mayWaitForCapacity() const
+bool Dispatch::mayWaitToResume() const
 {
     return canResume() && remaining() > minAttemptTime() + capacityRetryInterval
         && !m_exchange->responder->isClosed();
@@ -79,14 +87,12 @@
          {"leftMs", millisecondsText(remaining())}});
 }
 
-bool Dispatch::waitForCapacity(const Refusal &refusal)
+bool Dispatch::waitToResume(const Refusal &refusal)
 {
-    const bool noCapacity
-        = refusal.code == ResultCode::noBackendServer || refusal.code == ResultCode::overloaded;
-    if (!noCapacity || !mayWaitForCapacity())
+    if (!isTemporary(refusal.code) || !mayWaitToResume())
         return false;
-    trace("waiting for capacity to resume the stream");
-    logRetryDecision("Waiting for capacity.", resultInfo(refusal.code).name);
+    trace("waiting to resume the stream: " + std::string(resultInfo(refusal.code).name));
+    logRetryDecision("Waiting to resume the stream.", resultInfo(refusal.code).name);
     // Servers and regions that rejected the stream before may accept it after the pause.
     m_triedTargets.clear();
     m_stayInRegion = false;
@@ -215,7 +221,7 @@
         return routeRetry(outcome);
     }
     logRetryDecision("Retry budget exhausted.", attemptOutcomeName(outcome));
-    if (!mayWaitForCapacity())
+    if (!mayWaitToResume())
         return endAfterFailure(outcome);
     trace("waiting for the retry budget");
     m_client.postAfter(capacityRetryInterval, [self = shared_from_this(), target, outcome] {
--- a/src/entry/dispatch.cc
+++ b/src/entry/dispatch.cc
@@ -80,7 +80,7 @@
     }
     const auto planned = plan(true);
     if (const auto *refusal = std::get_if<Refusal>(&planned)) {
-        if (waitForCapacity(*refusal))
+        if (waitToResume(*refusal))
             return;
         settleNotRun();
         return refuse(*refusal);
@@ -96,14 +96,28 @@
     send(target);
 }
 
-bool Dispatch::checkQuarantine()
+QuarantineDecision Dispatch::checkQuarantine()
 {
     const std::lock_guard lock(m_state.quarantineMutex);
     const auto decision = m_state.quarantine.check(m_exchange->fingerprint, m_state.clock.now());
     m_isQuarantineTrial = decision == QuarantineDecision::trial;
     if (m_isQuarantineTrial)
         m_state.quarantine.onTrialStarted(m_exchange->fingerprint);
-    return decision != QuarantineDecision::held && decision != QuarantineDecision::quarantined;
+    return decision;
+}
+
+bool Dispatch::passesQuarantine()
+{
+    const QuarantineDecision decision = checkQuarantine();
+    if (decision == QuarantineDecision::clear || decision == QuarantineDecision::trial)
+        return true;
+    const Refusal refusal{ResultCode::heldForTrial, "", jitteredRetryAfter(2, m_state.random)};
+    // A stream is released if the trial of its copy succeeds. A quarantined one never is.
+    if (decision == QuarantineDecision::held && waitToResume(refusal))
+        return false;
+    settleNotRun();
+    refuse(refusal);
+    return false;
 }
 
 TransferLimits Dispatch::limitsFor(const Target &target) const
@@ -233,10 +247,8 @@
         settleNotRun();
         return refuse({ResultCode::deadlineTooShort, "", jitteredRetryAfter(1, m_state.random)});
     }
-    if (!target.isPeer && !checkQuarantine()) {
-        settleNotRun();
-        return refuse({ResultCode::heldForTrial, "", jitteredRetryAfter(2, m_state.random)});
-    }
+    if (!target.isPeer && !passesQuarantine())
+        return;
     ++m_attempts;
     m_serverAttempts += target.isPeer ? 0 : 1;
     m_attemptStartedAt = m_state.clock.now();
--- a/src/entry/dispatch.h
+++ b/src/entry/dispatch.h
@@ -104,18 +104,20 @@
     void route();
     bool canResume() const;
     Duration minAttemptTime() const;
-    // Schedules another attempt for a stream that has started and has to be resumed, if no server
-    // accepts it now. Returns true if there will be one.
-    bool waitForCapacity(const Refusal &refusal);
-    bool mayWaitForCapacity() const;
+    // Schedules another attempt for a stream that has started and has to be resumed, if what stands
+    // in its way now may end. Returns true if there will be one.
+    bool waitToResume(const Refusal &refusal);
+    bool mayWaitToResume() const;
     // Logs a decision about another attempt with its inputs, the first time for each sentence.
     void logRetryDecision(std::string_view sentence, std::string_view cause);
     bool isRemote(const Target &target) const;
     void addRetryShare(const Target &target);
     void send(const Target &target);
-    // Returns false if the request is quarantined, or held while a trial of it is running. Starts
-    // the trial if it is due.
-    bool checkQuarantine();
+    // Starts a trial of the request if it is due.
+    QuarantineDecision checkQuarantine();
+    // Returns true if the request may be sent to a backend server. If it is quarantined, or held
+    // while a trial of it is running, refuses it or lets its stream wait, and returns false.
+    bool passesQuarantine();
     OutgoingRequest makeRequest(const Target &target) const;
     // Called by the current attempt.
     void onServerResponse(const Target &target, const ResponseReader &reader);
