A forwarded request that a starting or stopping instance refuses goes to another one, without a retry

Order of events (forced on stand-ins; three instances of another region answer from a script): a request is forwarded to an instance that stops and whose news has not arrived yet; it refuses at once. (1) isRejectedByRemoteRegion knew only codes of missing capacity, so the refusal was delivered. (2) A begun stream counted it as an attempt that did not run, and took a retry for the next one; with none left it waited until it was cut, "waiting for the retry budget" from 101 to 1752 ms.

Cause: the state of the peer was taken for an answer to the request. The peer's gateway refuses before any server is asked, so the next attempt adds no arrival at the service and needs no retry.

--- a/src/entry/dispatch-retry.cc
+++ b/src/entry/dispatch-retry.cc
@@ -256,6 +256,20 @@
         && !m_forwardedToIssuer && !m_exchange->responder->isClosed();
 }
 
+// Returns true if a peer refused the request because of its own state: it starts, stops or has an
+// old configuration. Others can serve the request, and none of their servers was asked for it yet.
+bool Dispatch::isRefusedByUnreadyPeer(const Target &target, const Attempt &attempt) const
+{
+    const ResultCode code = attempt.reader().resultCode();
+    const bool unready = code == ResultCode::stopping || code == ResultCode::notReady
+        || code == ResultCode::configBehind;
+    // Each refusal takes a round trip, so a request that has not begun is refused after a few.
+    const bool mayAskAnother = m_streamStarted || m_attempts < maxAttempts;
+    const bool mayRunAgain = m_exchange->service->idempotent || !m_mayHaveRun;
+    return target.isPeer && unready && mayAskAnother && mayRunAgain && !m_forwardedToIssuer
+        && !m_exchange->responder->isClosed();
+}
+
 // Acquires the retry budget for a request that servers of another region rejected: an attempt at a
 // server of this region is one more arrival at the service, although the request did not run.
 bool Dispatch::acquireRetryAfterRejection()
--- a/src/entry/dispatch.cc
+++ b/src/entry/dispatch.cc
@@ -328,6 +328,8 @@
 {
     const bool isRejected
         = outcome == AttemptOutcome::answered && isRejectedByRemoteRegion(target, attempt);
+    const bool isUnready
+        = outcome == AttemptOutcome::answered && isRefusedByUnreadyPeer(target, attempt);
     // The caller already has part of a stream, which a response of another kind cannot continue.
     if (outcome == AttemptOutcome::answered && m_streamStarted && !attempt.hasWritten()
         && !attempt.reader().isStreaming())
@@ -348,6 +350,11 @@
     if (!target.isPeer && outcome == AttemptOutcome::connectionLost
         && !m_exchange->responder->isClosed())
         onSuspectedCrash(target);
+    // The attempt reached no backend server, so the next one is no retry of it.
+    if (isUnready && !reachedServers) {
+        m_forwardedToRegion = false;
+        return route();
+    }
     if (isRejected) {
         // A begun stream passes no admission, so its further attempts count as retries.
         if (!m_streamStarted && reachedServers && !acquireRetryAfterRejection())
--- a/src/entry/dispatch.h
+++ b/src/entry/dispatch.h
@@ -154,6 +154,7 @@
     bool tryAcquireBudget(AttemptOutcome outcome);
     void retryOrEnd(const Target &target, AttemptOutcome outcome);
     bool isRejectedByRemoteRegion(const Target &target, const Attempt &attempt) const;
+    bool isRefusedByUnreadyPeer(const Target &target, const Attempt &attempt) const;
     bool acquireRetryAfterRejection();
     void returnToLocalRegion();
     void deliver(Attempt &attempt);
