The reporter sends on a missed change only while nobody of its region sends updates

Cause: an instance that does not watch cannot know whether the store is reachable. It can know whether those that do are sending: each does so at least once a second. Now it sends on only after 1.5 s without any update.

--- a/src/entry/range-source.cc
+++ b/src/entry/range-source.cc
@@ -15,6 +15,8 @@
 // The store notifies all watchers in a region within milliseconds of each other, or a little later
 // where it batches changes.
 constexpr Duration peerRequestDelay = std::chrono::milliseconds(250);
+// Two instances each tell the region at least once a second while they reach the store.
+constexpr Duration maxUpdateInterval = std::chrono::milliseconds(1500);
 // Values of the log field "source": where a change was received from.
 constexpr std::string_view sourceStore = "store";
 constexpr std::string_view sourcePeer = "peer";
@@ -98,7 +100,8 @@
     Range *range = findRange(rangeId(update.prefix));
     if (range == nullptr)
         return;
-    applyUpdate(*range, update, m_state.clock.now());
+    range->toldAt = m_state.clock.now();
+    applyUpdate(*range, update, range->toldAt);
     if (update.asOf > range->follower.asOf() && !range->follower.isStoreReachable())
         requestFromPeer(*range, from);
 }
@@ -191,7 +194,8 @@
 // on by every instance that missed it fills the links for seconds.
 bool RangeSource::tellsRegion(const Range &range, const std::string &from) const
 {
-    if (m_control.regionOf(from) == m_state.settings.region)
+    const bool isTold = m_state.clock.now() - range.toldAt < maxUpdateInterval;
+    if (isTold || m_control.regionOf(from) == m_state.settings.region)
         return false;
     const bool watches = range.role != FollowRole::listener;
     return watches ? !range.follower.isStoreReachable() : m_control.isReporter();
--- a/src/entry/range-source.h
+++ b/src/entry/range-source.h
@@ -79,6 +79,7 @@
         bool wasReachable = true; // whether the store was reachable when last logged
         FollowRole role = FollowRole::alone;
         bool peerRequestPending = false; // a request for missed changes awaits its reply
+        TimePoint toldAt{}; // when an update of another instance arrived last
     };
 
     void chooseRoles();
