Those that watch and the reporter send on a missed change wherever it came from

What keeps the links free is that at most three instances of a region may tell it, and only while no update has come for 1.5 s; who told them does not matter. The check of the region is taken out.

--- a/src/entry/control.h
+++ b/src/entry/control.h
@@ -50,8 +50,6 @@
     bool isReporter() const;
     // Returns the number of alive instances in this region, including this one.
     std::size_t regionSize() const;
-    // Returns the region of the instance with this address, or an empty string if it is unknown.
-    std::string regionOf(const std::string &gossipAddress) const;
     // Sends the update to all other instances of the region; twice if it contains changes.
     void broadcastRangeUpdate(RangeUpdate update);
     // Requests the changes of ranges from another instance. Calls `done` with std::nullopt if it
@@ -87,6 +85,7 @@
     void tick();
     void sendProbes(const std::vector<OutgoingProbe> &probes);
     GossipMessage makeMessage(Probe probe, const std::string &toRegion);
+    std::string regionOf(const std::string &gossipAddress) const;
     void publishMembers();
     void sendRegionLoads();
     std::vector<RegionLoad> ownRegionLoads(const RoutingTable &table) const;
--- a/src/entry/range-source.cc
+++ b/src/entry/range-source.cc
@@ -167,35 +167,34 @@
              {"peer", from},
              {"known", std::to_string(known)},
              {"storeReachable", range.follower.isStoreReachable() ? "yes" : "no"}});
-    m_control.requestRanges(from, {{range.id, known}}, [this, &range, from](const auto &reply) {
+    m_control.requestRanges(from, {{range.id, known}}, [this, &range](const auto &reply) {
         range.peerRequestPending = false;
         if (!reply)
             return;
         for (const RangeReply &rangeReply : reply->rangeReplies) {
             if (rangeId(rangeReply.update.prefix) == range.id)
-                applyReply(range, rangeReply, from);
+                applyReply(range, rangeReply);
         }
     });
 }
 
-void RangeSource::applyReply(Range &range, const RangeReply &reply, const std::string &from)
+void RangeSource::applyReply(Range &range, const RangeReply &reply)
 {
     const TimePoint at = m_state.clock.now() - std::chrono::milliseconds(reply.ageMs);
     const RangeUpdate &update = reply.update;
     const bool changed = applyUpdate(range, update, at);
-    if (changed && update.base > 0 && tellsRegion(range, from))
+    if (changed && update.base > 0 && tellsRegion(range))
         m_control.broadcastRangeUpdate(
             makeRangeUpdate(update.prefix, update.base, update.asOf, update.items));
 }
 
 // Usually the instances that watch the store send each change to the region. If the store is
-// unreachable for all of them, another region has the change first. Then only they and the
+// unreachable for all of them, another instance has the change first. Then only they and the
 // reporter, to which other regions report, send it on: in a large region, one burst of changes sent
 // on by every instance that missed it fills the links for seconds.
-bool RangeSource::tellsRegion(const Range &range, const std::string &from) const
+bool RangeSource::tellsRegion(const Range &range) const
 {
-    const bool isTold = m_state.clock.now() - range.toldAt < maxUpdateInterval;
-    if (isTold || m_control.regionOf(from) == m_state.settings.region)
+    if (m_state.clock.now() - range.toldAt < maxUpdateInterval)
         return false;
     const bool watches = range.role != FollowRole::listener;
     return watches ? !range.follower.isStoreReachable() : m_control.isReporter();
--- a/src/entry/range-source.h
+++ b/src/entry/range-source.h
@@ -91,10 +91,9 @@
     void requestFromPeer(Range &range, const std::string &from);
     // Returns true if the update contained changes that were unknown here.
     bool applyUpdate(Range &range, const RangeUpdate &update, TimePoint at);
-    // Applies the reply of the instance with the gossip address `from`.
-    void applyReply(Range &range, const RangeReply &reply, const std::string &from);
-    // Returns whether to send a change to the region that came from this gossip address.
-    bool tellsRegion(const Range &range, const std::string &from) const;
+    void applyReply(Range &range, const RangeReply &reply);
+    // Returns whether to send a change to the region that another instance has sent here.
+    bool tellsRegion(const Range &range) const;
     void logReachability(Range &range);
     void updateListState();
     void updateConfigState();
