Lines of failed attempts name the shared parts of the prompt and whether the answer had begun

Callers saw servers crash one after the other under requests that are all different. The lines could not tell whether the requests have a part in common, nor whether a server ended before or while it answered. "Attempt failed." now has `parts` and `begun`. The type of a prompt moves to a header of its own, as decisions will use it. No decision changes.

--- a/src/entry/attempt.cc
+++ b/src/entry/attempt.cc
@@ -10,6 +10,13 @@
 constexpr std::size_t maxBufferedBytes = 1U << 20;
 constexpr std::size_t maxPendingBytes = 1U << 20;
 
+bool isSuccess(int status)
+{
+    constexpr int firstSuccess = 200;
+    constexpr int firstRedirect = 300;
+    return status >= firstSuccess && status < firstRedirect;
+}
+
 } // namespace
 
 Dispatch::Attempt::Attempt(std::shared_ptr<Dispatch> dispatch, Target target,
@@ -43,6 +50,7 @@
         recordReceived(*m_target.counters, m_lastReceivedAt);
     const auto outcome = m_reader->onData(data, passed);
     recordEventInterval();
+    m_hasBegun = m_hasBegun || (isSuccess(m_response.status) && !passed.empty());
     if (!outcome && !passed.empty() && !m_reader->isStreaming() && !m_exceedsBuffer) {
         m_response.body += passed;
         if (m_response.body.size() <= maxBufferedBytes)
--- a/src/entry/attempt.h
+++ b/src/entry/attempt.h
@@ -28,6 +28,9 @@
     const ResponseReader &reader() const { return *m_reader; }
     // Returns whether the caller has received part of this attempt's response.
     bool hasWritten() const { return m_hasWritten; }
+    // Returns whether the server has sent part of an answer: an event of a stream, or any byte of
+    // another answer with a status of success.
+    bool hasBegun() const { return m_hasBegun; }
 
 private:
     void recordEventInterval();
@@ -39,6 +42,7 @@
     std::unique_ptr<ResponseReader> m_reader;
     HttpResponse m_response; // the body is buffered unless the response is a stream or too long
     bool m_hasWritten = false;
+    bool m_hasBegun = false;
     bool m_exceedsBuffer = false; // the body is too long to be buffered
     std::optional<AttemptOutcome> m_earlyOutcome;
     TimePoint m_lastReceivedAt; // time of the last data, or of the start of the attempt
--- a/src/entry/dispatch.cc
+++ b/src/entry/dispatch.cc
@@ -288,7 +288,7 @@
     m_client.send(makeRequest(target), std::move(attempt));
 }
 
-void Dispatch::recordAttempt(const Target &target, AttemptOutcome outcome)
+void Dispatch::recordAttempt(const Target &target, AttemptOutcome outcome, const Attempt &attempt)
 {
     m_state.metrics.onAttempt(attemptOutcomeName(outcome));
     trace(
@@ -296,7 +296,7 @@
     if (target.isPeer) {
         if (isRemote(target))
             m_state.regionLoads.onForwardedFinished(target.region, loadKey(*m_exchange));
-        return logFailedAttempt(target, outcome);
+        return logFailedAttempt(target, outcome, attempt);
     }
     const Duration duration = m_state.clock.now() - m_attemptStartedAt;
     m_cost += target.cost * std::chrono::duration<double>(duration).count();
@@ -318,11 +318,12 @@
     m_state.servers.onAttempt(target.name, health, m_state.clock.now());
     if (failed) {
         m_control.scheduleRoutingUpdate();
-        logFailedAttempt(target, outcome);
+        logFailedAttempt(target, outcome, attempt);
     }
 }
 
-void Dispatch::logFailedAttempt(const Target &target, AttemptOutcome outcome) const
+void Dispatch::logFailedAttempt(const Target &target, AttemptOutcome outcome,
+                                const Attempt &attempt) const
 {
     const bool failed = outcome != AttemptOutcome::answered
         && outcome != AttemptOutcome::refusedNotRun && outcome != AttemptOutcome::rejected
@@ -334,6 +335,8 @@
              {"customer", m_exchange->customer->name},
              {"server", target.name},
              {"end", std::string(attemptOutcomeName(outcome))},
+             {"begun", fmt::to_string(attempt.hasBegun())},
+             {"parts", sharedPartsText(m_exchange->prompt)},
              {"ms", millisecondsText(m_state.clock.now() - m_attemptStartedAt)}});
 }
 
@@ -348,7 +351,7 @@
         && !attempt.reader().isStreaming())
         outcome = isNotRunAtPeer(target, attempt) ? AttemptOutcome::refusedNotRun
                                                   : AttemptOutcome::serverError;
-    recordAttempt(target, outcome);
+    recordAttempt(target, outcome, attempt);
     countRuns(target, outcome, attempt);
     const bool reachedServers = countPeerAttempts(attempt);
     if (outcome == AttemptOutcome::serverError && m_protocol.passesServerErrors()
--- a/src/entry/dispatch.h
+++ b/src/entry/dispatch.h
@@ -160,7 +160,7 @@
     TransferLimits limitsFor(const Target &target) const;
     void onAttemptFinished(const Target &target, AttemptOutcome outcome, Attempt &attempt);
     void routeRetry(AttemptOutcome outcome);
-    void recordAttempt(const Target &target, AttemptOutcome outcome);
+    void recordAttempt(const Target &target, AttemptOutcome outcome, const Attempt &attempt);
     void countRuns(const Target &target, AttemptOutcome outcome, const Attempt &attempt);
     // Adds the numbers of runs and attempts to a response if it goes to the peer that forwarded the
     // request.
@@ -171,7 +171,8 @@
     // counts them.
     bool countPeerAttempts(const Attempt &attempt);
     static bool isNotRunAtPeer(const Target &target, const Attempt &attempt);
-    void logFailedAttempt(const Target &target, AttemptOutcome outcome) const;
+    void logFailedAttempt(const Target &target, AttemptOutcome outcome,
+                          const Attempt &attempt) const;
     void onSuspectedCrash(const Target &target);
     void checkServerAlive(const Target &target);
     RetryInput retryInput(AttemptOutcome outcome, int runs) const;
--- a/src/entry/exchange.h
+++ b/src/entry/exchange.h
@@ -10,38 +10,13 @@
 #include "ibisnotch/config.h"
 #include "ibisnotch/forward-path.h"
 #include "ibisnotch/http-server.h"
+#include "ibisnotch/prompt.h"
 #include "ibisnotch/server-table.h"
 #include "ibisnotch/stream-origin.h"
 #include "trace.h"
 
 namespace ibisnotch {
 
-// A part of a prompt. Requests whose parts have the same hashes share them. The last part of a
-// prompt is specific to its request.
-struct PromptPart
-{
-    std::uint64_t hash = 0;
-    std::int64_t tokens = 0;
-    bool operator==(const PromptPart &) const = default;
-};
-
-struct Prompt
-{
-    std::vector<PromptPart> parts; // in the order in which a server reads them
-    std::int64_t tokens = 0; // 0 if the request has no prompt or doesn't say
-    std::int64_t maxAnswerTokens = 0; // 0 if unknown
-
-    // Returns the tokens of all parts but the last, which is specific to the request.
-    std::int64_t sharedTokens() const
-    {
-        std::int64_t shared = 0;
-        for (std::size_t i = 0; i + 1 < parts.size(); ++i)
-            shared += parts[i].tokens;
-        return shared;
-    }
-    bool operator==(const Prompt &) const = default;
-};
-
 struct Exchange
 {
     HttpRequest request;
--- a/src/entry/path-rule-filters.cc
+++ b/src/entry/path-rule-filters.cc
@@ -84,8 +84,8 @@
         if (prompt.sharedTokens() < minSharedTokens)
             return 0;
         std::uint64_t hash = 0;
-        for (std::size_t i = 0; i + 1 < prompt.parts.size(); ++i)
-            hash = hash64(std::to_string(prompt.parts[i].hash), hash);
+        for (const PromptPart &part : prompt.sharedParts())
+            hash = hash64(std::to_string(part.hash), hash);
         return hash;
     }
 
