A part of prompts that crashes servers is found and blocked, whatever else the requests hold

Cause: what an instance holds against a request is kept under a hash of the whole request, so each of them was new and nothing added up; nor did what instances hold add up over all of them, or outlive them.

Now a confirmed crash accuses the shared parts of the prompts that the server had not begun to answer. Crashes count in a row: one more than the instance knew of when it sent the prompt, so many servers that end at once count as one. Three in a row block a part; of several the last one of the prompt, which the fewest share. An answer that begins ends the row and refutes the records of others for 3 s. Records live in the store, where instances that are cut from each other or start later find them, under leases: a row for ten minutes, a block for five; the next crash after it blocks at once. Prompts with a blocked part are refused at once (3019, 503, with a time to come back), also before a retry. An attempt that ended silent or early without an answer accuses too, once its server is known to be gone; then its request is marked as well.

--- a/include/ibisnotch/result-code.h
+++ b/include/ibisnotch/result-code.h
@@ -39,6 +39,7 @@
     usageCapReached = 3016,
     streamVersionUnknown = 3017,
     streamVersionGone = 3018,
+    promptPartBlocked = 3019,
     outcomeUnknown = 4001,
     issuerGone = 4002,
     bookingInProgress = 4003,
--- a/include/ibisnotch/store.h
+++ b/include/ibisnotch/store.h
@@ -67,6 +67,21 @@
     bool operator==(const StorePage &) const = default;
 };
 
+// Items to write and keys to remove, all at once or not at all.
+struct StoreChange
+{
+    struct Put
+    {
+        std::string key;
+        std::string value;
+        std::string leaseId; // the key is removed when this lease ends
+        bool operator==(const Put &) const = default;
+    };
+    std::vector<Put> puts;
+    std::vector<std::string> removals;
+    bool operator==(const StoreChange &) const = default;
+};
+
 // Access to ranges of keys. Every call counts against the store's rate limit; a watch counts as one
 // call, however long it waits.
 class RangeStore
@@ -85,6 +100,10 @@
     virtual void watchRange(const std::string &prefix, std::uint64_t afterRevision,
                             Duration maxWait, std::function<void(const StorePage &)> done)
         = 0;
+
+    virtual void grantLease(Duration ttl, std::function<void(const StoreLease &)> done) = 0;
+    // Applies the change, which must have at most 32 puts and removals.
+    virtual void apply(const StoreChange &change, std::function<void(StoreStatus)> done) = 0;
 };
 
 // Access to single keys. Every call counts against the store's rate limit; a watch counts as one
--- a/src/decide/result-code.cc
+++ b/src/decide/result-code.cc
@@ -61,6 +61,9 @@
                "It is not known which software version began the stream; begin it anew."},
     ResultInfo{streamVersionGone, "streamVersionGone", 503, notRun,
                "No server of the software version that began the stream is left; begin it anew."},
+    ResultInfo{promptPartBlocked, "promptPartBlocked", 503, notRun,
+               "A part of the prompt crashes backend servers; change it or come back after "
+               "Retry-After."},
     ResultInfo{outcomeUnknown, "outcomeUnknown", 502, unknown,
                "The booking may have run; check by a status read before a new key is used."},
     ResultInfo{issuerGone, "issuerGone", 502, unknown,
--- a/src/entry/attempt.cc
+++ b/src/entry/attempt.cc
@@ -50,7 +50,10 @@
         recordReceived(*m_target.counters, m_lastReceivedAt);
     const auto outcome = m_reader->onData(data, passed);
     recordEventInterval();
-    m_hasBegun = m_hasBegun || (isSuccess(m_response.status) && !passed.empty());
+    const bool begins = !m_hasBegun && isSuccess(m_response.status) && !passed.empty();
+    m_hasBegun = m_hasBegun || begins;
+    if (begins && !m_target.isPeer)
+        m_dispatch->onAnswerBegun();
     if (!outcome && !passed.empty() && !m_reader->isStreaming() && !m_exceedsBuffer) {
         m_response.body += passed;
         if (m_response.body.size() <= maxBufferedBytes)
--- a/src/entry/control.cc
+++ b/src/entry/control.cc
@@ -114,6 +114,16 @@
     });
 }
 
+void Control::recordSuspects(std::vector<SuspectPart> suspects)
+{
+    m_link.post([this, suspects = std::move(suspects)] { m_source->recordSuspects(suspects); });
+}
+
+void Control::removeSuspects(std::vector<SuspectPart> suspects)
+{
+    m_link.post([this, suspects = std::move(suspects)] { m_source->removeSuspects(suspects); });
+}
+
 void Control::findOrigin(OriginQuestion question, OriginExchange::Done done)
 {
     m_link.post([this, question = std::move(question), done = std::move(done)]() mutable {
--- a/src/entry/control.h
+++ b/src/entry/control.h
@@ -17,10 +17,11 @@
 #include "silent-server-monitor.h"
 #include "state-source.h"
 #include "state.h"
+#include "suspect-writer.h"
 
 namespace ibisnotch {
 
-class Control final : public PeerHandler, private OriginTransport
+class Control final : public PeerHandler, public TaskRunner, private OriginTransport
 {
 public:
     Control(EntryState &state, const Protocol &protocol, HttpClient &client);
@@ -36,7 +37,7 @@
     void setSeeds(std::vector<std::string> seeds);
 
     // Run a task on the loop, at once or after a delay. May be called from any thread.
-    void post(std::function<void()> task) { m_link.post(std::move(task)); }
+    void post(std::function<void()> task) override { m_link.post(std::move(task)); }
     void postAfter(Duration delay, std::function<void()> task) override
     {
         m_link.postAfter(delay, std::move(task));
@@ -78,6 +79,10 @@
     {
         m_link.post([this] { m_origins.scheduleNotices(); });
     }
+    // Write suspect parts of prompts to the store, or remove them from it. May be called from any
+    // thread.
+    void recordSuspects(std::vector<SuspectPart> suspects);
+    void removeSuspects(std::vector<SuspectPart> suspects);
     // Publishes a new routing table as soon as the minimum interval allows. May be called from any
     // thread.
     void scheduleRoutingUpdate();
--- a/src/entry/dispatch.cc
+++ b/src/entry/dispatch.cc
@@ -258,7 +258,7 @@
         settleNotRun();
         return refuse({ResultCode::deadlineTooShort, "", jitteredRetryAfter(1, m_state.random)});
     }
-    if (!target.isPeer && !passesQuarantine())
+    if (!passesPartCheck() || (!target.isPeer && !passesQuarantine()))
         return;
     ++m_attempts;
     m_serverAttempts += target.isPeer ? 0 : 1;
@@ -267,6 +267,7 @@
     m_servedBy = target.name;
     if (target.isPeer)
         m_isQuarantineTrial = false; // of an earlier attempt
+    m_knownCrashes = m_state.suspects.knownCrashes(loadKey(*m_exchange), m_exchange->prompt);
     if (isRemote(target)) {
         m_forwardedToRegion = true;
         m_state.regionLoads.onForwarded(target.region, loadKey(*m_exchange));
@@ -363,9 +364,8 @@
         const std::lock_guard lock(m_state.quarantineMutex);
         m_state.quarantine.onTrialFinished(m_exchange->fingerprint);
     }
-    if (!target.isPeer && outcome == AttemptOutcome::connectionLost
-        && !m_exchange->responder->isClosed())
-        onSuspectedCrash(target);
+    if (!target.isPeer && !m_exchange->responder->isClosed())
+        onSuspectedCrash(target, outcome, attempt);
     // The attempt reached no backend server, so the next one is no retry of it.
     if (isUnready && !reachedServers) {
         m_forwardedToRegion = false;
@@ -417,7 +417,26 @@
     return target.isPeer && resultInfo(attempt.reader().resultCode()).runState == RunState::notRun;
 }
 
-void Dispatch::onSuspectedCrash(const Target &target)
+// A connection that breaks accuses the request at once. Servers also time out, or end an answer
+// early, without having crashed; then the request is accused only once it is known that the server
+// is gone.
+void Dispatch::onSuspectedCrash(const Target &target, AttemptOutcome outcome,
+                                const Attempt &attempt)
+{
+    const bool isBroken = outcome == AttemptOutcome::connectionLost;
+    const bool isUnclear
+        = outcome == AttemptOutcome::silent || outcome == AttemptOutcome::truncated;
+    const bool mayAccuse = !attempt.hasBegun() && (isBroken || isUnclear);
+    if (!isBroken && !mayAccuse)
+        return;
+    if (isBroken)
+        markCrash(target);
+    if (mayAccuse)
+        onPromptLost();
+    checkServerAlive(target, {isBroken, mayAccuse, m_knownCrashes});
+}
+
+void Dispatch::markCrash(const Target &target)
 {
     CrashMark mark;
     {
@@ -427,16 +446,15 @@
     }
     trace("crash mark for " + target.name);
     m_control.broadcastCrashMarks({mark});
-    checkServerAlive(target);
 }
 
 // A connection can break although the server still runs. If the same incarnation of the server
 // responds, the request did not crash it and the mark is removed. A response of a later
 // incarnation, started by a supervisor, must not remove it: that would clear a request that crashes
 // the server each time.
-void Dispatch::checkServerAlive(const Target &target)
+void Dispatch::checkServerAlive(const Target &target, const LostAttempt &lost)
 {
-    m_client.postAfter(serverCheckDelay, [self = shared_from_this(), target] {
+    m_client.postAfter(serverCheckDelay, [self = shared_from_this(), target, lost] {
         BackendServer server;
         server.address = target.address;
         server.pool = self->m_exchange->pool;
@@ -444,18 +462,32 @@
             = self->m_protocol.makeHealthCheck(self->m_exchange->config(), server);
         request.limits.total = std::chrono::seconds(1);
         request.useNewConnection = true;
-        sendBuffered(
-            self->m_client, std::move(request), [self, target](const BufferedResponse &reply) {
-                if (!self->m_protocol.isSameIncarnation(target, reply))
-                    return;
-                std::vector<CrashMark> cleared;
-                {
-                    const std::lock_guard lock(self->m_state.quarantineMutex);
-                    cleared = self->m_state.quarantine.onAnswered(self->m_exchange->fingerprint);
-                }
-                self->m_control.broadcastCrashMarks(std::move(cleared));
-            });
+        sendBuffered(self->m_client, std::move(request),
+                     [self, target, lost](const BufferedResponse &reply) {
+                         self->onServerChecked(target, lost,
+                                               self->m_protocol.isSameIncarnation(target, reply));
+                     });
     });
 }
 
+void Dispatch::onServerChecked(const Target &target, const LostAttempt &lost, bool isAlive)
+{
+    if (isAlive) {
+        if (lost.accusesParts)
+            onServerAlive();
+        std::vector<CrashMark> cleared;
+        if (lost.isMarked) {
+            const std::lock_guard lock(m_state.quarantineMutex);
+            cleared = m_state.quarantine.onAnswered(m_exchange->fingerprint);
+        }
+        if (!cleared.empty())
+            m_control.broadcastCrashMarks(std::move(cleared));
+        return;
+    }
+    if (!lost.isMarked)
+        markCrash(target);
+    if (lost.accusesParts)
+        onServerCrashed(target, lost.knownCrashes);
+}
+
 } // namespace ibisnotch
--- a/src/entry/dispatch.h
+++ b/src/entry/dispatch.h
@@ -55,6 +55,15 @@
 private:
     class Attempt;
 
+    // What an attempt leaves behind whose server may have crashed.
+    struct LostAttempt
+    {
+        bool isMarked = false; // the request counts as one that may have crashed the server
+        bool accusesParts = false; // so do the parts of its prompt
+        std::vector<int> knownCrashes; // of these parts, when the attempt began
+        bool operator==(const LostAttempt &) const = default;
+    };
+
     // How the right to send a booking was acquired.
     enum class SendRight { none, notNeeded, issuedKey, claim };
 
@@ -118,6 +127,16 @@
     // Returns true if the request may be sent to a backend server. If it is quarantined, or held
     // while a trial of it is running, refuses it or lets its stream wait, and returns false.
     bool passesQuarantine();
+    // Parts of the prompt that may crash servers (dispatch-suspects.cc).
+
+    // Refuses the request and returns false if one of them is blocked.
+    bool passesPartCheck();
+    // Called when the server begins to answer.
+    void onAnswerBegun();
+    // Called when an attempt that may have crashed its server has ended without an answer.
+    void onPromptLost();
+    void onServerAlive();
+    void onServerCrashed(const Target &target, const std::vector<int> &knownCrashes);
     OutgoingRequest makeRequest(const Target &target) const;
     // The software version at which a stream goes on (dispatch-origin.cc).
 
@@ -173,8 +192,10 @@
     static bool isNotRunAtPeer(const Target &target, const Attempt &attempt);
     void logFailedAttempt(const Target &target, AttemptOutcome outcome,
                           const Attempt &attempt) const;
-    void onSuspectedCrash(const Target &target);
-    void checkServerAlive(const Target &target);
+    void onSuspectedCrash(const Target &target, AttemptOutcome outcome, const Attempt &attempt);
+    void markCrash(const Target &target);
+    void checkServerAlive(const Target &target, const LostAttempt &lost);
+    void onServerChecked(const Target &target, const LostAttempt &lost, bool isAlive);
     RetryInput retryInput(AttemptOutcome outcome, int runs) const;
     bool mayRetry(const Target &target, AttemptOutcome outcome, int runs) const;
     bool tryAcquireBudget(AttemptOutcome outcome);
@@ -218,6 +239,7 @@
     // not be told "not run".
     bool m_mayHaveRun = false;
     bool m_isQuarantineTrial = false;
+    std::vector<int> m_knownCrashes; // of the prompt's shared parts, when the attempt began
     bool m_forwardedToRegion = false; // an attempt went to another region that did not reject it
     bool m_stayInRegion = false; // another region rejected the request
     int m_coldCheckWaits = 0; // times that the request waited for checks of possibly cold servers
--- a/src/entry/filters.cc
+++ b/src/entry/filters.cc
@@ -251,6 +251,20 @@
     EntryState &m_state;
 };
 
+class SuspectPartFilter final : public Filter
+{
+public:
+    explicit SuspectPartFilter(EntryState &state) : m_state(state) { }
+
+    std::optional<Refusal> apply(Exchange &exchange) override
+    {
+        return blockedPartRefusal(m_state, exchange);
+    }
+
+private:
+    EntryState &m_state;
+};
+
 class UsageFilter final : public Filter
 {
 public:
@@ -367,6 +381,23 @@
     return std::make_unique<QuarantineFilter>(state);
 }
 
+std::unique_ptr<Filter> makeSuspectPartFilter(EntryState &state)
+{
+    return std::make_unique<SuspectPartFilter>(state);
+}
+
+std::optional<Refusal> blockedPartRefusal(EntryState &state, const Exchange &exchange)
+{
+    const auto blocked
+        = state.suspects.findBlocked(loadKey(exchange), exchange.prompt, state.clock.now());
+    if (!blocked)
+        return std::nullopt;
+    return Refusal{
+        ResultCode::promptPartBlocked,
+        fmt::format("part:{},age:{}", blocked->suspect.name, millisecondsText(blocked->age)),
+        blocked->remaining};
+}
+
 std::unique_ptr<Filter> makeUsageFilter(EntryState &state)
 {
     return std::make_unique<UsageFilter>(state);
--- a/src/entry/filters.h
+++ b/src/entry/filters.h
@@ -46,6 +46,10 @@
 // Refuses quarantined requests, and copies of a request whose quarantine trial is running. Bookings
 // are checked later.
 std::unique_ptr<Filter> makeQuarantineFilter(EntryState &state);
+// Refuses prompts with a part that crashes backend servers.
+std::unique_ptr<Filter> makeSuspectPartFilter(EntryState &state);
+// Returns the refusal of such a prompt, or nothing if none of its parts is blocked.
+std::optional<Refusal> blockedPartRefusal(EntryState &state, const Exchange &exchange);
 // Applies the customer's usage cap, on the first instance of a request only. Must be the last
 // filter, because it counts every request that passes.
 std::unique_ptr<Filter> makeUsageFilter(EntryState &state);
--- a/src/entry/range-source.cc
+++ b/src/entry/range-source.cc
@@ -21,16 +21,35 @@
 constexpr std::string_view sourceStore = "store";
 constexpr std::string_view sourcePeer = "peer";
 
+// The range with the suspect parts is empty and rarely changes, so it is watched with fewer calls:
+// a watch that hangs is noticed within the time in which the platform lets a disturbed instance
+// recover, and after a crash one call fetches the records of several instances.
+PrefixFollower::Limits suspectLimits()
+{
+    PrefixFollower::Limits limits;
+    limits.watchTimeout = std::chrono::seconds(5);
+    limits.relayWatchTimeout = std::chrono::seconds(5);
+    limits.updateValidity = std::chrono::seconds(6);
+    limits.coalesceDelay = std::chrono::milliseconds(200);
+    return limits;
+}
+
 } // namespace
 
 RangeSource::RangeSource(EntryState &state, Control &control, std::unique_ptr<RangeStore> store,
                          std::unique_ptr<RecordFormat> format)
-    : m_state(state), m_control(control), m_store(std::move(store)), m_format(std::move(format))
+    : m_state(state), m_control(control), m_store(std::move(store)), m_format(std::move(format)),
+      m_suspects(
+          *m_store, [this](const SuspectKey &key) { return m_format->suspectKey(key); }, control,
+          state.clock, state.random)
 {
     for (const std::string &prefix : m_format->prefixes()) {
+        const bool isSuspects = prefix == m_format->suspectPrefix();
         m_ranges.push_back(std::make_unique<Range>());
         m_ranges.back()->prefix = prefix;
         m_ranges.back()->id = rangeId(prefix);
+        m_ranges.back()->follower
+            = PrefixFollower(isSuspects ? suspectLimits() : PrefixFollower::Limits{});
     }
 }
 
@@ -39,6 +58,7 @@
     chooseRoles();
     for (const auto &range : m_ranges)
         startNextCall(*range);
+    m_suspects.tick();
     m_serversChanged |= m_servers.expire(m_state.clock.now());
     updateListState();
     updateConfigState();
@@ -86,7 +106,8 @@
         const bool responsible
             = m_control.isResponsibleFor("range " + range->prefix, relaysPerRegion);
         range->role = responsible ? FollowRole::relay : FollowRole::listener;
-        if (isSmallRegion)
+        // The records of suspect parts are needed within a second, not within tenths of it.
+        if (isSmallRegion && range->prefix != m_format->suspectPrefix())
             range->role = FollowRole::alone;
         range->follower.setRole(range->role);
     }
@@ -276,6 +297,8 @@
         return m_control.applyConfig(*document, std::string(source));
     if (auto *server = std::get_if<ListedServer>(&record))
         return applyServer(item, std::move(*server), source);
+    if (const auto *suspect = std::get_if<SuspectPart>(&record))
+        return applySuspect(*suspect, source);
     if (const auto *evacuated = std::get_if<EvacuatedDataCentre>(&record)) {
         m_serversChanged |= m_evacuated.insert(evacuated->name).second;
         logLine(LogPart::load, LogLevel::info, "Data centre evacuated.",
@@ -311,8 +334,32 @@
     m_serversChanged = true;
 }
 
+void RangeSource::applySuspect(const SuspectPart &suspect, std::string_view source)
+{
+    const RecordResult result = m_state.suspects.onRecord(suspect, m_state.clock.now());
+    if (result == RecordResult::refuted) {
+        m_suspects.remove({suspect});
+        return logSuspect("Prompt part refuted.", suspect, source);
+    }
+    if (result == RecordResult::known)
+        return;
+    logSuspect(suspect.crashes >= PartSuspects::crashesToBlock ? "Prompt part blocked."
+                                                               : "Prompt part suspect.",
+               suspect, source);
+}
+
+void RangeSource::removeSuspect(const SuspectKey &key, std::string_view source)
+{
+    m_suspects.onRemoved(key.id);
+    if (const auto removed = m_state.suspects.onRecordRemoved(key.id, key.isBlock))
+        logSuspect(key.isBlock ? "Prompt part released." : "Prompt part no longer suspect.",
+                   *removed, source);
+}
+
 void RangeSource::removeItem(const StoreItem &item, std::string_view source)
 {
+    if (const auto key = m_format->parseSuspectKey(item.key))
+        return removeSuspect(*key, source);
     const std::string subject = m_format->subject(item.key);
     m_servers.remove(subject, m_state.clock.now());
     m_evacuated.erase(subject);
--- a/src/entry/range-source.h
+++ b/src/entry/range-source.h
@@ -15,6 +15,7 @@
 #include "ibisnotch/server-list.h"
 #include "ibisnotch/store.h"
 #include "state-source.h"
+#include "suspect-writer.h"
 
 namespace ibisnotch {
 
@@ -37,8 +38,8 @@
     bool operator==(const UnknownRecord &) const = default;
 };
 
-using Record
-    = std::variant<ConfigDocument, ListedServer, EvacuatedDataCentre, InvalidRecord, UnknownRecord>;
+using Record = std::variant<ConfigDocument, ListedServer, EvacuatedDataCentre, SuspectPart,
+                            InvalidRecord, UnknownRecord>;
 
 // The format of the platform's records.
 class RecordFormat
@@ -56,6 +57,11 @@
     virtual std::string serverPrefix() const = 0;
     // Returns the prefix of the range with the configuration.
     virtual std::string configPrefix() const = 0;
+    // Returns the prefix of the range with the suspect parts of prompts, and the keys of one part.
+    virtual std::string suspectPrefix() const = 0;
+    virtual std::string suspectKey(const SuspectKey &key) const = 0;
+    // Returns the part whose record the key names; empty if it is a key of another range.
+    virtual std::optional<SuspectKey> parseSuspectKey(const std::string &key) const = 0;
 };
 
 class RangeSource final : public StateSource
@@ -69,6 +75,14 @@
     std::vector<RangePosition> positions() const override;
     void onPositions(const std::vector<RangePosition> &positions, const std::string &from) override;
     std::vector<RangeReply> updatesSince(const std::vector<RangeRequest> &requests) const override;
+    void recordSuspects(const std::vector<SuspectPart> &suspects) override
+    {
+        m_suspects.record(suspects);
+    }
+    void removeSuspects(const std::vector<SuspectPart> &suspects) override
+    {
+        m_suspects.remove(suspects);
+    }
 
 private:
     struct Range
@@ -99,6 +113,8 @@
     void updateConfigState();
     void applyItem(const StoreItem &item, std::string_view source);
     void applyServer(const StoreItem &item, ListedServer server, std::string_view source);
+    void applySuspect(const SuspectPart &suspect, std::string_view source);
+    void removeSuspect(const SuspectKey &key, std::string_view source);
     void removeItem(const StoreItem &item, std::string_view source);
     void publishChanges();
     std::string regionOf(const std::string &dataCentre) const; // empty if unknown
@@ -112,6 +128,7 @@
     ServerList m_servers;
     std::set<std::string> m_evacuated;
     bool m_serversChanged = false;
+    SuspectWriter m_suspects;
 };
 
 } // namespace ibisnotch
--- a/src/entry/state-source.h
+++ b/src/entry/state-source.h
@@ -4,6 +4,7 @@
 #include <string>
 #include <vector>
 
+#include "ibisnotch/part-suspects.h"
 #include "ibisnotch/range-update.h"
 
 namespace ibisnotch {
@@ -27,6 +28,9 @@
     {
         return {};
     }
+    // Write suspect parts to the store, or remove them from it.
+    virtual void recordSuspects(const std::vector<SuspectPart> &) { }
+    virtual void removeSuspects(const std::vector<SuspectPart> &) { }
     // Called when a new configuration is in force, whichever source it came from.
     virtual void onConfig() { }
 };
--- a/src/entry/state.cc
+++ b/src/entry/state.cc
@@ -28,7 +28,8 @@
 EntryState::EntryState(ProcessSettings processSettings, std::unique_ptr<ConfigFormat> format)
     : settings(std::move(processSettings)), incarnation(newIncarnation()), random(randomSeed()),
       activeConfig(settings.region, std::move(format)), servers(ServerTable::Limits{}),
-      usageCaps(usageLimits(settings)), quarantine(settings.name, Quarantine::Limits{}),
+      usageCaps(usageLimits(settings)), suspects(settings.name),
+      quarantine(settings.name, Quarantine::Limits{}),
       issuedKeys(settings.name, incarnation, IssuedKeys::Limits{}), traces(maxTraces)
 {
     // Requests may arrive before the control loop publishes the members.
--- a/src/entry/state.h
+++ b/src/entry/state.h
@@ -16,6 +16,7 @@
 #include "ibisnotch/membership.h"
 #include "ibisnotch/metrics.h"
 #include "ibisnotch/origin-history.h"
+#include "ibisnotch/part-suspects.h"
 #include "ibisnotch/pick.h"
 #include "ibisnotch/process-settings.h"
 #include "ibisnotch/quarantine.h"
@@ -61,6 +62,7 @@
     UsageCaps usageCaps;
     AffinityPicker picker;
 
+    PartSuspects suspects;
     std::mutex quarantineMutex;
     Quarantine quarantine;
     std::mutex keysMutex;
