A blocked part is tried once more after ten seconds; operators see blocked parts and release them

A sound part that is blocked by mistake was refused for the five minutes of its block. Now the one instance that blocked it sends a single prompt with it after ten seconds: an answer that begins lifts the block everywhere, a crash leaves it. If several block a part at once, they leave the trial to the one whose record the store keeps. /admin/parts lists suspect and blocked parts with the crash behind them, /admin/release-part lifts a block; two gauges count them.

--- a/include/ibisnotch/part-suspects.h
+++ b/include/ibisnotch/part-suspects.h
@@ -83,6 +83,9 @@
     // After this time, prompts with a blocked part are sent again. The next server that crashes
     // blocks the part once more, since the record of the crashes before is kept for longer.
     static constexpr Duration blockTime = std::chrono::minutes(5);
+    // After this time, the instance that blocked a part sends one prompt with it. Without this
+    // trial, a sound part would be refused for as long as the block lasts.
+    static constexpr Duration trialDelay = std::chrono::seconds(10);
     // Time for which the store keeps the record of a row.
     static constexpr Duration suspicionTime = std::chrono::minutes(10);
     // Time after an answer to a suspect part in which the part is not suspected again. A part that
@@ -95,8 +98,12 @@
 
     // Returns the known crashes in a row of each shared part; empty if there are none.
     std::vector<int> knownCrashes(std::string_view pool, const Prompt &prompt) const;
+    // Returns a blocked part of the prompt that isn't due for its trial.
     std::optional<BlockedPart> findBlocked(std::string_view pool, const Prompt &prompt,
                                            TimePoint now) const;
+    // The same for a prompt that is about to be sent to a server. If nothing is returned, the
+    // prompt is the trial of all its blocked parts.
+    std::optional<BlockedPart> admit(std::string_view pool, const Prompt &prompt, TimePoint now);
 
     // Called when a connection breaks before an answer to the prompt has begun. The server has
     // crashed or still runs, and one of the next two functions is called when this is known.
@@ -114,6 +121,9 @@
     // Returns what was known of the part, if anything.
     std::optional<SuspectPart> onRecordRemoved(const std::string &id, bool isBlock);
 
+    // Called when an operator declares a part sound. Returns what was known of it, if anything.
+    std::optional<SuspectPart> release(const std::string &id);
+
     // Return all suspect parts, and those of them that are blocked.
     std::vector<SuspectPart> suspects() const;
     std::vector<BlockedPart> blocked(TimePoint now) const;
@@ -124,9 +134,14 @@
         SuspectPart suspect;
         int crashes = 0; // in a row, without the one that led to the block
         std::optional<TimePoint> blockedAt;
+        std::optional<TimePoint> trialDueAt; // if this instance is the one to make the trial
         int lostPrompts = 0; // of which it isn't known yet whether their servers have crashed
 
         int knownCrashes() const { return blockedAt ? crashesToBlock : crashes; }
+        bool refuses(TimePoint now) const
+        {
+            return blockedAt && (!trialDueAt || now < *trialDueAt);
+        }
     };
     using Entries = std::map<std::string, Entry>; // by id
 
--- a/src/decide/part-suspects.cc
+++ b/src/decide/part-suspects.cc
@@ -86,12 +86,32 @@
     const std::lock_guard lock(m_mutex);
     for (const PromptPart &part : prompt.sharedParts()) {
         const Entry *entry = find(suspectId(pool, part));
-        if (entry != nullptr && entry->blockedAt)
+        if (entry != nullptr && entry->refuses(now))
             return makeBlocked(*entry, now);
     }
     return std::nullopt;
 }
 
+std::optional<BlockedPart> PartSuspects::admit(std::string_view pool, const Prompt &prompt,
+                                               TimePoint now)
+{
+    if (m_isEmpty)
+        return std::nullopt;
+    const std::lock_guard lock(m_mutex);
+    std::vector<Entry *> tried;
+    for (const PromptPart &part : prompt.sharedParts()) {
+        const auto found = m_entries.find(suspectId(pool, part));
+        if (found == m_entries.end())
+            continue;
+        if (found->second.refuses(now))
+            return makeBlocked(found->second, now);
+        tried.push_back(&found->second);
+    }
+    for (Entry *entry : tried)
+        entry->trialDueAt.reset();
+    return std::nullopt;
+}
+
 void PartSuspects::onPromptLost(std::string_view pool, const Prompt &prompt)
 {
     const std::lock_guard lock(m_mutex);
@@ -153,8 +173,11 @@
             continue;
         SuspectPart suspect{
             id, partText(parts[i]), crashed.pool, crashes, crashed.server, crashed.request, m_self};
-        if (apply(suspect, now))
+        if (apply(suspect, now)) {
+            if (crashes == crashesToBlock)
+                m_entries[id].trialDueAt = now + trialDelay;
             changed.push_back(std::move(suspect));
+        }
         if (crashes == crashesToBlock)
             break;
     }
@@ -221,6 +244,12 @@
     const std::lock_guard lock(m_mutex);
     if (hasAnsweredLately(suspect.id, now))
         return RecordResult::refuted;
+    // Another instance has blocked the part at the same time. The last one to do so makes the
+    // trial.
+    const auto found = m_entries.find(suspect.id);
+    const bool blocks = suspect.crashes >= crashesToBlock;
+    if (found != m_entries.end() && blocks && suspect.observer != m_self)
+        found->second.trialDueAt.reset();
     return apply(suspect, now) ? RecordResult::news : RecordResult::known;
 }
 
@@ -234,10 +263,12 @@
         return std::nullopt;
     Entry &entry = found->second;
     const SuspectPart removed = entry.suspect;
-    if (isBlock)
+    if (isBlock) {
         entry.blockedAt.reset();
-    else
+        entry.trialDueAt.reset();
+    } else {
         entry.crashes = 0;
+    }
     entry.suspect.crashes = entry.crashes;
     if (entry.knownCrashes() == 0 && entry.lostPrompts == 0)
         m_entries.erase(found);
@@ -245,6 +276,18 @@
     return removed;
 }
 
+std::optional<SuspectPart> PartSuspects::release(const std::string &id)
+{
+    const std::lock_guard lock(m_mutex);
+    const auto found = m_entries.find(id);
+    if (found == m_entries.end() || found->second.knownCrashes() == 0)
+        return std::nullopt;
+    const SuspectPart released = found->second.suspect;
+    m_entries.erase(found);
+    updateIsEmpty();
+    return released;
+}
+
 std::vector<SuspectPart> PartSuspects::suspects() const
 {
     std::vector<SuspectPart> all;
--- a/src/decide/prompt.cc
+++ b/src/decide/prompt.cc
@@ -24,8 +24,11 @@
 std::string sharedPartsText(const Prompt &prompt)
 {
     std::string text;
-    for (const PromptPart &part : prompt.sharedParts())
-        text += (text.empty() ? "" : ",") + partText(part);
+    for (const PromptPart &part : prompt.sharedParts()) {
+        if (!text.empty())
+            text += ',';
+        text += partText(part);
+    }
     return text;
 }
 
--- a/src/entry/control.cc
+++ b/src/entry/control.cc
@@ -314,6 +314,11 @@
     constexpr double percent = 100;
     m_membership.setLoadPercent(static_cast<std::uint8_t>(std::min(1.0, utilization) * percent));
     m_state.metrics.setGauge("ibisnotch_in_flight", m_state.inFlight);
+    m_state.metrics.setGauge("ibisnotch_suspect_parts",
+                             static_cast<double>(m_state.suspects.suspects().size()));
+    m_state.metrics.setGauge(
+        "ibisnotch_blocked_parts",
+        static_cast<double>(m_state.suspects.blocked(m_state.clock.now()).size()));
     m_state.metrics.setGauge("ibisnotch_config_version",
                              static_cast<double>(m_state.activeConfig.version()));
 }
--- a/src/entry/dispatch-suspects.cc
+++ b/src/entry/dispatch-suspects.cc
@@ -5,18 +5,23 @@
 
 namespace ibisnotch {
 
-// The part may have been blocked since the request arrived, while it waited or ran elsewhere.
-bool Dispatch::passesPartCheck()
+// A part may have been blocked since the request arrived, while it waited or ran elsewhere.
+bool Dispatch::passesPartCheck(const Target &target)
 {
-    const auto refusal = blockedPartRefusal(m_state, *m_exchange);
-    if (!refusal)
+    const TimePoint now = m_state.clock.now();
+    const std::string &pool = loadKey(*m_exchange);
+    const Prompt &prompt = m_exchange->prompt;
+    const auto blocked = target.isPeer ? m_state.suspects.findBlocked(pool, prompt, now)
+                                       : m_state.suspects.admit(pool, prompt, now);
+    if (!blocked)
         return true;
+    const Refusal refusal = blockedPartRefusal(*blocked);
     logLine(LogPart::request, LogLevel::info, "Not sent.",
             {{"request", m_exchange->id},
-             {"code", std::to_string(static_cast<int>(refusal->code))},
-             {"by", refusal->detail}});
+             {"code", std::to_string(static_cast<int>(refusal.code))},
+             {"by", refusal.detail}});
     settleNotRun();
-    refuse(*refusal);
+    refuse(refusal);
     return false;
 }
 
--- a/src/entry/dispatch.cc
+++ b/src/entry/dispatch.cc
@@ -258,7 +258,7 @@
         settleNotRun();
         return refuse({ResultCode::deadlineTooShort, "", jitteredRetryAfter(1, m_state.random)});
     }
-    if (!passesPartCheck() || (!target.isPeer && !passesQuarantine()))
+    if (!passesPartCheck(target) || (!target.isPeer && !passesQuarantine()))
         return;
     ++m_attempts;
     m_serverAttempts += target.isPeer ? 0 : 1;
--- a/src/entry/dispatch.h
+++ b/src/entry/dispatch.h
@@ -130,7 +130,7 @@
     // Parts of the prompt that may crash servers (dispatch-suspects.cc).
 
     // Refuses the request and returns false if one of them is blocked.
-    bool passesPartCheck();
+    bool passesPartCheck(const Target &target);
     // Called when the server begins to answer.
     void onAnswerBegun();
     // Called when an attempt that may have crashed its server has ended without an answer.
--- a/src/entry/filters.cc
+++ b/src/entry/filters.cc
@@ -258,7 +258,11 @@
 
     std::optional<Refusal> apply(Exchange &exchange) override
     {
-        return blockedPartRefusal(m_state, exchange);
+        const auto blocked
+            = m_state.suspects.findBlocked(loadKey(exchange), exchange.prompt, m_state.clock.now());
+        if (!blocked)
+            return std::nullopt;
+        return blockedPartRefusal(*blocked);
     }
 
 private:
@@ -386,16 +390,11 @@
     return std::make_unique<SuspectPartFilter>(state);
 }
 
-std::optional<Refusal> blockedPartRefusal(EntryState &state, const Exchange &exchange)
+Refusal blockedPartRefusal(const BlockedPart &blocked)
 {
-    const auto blocked
-        = state.suspects.findBlocked(loadKey(exchange), exchange.prompt, state.clock.now());
-    if (!blocked)
-        return std::nullopt;
-    return Refusal{
-        ResultCode::promptPartBlocked,
-        fmt::format("part:{},age:{}", blocked->suspect.name, millisecondsText(blocked->age)),
-        blocked->remaining};
+    return {ResultCode::promptPartBlocked,
+            fmt::format("part:{},age:{}", blocked.suspect.name, millisecondsText(blocked.age)),
+            blocked.remaining};
 }
 
 std::unique_ptr<Filter> makeUsageFilter(EntryState &state)
--- a/src/entry/filters.h
+++ b/src/entry/filters.h
@@ -48,8 +48,8 @@
 std::unique_ptr<Filter> makeQuarantineFilter(EntryState &state);
 // Refuses prompts with a part that crashes backend servers.
 std::unique_ptr<Filter> makeSuspectPartFilter(EntryState &state);
-// Returns the refusal of such a prompt, or nothing if none of its parts is blocked.
-std::optional<Refusal> blockedPartRefusal(EntryState &state, const Exchange &exchange);
+// Returns the refusal of a prompt with this part.
+Refusal blockedPartRefusal(const BlockedPart &blocked);
 // Applies the customer's usage cap, on the first instance of a request only. Must be the last
 // filter, because it counts every request that passes.
 std::unique_ptr<Filter> makeUsageFilter(EntryState &state);
--- a/src/entry/operators.cc
+++ b/src/entry/operators.cc
@@ -176,6 +176,41 @@
     return reply(200, {{"server", server}, {"drained", drained}});
 }
 
+json suspectFields(const SuspectPart &suspect)
+{
+    return {{"part", suspect.name},        {"id", suspect.id},         {"pool", suspect.pool},
+            {"crashes", suspect.crashes},  {"server", suspect.server}, {"request", suspect.request},
+            {"observer", suspect.observer}};
+}
+
+HttpResponse suspectParts(const EntryState &state)
+{
+    json suspects = json::array();
+    for (const SuspectPart &suspect : state.suspects.suspects())
+        suspects.push_back(suspectFields(suspect));
+    json blocked = json::array();
+    for (const BlockedPart &part : state.suspects.blocked(state.clock.now())) {
+        blocked.push_back(suspectFields(part.suspect));
+        blocked.back()["ageMs"] = millisecondsText(part.age);
+        blocked.back()["remainingMs"] = millisecondsText(part.remaining);
+    }
+    return reply(200,
+                 {{"instance", state.settings.name}, {"suspects", suspects}, {"blocked", blocked}});
+}
+
+HttpResponse releasePart(DispatchServices &services, const HttpRequest &request)
+{
+    const std::string id = queryValue(request.query, "id").value_or("");
+    std::optional<SuspectPart> released;
+    if (request.method == "POST")
+        released = services.state.suspects.release(id);
+    if (!released)
+        return reply(404, {{"error", "POST with id=ID of a suspect part expected"}});
+    services.control.removeSuspects({*released});
+    logSuspect("Prompt part released.", *released, "operator");
+    return reply(200, suspectFields(*released));
+}
+
 } // namespace
 
 std::optional<HttpResponse> handleOperatorRequest(DispatchServices &services,
@@ -194,6 +229,10 @@
     if (request.path == "/admin/burn")
         return HttpResponse{
             200, {{"Content-Type", "application/json"}}, serializeBurn(state.burn.series())};
+    if (request.path == "/admin/parts")
+        return suspectParts(state);
+    if (request.path == "/admin/release-part")
+        return releasePart(services, request);
     if (request.path == "/admin/drain")
         return drain(services, request, true);
     if (request.path == "/admin/undrain")
--- a/src/entry/operators.h
+++ b/src/entry/operators.h
@@ -9,8 +9,8 @@
 namespace ibisnotch {
 
 // Handles /metrics, /admin/status, /admin/explain?id=ID, /admin/customers, /admin/burn,
-// /admin/drain?server=NAME and /admin/undrain?server=NAME. Returns std::nullopt for any other
-// path.
+// /admin/parts, /admin/release-part?id=ID, /admin/drain?server=NAME and
+// /admin/undrain?server=NAME. Returns std::nullopt for any other path.
 std::optional<HttpResponse> handleOperatorRequest(DispatchServices &services,
                                                   const HttpRequest &request);
 
--- a/test/part-suspects-test.cc
+++ b/test/part-suspects-test.cc
@@ -130,6 +130,36 @@
     CHECK(isBlocked(prompt));
 }
 
+// Guards against a sound part that is refused for as long as its block lasts.
+TEST_CASE_METHOD(SuspectsFixture, "partSuspects_blockedForAWhile_isTriedOnceByOneInstance")
+{
+    const Prompt prompt = promptOf({7});
+    PartSuspects other("e2");
+    SuspectPart record;
+    for (int server = 0; server < 3; ++server)
+        record = crash(prompt).front();
+    CHECK(other.onRecord(record, now) == RecordResult::news);
+    CHECK(suspects.admit("pool", prompt, now));
+    now += PartSuspects::trialDelay;
+    CHECK_FALSE(isBlocked(prompt));
+    CHECK_FALSE(suspects.admit("pool", prompt, now));
+    CHECK(suspects.admit("pool", prompt, now));
+    CHECK(isBlocked(prompt));
+    CHECK(other.admit("pool", prompt, now));
+}
+
+// Guards against a trial at each of several instances that block a part at the same time.
+TEST_CASE_METHOD(SuspectsFixture, "partSuspects_blockedByOthersToo_leavesThemTheTrial")
+{
+    const Prompt prompt = promptOf({7});
+    SuspectPart record;
+    for (int server = 0; server < 3; ++server)
+        record = crash(prompt).front();
+    record.observer = "e2";
+    CHECK(suspects.onRecord(record, now) == RecordResult::known);
+    CHECK(suspects.admit("pool", prompt, now + PartSuspects::trialDelay));
+}
+
 TEST_CASE_METHOD(SuspectsFixture, "partSuspects_rowRemoved_isForgotten")
 {
     const std::string id = crash(promptOf({7})).front().id;
