A block that its trial has confirmed is renewed while callers send the part

Without it, a part that crashes servers would be sent again each five minutes, and each time cost a server or two and a trial. A block whose trial crashed a server too is written again at half its time if prompts were refused since; the instances draw lots, so about one of them writes. Unconfirmed blocks still end by themselves. Test: partSuspects_trialCrashes_blockIsRenewedWhilePromptsCome.

--- a/include/ibisnotch/part-suspects.h
+++ b/include/ibisnotch/part-suspects.h
@@ -80,6 +80,9 @@
     // Servers that crash in a row before a part is blocked. Two would block sound parts that few
     // requests use when servers fail for other reasons.
     static constexpr int crashesToBlock = 3;
+    // Crashes in a row once the trial of a blocked part has crashed a server too. No mistake is
+    // left then, so the block is renewed for as long as callers send the part.
+    static constexpr int crashesToConfirm = crashesToBlock + 1;
     // After this time, prompts with a blocked part are sent again. The next server that crashes
     // blocks the part once more, since the record of the crashes before is kept for longer.
     static constexpr Duration blockTime = std::chrono::minutes(5);
@@ -98,9 +101,10 @@
 
     // Returns the known crashes in a row of each shared part; empty if there are none.
     std::vector<int> knownCrashes(std::string_view pool, const Prompt &prompt) const;
-    // Returns a blocked part of the prompt that isn't due for its trial.
+    // Returns a blocked part of the prompt that isn't due for its trial. The prompt must then be
+    // refused.
     std::optional<BlockedPart> findBlocked(std::string_view pool, const Prompt &prompt,
-                                           TimePoint now) const;
+                                           TimePoint now);
     // The same for a prompt that is about to be sent to a server. If nothing is returned, the
     // prompt is the trial of all its blocked parts.
     std::optional<BlockedPart> admit(std::string_view pool, const Prompt &prompt, TimePoint now);
@@ -121,6 +125,10 @@
     // Returns what was known of the part, if anything.
     std::optional<SuspectPart> onRecordRemoved(const std::string &id, bool isBlock);
 
+    // Returns the blocks to be written again so that they don't end: those confirmed that are past
+    // half their time and have refused a prompt within that time.
+    std::vector<SuspectPart> renewals(TimePoint now) const;
+
     // Called when an operator declares a part sound. Returns what was known of it, if anything.
     std::optional<SuspectPart> release(const std::string &id);
 
@@ -134,10 +142,11 @@
         SuspectPart suspect;
         int crashes = 0; // in a row, without the one that led to the block
         std::optional<TimePoint> blockedAt;
+        TimePoint refusedAt{}; // when a prompt was refused last
         std::optional<TimePoint> trialDueAt; // if this instance is the one to make the trial
         int lostPrompts = 0; // of which it isn't known yet whether their servers have crashed
 
-        int knownCrashes() const { return blockedAt ? crashesToBlock : crashes; }
+        int knownCrashes() const { return blockedAt ? suspect.crashes : crashes; }
         bool refuses(TimePoint now) const
         {
             return blockedAt && (!trialDueAt || now < *trialDueAt);
--- a/src/decide/part-suspects.cc
+++ b/src/decide/part-suspects.cc
@@ -49,7 +49,7 @@
     }
     if (!body.contains("crashes") || !body["crashes"].is_number_integer())
         return absl::InvalidArgumentError("crashes: number expected");
-    suspect.crashes = std::clamp(body["crashes"].get<int>(), 0, PartSuspects::crashesToBlock);
+    suspect.crashes = std::clamp(body["crashes"].get<int>(), 0, PartSuspects::crashesToConfirm);
     return suspect;
 }
 
@@ -79,19 +79,36 @@
 }
 
 std::optional<BlockedPart> PartSuspects::findBlocked(std::string_view pool, const Prompt &prompt,
-                                                     TimePoint now) const
+                                                     TimePoint now)
 {
     if (m_isEmpty)
         return std::nullopt;
     const std::lock_guard lock(m_mutex);
     for (const PromptPart &part : prompt.sharedParts()) {
-        const Entry *entry = find(suspectId(pool, part));
-        if (entry != nullptr && entry->refuses(now))
-            return makeBlocked(*entry, now);
+        const auto found = m_entries.find(suspectId(pool, part));
+        if (found == m_entries.end() || !found->second.refuses(now))
+            continue;
+        found->second.refusedAt = now;
+        return makeBlocked(found->second, now);
     }
     return std::nullopt;
 }
 
+std::vector<SuspectPart> PartSuspects::renewals(TimePoint now) const
+{
+    std::vector<SuspectPart> due;
+    if (m_isEmpty)
+        return due;
+    const std::lock_guard lock(m_mutex);
+    for (const auto &[id, entry] : m_entries) {
+        const bool isOld = entry.blockedAt && *entry.blockedAt + blockTime / 2 <= now;
+        const bool isConfirmed = entry.suspect.crashes >= crashesToConfirm;
+        if (isOld && isConfirmed && now < entry.refusedAt + blockTime / 2)
+            due.push_back(entry.suspect);
+    }
+    return due;
+}
+
 std::optional<BlockedPart> PartSuspects::admit(std::string_view pool, const Prompt &prompt,
                                                TimePoint now)
 {
@@ -166,7 +183,7 @@
     int longest = -1; // row of a part that may be the cause
     for (std::size_t i = 0; i < parts.size(); ++i)
         longest = entries[i] == nullptr ? longest : std::max(longest, known[i]);
-    const int crashes = std::min(longest + 1, crashesToBlock);
+    const int crashes = std::min(longest + 1, crashesToConfirm);
     for (std::size_t i = parts.size(); i-- > 0;) {
         const std::string id = suspectId(crashed.pool, parts[i]);
         if (entries[i] == nullptr || known[i] != longest || hasAnsweredLately(id, now))
@@ -174,11 +191,11 @@
         SuspectPart suspect{
             id, partText(parts[i]), crashed.pool, crashes, crashed.server, crashed.request, m_self};
         if (apply(suspect, now)) {
-            if (crashes == crashesToBlock)
-                m_entries[id].trialDueAt = now + trialDelay;
+            m_entries[id].trialDueAt
+                = crashes == crashesToBlock ? std::optional(now + trialDelay) : std::nullopt;
             changed.push_back(std::move(suspect));
         }
-        if (crashes == crashesToBlock)
+        if (crashes >= crashesToBlock)
             break;
     }
     removeUnsuspected(crashed.pool, crashed.prompt);
@@ -244,12 +261,15 @@
     const std::lock_guard lock(m_mutex);
     if (hasAnsweredLately(suspect.id, now))
         return RecordResult::refuted;
-    // Another instance has blocked the part at the same time. The last one to do so makes the
-    // trial.
     const auto found = m_entries.find(suspect.id);
-    const bool blocks = suspect.crashes >= crashesToBlock;
-    if (found != m_entries.end() && blocks && suspect.observer != m_self)
-        found->second.trialDueAt.reset();
+    const bool isBlockedHere = found != m_entries.end() && found->second.blockedAt;
+    if (isBlockedHere && suspect.crashes >= crashesToBlock) {
+        // The block was renewed, or another instance has made it at the same time. The last one to
+        // do so makes the trial.
+        found->second.blockedAt = now;
+        if (suspect.observer != m_self)
+            found->second.trialDueAt.reset();
+    }
     return apply(suspect, now) ? RecordResult::news : RecordResult::known;
 }
 
--- a/src/entry/range-source.cc
+++ b/src/entry/range-source.cc
@@ -58,6 +58,7 @@
     chooseRoles();
     for (const auto &range : m_ranges)
         startNextCall(*range);
+    m_suspects.renew(m_state.suspects.renewals(m_state.clock.now()));
     m_suspects.tick();
     m_serversChanged |= m_servers.expire(m_state.clock.now());
     updateListState();
--- a/src/entry/suspect-writer.cc
+++ b/src/entry/suspect-writer.cc
@@ -15,6 +15,9 @@
 // others' delays have passed.
 constexpr Duration minRemovalDelay = std::chrono::milliseconds(100);
 constexpr Duration maxRemovalDelay = std::chrono::milliseconds(1000);
+// Share of the ticks, of which there are ten a second, at which an instance renews a block that is
+// due. The others have about the time until then to learn of it.
+constexpr double renewalShare = 0.01;
 constexpr Duration retryDelay = std::chrono::milliseconds(500);
 // The store accepts 32 entries in one call. A record has up to two keys.
 constexpr std::size_t maxPartsPerCall = 16;
@@ -76,6 +79,17 @@
                                                * m_random.uniform());
 }
 
+// All instances refuse prompts with a blocked part, and one of them renews the block for all.
+void SuspectWriter::renew(const std::vector<SuspectPart> &blocks)
+{
+    std::vector<SuspectPart> chosen;
+    for (const SuspectPart &block : blocks) {
+        if (m_random.uniform() < renewalShare)
+            chosen.push_back(block);
+    }
+    record(chosen);
+}
+
 void SuspectWriter::sendNext()
 {
     if (m_callPending || m_clock.now() < m_nextCallAt)
--- a/src/entry/suspect-writer.h
+++ b/src/entry/suspect-writer.h
@@ -48,6 +48,8 @@
 
     void record(const std::vector<SuspectPart> &suspects);
     void remove(const std::vector<SuspectPart> &suspects);
+    // Called at each tick with the blocks that have to be renewed.
+    void renew(const std::vector<SuspectPart> &blocks);
     // Called when the store no longer holds the part's record.
     void onRemoved(const std::string &id) { m_removals.erase(id); }
     // Called several times a second.
--- a/test/part-suspects-test.cc
+++ b/test/part-suspects-test.cc
@@ -148,6 +148,27 @@
     CHECK(other.admit("pool", prompt, now));
 }
 
+// Guards against servers that crash each time that the block of the same part ends.
+TEST_CASE_METHOD(SuspectsFixture, "partSuspects_trialCrashes_blockIsRenewedWhilePromptsCome")
+{
+    const Prompt prompt = promptOf({7});
+    for (int server = 0; server < 3; ++server)
+        crash(prompt);
+    now += PartSuspects::blockTime / 2;
+    CHECK(isBlocked(promptOf({8, 7})) == false);
+    CHECK(suspects.renewals(now).empty());
+    const auto confirmed = crash(prompt);
+    REQUIRE(confirmed.size() == 1);
+    CHECK(confirmed[0].crashes == PartSuspects::crashesToConfirm);
+    CHECK(suspects.renewals(now).empty());
+    now += PartSuspects::blockTime / 2;
+    CHECK(suspects.renewals(now).empty());
+    CHECK(isBlocked(prompt));
+    CHECK(suspects.renewals(now) == confirmed);
+    CHECK(suspects.onRecord(confirmed[0], now) == RecordResult::known);
+    CHECK(suspects.renewals(now).empty());
+}
+
 // Guards against a trial at each of several instances that block a part at the same time.
 TEST_CASE_METHOD(SuspectsFixture, "partSuspects_blockedByOthersToo_leavesThemTheTrial")
 {
