A server that hangs accuses no part of a prompt

A silent attempt whose server then does not answer its health check in time either counted as a crash: sound parts and requests were held against servers that hang. Only a broken connection or a refused one shows a crash now.

--- a/src/entry/dispatch-end.cc
+++ b/src/entry/dispatch-end.cc
@@ -10,13 +10,8 @@
 
 void Dispatch::deliver(Attempt &attempt)
 {
-    std::vector<CrashMark> cleared;
-    if (m_isQuarantineTrial) {
-        const std::lock_guard lock(m_state.quarantineMutex);
-        cleared = m_state.quarantine.onAnswered(m_exchange->fingerprint);
-    }
-    if (!cleared.empty())
-        m_control.broadcastCrashMarks(std::move(cleared));
+    if (m_isQuarantineTrial)
+        clearCrash();
     const ResultCode code = attempt.reader().resultCode();
     const RunState run = resultInfo(code).runState;
     // A peer's refusal covers only its own attempts; an earlier attempt of this instance may have
--- a/src/entry/dispatch.cc
+++ b/src/entry/dispatch.cc
@@ -464,30 +464,38 @@
         request.useNewConnection = true;
         sendBuffered(self->m_client, std::move(request),
                      [self, target, lost](const BufferedResponse &reply) {
-                         self->onServerChecked(target, lost,
-                                               self->m_protocol.isSameIncarnation(target, reply));
+                         self->onServerChecked(target, lost, reply);
                      });
     });
 }
 
-void Dispatch::onServerChecked(const Target &target, const LostAttempt &lost, bool isAlive)
+void Dispatch::onServerChecked(const Target &target, const LostAttempt &lost,
+                               const BufferedResponse &reply)
 {
-    if (isAlive) {
-        if (lost.accusesParts)
-            onServerAlive();
-        std::vector<CrashMark> cleared;
-        if (lost.isMarked) {
-            const std::lock_guard lock(m_state.quarantineMutex);
-            cleared = m_state.quarantine.onAnswered(m_exchange->fingerprint);
-        }
-        if (!cleared.empty())
-            m_control.broadcastCrashMarks(std::move(cleared));
-        return;
-    }
-    if (!lost.isMarked)
+    const bool isAlive = m_protocol.isSameIncarnation(target, reply);
+    // A server that hangs doesn't respond either. Only a broken connection then shows a crash.
+    const bool mayHang = reply.result.outcome == TransferOutcome::timedOut && !lost.isMarked;
+    if (isAlive && lost.isMarked)
+        clearCrash();
+    if (!isAlive && !mayHang && !lost.isMarked)
         markCrash(target);
-    if (lost.accusesParts)
+    if (!lost.accusesParts)
+        return;
+    if (isAlive || mayHang)
+        onServerAlive();
+    else
         onServerCrashed(target, lost.knownCrashes);
 }
 
+void Dispatch::clearCrash()
+{
+    std::vector<CrashMark> cleared;
+    {
+        const std::lock_guard lock(m_state.quarantineMutex);
+        cleared = m_state.quarantine.onAnswered(m_exchange->fingerprint);
+    }
+    if (!cleared.empty())
+        m_control.broadcastCrashMarks(std::move(cleared));
+}
+
 } // namespace ibisnotch
--- a/src/entry/dispatch.h
+++ b/src/entry/dispatch.h
@@ -195,7 +195,9 @@
     void onSuspectedCrash(const Target &target, AttemptOutcome outcome, const Attempt &attempt);
     void markCrash(const Target &target);
     void checkServerAlive(const Target &target, const LostAttempt &lost);
-    void onServerChecked(const Target &target, const LostAttempt &lost, bool isAlive);
+    void onServerChecked(const Target &target, const LostAttempt &lost,
+                         const BufferedResponse &reply);
+    void clearCrash();
     RetryInput retryInput(AttemptOutcome outcome, int runs) const;
     bool mayRetry(const Target &target, AttemptOutcome outcome, int runs) const;
     bool tryAcquireBudget(AttemptOutcome outcome);
