A lease of suspect parts is shared for a tenth of its lifetime, so that a block lasts until its renewal

What callers would see: servers that crash for some seconds at each renewal of a block, where an instance blocks several parts. Cause: a record took any lease younger than half its lifetime, and a block is renewed at half of its. Ruled out: the row, which outlives its block in both.

--- a/src/entry/suspect-writer.cc
+++ b/src/entry/suspect-writer.cc
@@ -15,6 +15,8 @@
 // others' delays have passed.
 constexpr Duration minRemovalDelay = std::chrono::milliseconds(100);
 constexpr Duration maxRemovalDelay = std::chrono::milliseconds(1000);
+// A lease is shared by the records of this fraction of its lifetime.
+constexpr int leaseSharingDivisor = 10;
 // Share of the ticks, of which there are ten a second, at which an instance renews a block that is
 // due. The others have about the time until then to learn of it.
 constexpr double renewalShare = 0.01;
@@ -99,11 +101,13 @@
     sendRemovals();
 }
 
-// A lease is shared by the records of half its lifetime, which saves a call for each of them.
+// A lease is shared by records, which saves a call for each of them. It must then still last for
+// longer than half its lifetime, at which a block is renewed.
 std::optional<std::string> SuspectWriter::leaseFor(Duration lifetime)
 {
     const auto found = m_leases.find(lifetime);
-    if (found != m_leases.end() && m_clock.now() < found->second.grantedAt + lifetime / 2)
+    if (found != m_leases.end()
+        && m_clock.now() < found->second.grantedAt + lifetime / leaseSharingDivisor)
         return found->second.id;
     m_callPending = true;
     m_store.grantLease(lifetime, [this, lifetime](const StoreLease &lease) {
