--- a/include/ibisnotch/part-suspects.h
+++ b/include/ibisnotch/part-suspects.h
@@ -58,6 +58,14 @@
     bool operator==(const BlockedPart &) const = default;
 };
 
+// Whether a prompt may be sent to a server.
+struct Admittance
+{
+    std::optional<BlockedPart> blocked; // for which it may not
+    std::vector<BlockedPart> tried; // blocked parts of which it is the trial
+    bool operator==(const Admittance &) const = default;
+};
+
 // What followed from a record of the store.
 enum class RecordResult {
     known,
@@ -105,9 +113,8 @@
     // refused.
     std::optional<BlockedPart> findBlocked(std::string_view pool, const Prompt &prompt,
                                            TimePoint now);
-    // The same for a prompt that is about to be sent to a server. If nothing is returned, the
-    // prompt is the trial of all its blocked parts.
-    std::optional<BlockedPart> admit(std::string_view pool, const Prompt &prompt, TimePoint now);
+    // The same for a prompt that is about to be sent to a server.
+    Admittance admit(std::string_view pool, const Prompt &prompt, TimePoint now);
 
     // Called when a connection breaks before an answer to the prompt has begun. The server has
     // crashed or still runs, and one of the next two functions is called when this is known.
--- a/src/decide/part-suspects.cc
+++ b/src/decide/part-suspects.cc
@@ -109,24 +109,29 @@
     return due;
 }
 
-std::optional<BlockedPart> PartSuspects::admit(std::string_view pool, const Prompt &prompt,
-                                               TimePoint now)
+Admittance PartSuspects::admit(std::string_view pool, const Prompt &prompt, TimePoint now)
 {
+    Admittance result;
     if (m_isEmpty)
-        return std::nullopt;
+        return result;
     const std::lock_guard lock(m_mutex);
     std::vector<Entry *> tried;
     for (const PromptPart &part : prompt.sharedParts()) {
         const auto found = m_entries.find(suspectId(pool, part));
-        if (found == m_entries.end())
+        if (found == m_entries.end() || !found->second.blockedAt)
             continue;
-        if (found->second.refuses(now))
-            return makeBlocked(found->second, now);
+        if (found->second.refuses(now)) {
+            found->second.refusedAt = now;
+            result.blocked = makeBlocked(found->second, now);
+            return result;
+        }
         tried.push_back(&found->second);
     }
-    for (Entry *entry : tried)
+    for (Entry *entry : tried) {
         entry->trialDueAt.reset();
-    return std::nullopt;
+        result.tried.push_back(makeBlocked(*entry, now));
+    }
+    return result;
 }
 
 void PartSuspects::onPromptLost(std::string_view pool, const Prompt &prompt)
--- a/src/entry/dispatch.cc
+++ b/src/entry/dispatch.cc
@@ -17,8 +17,6 @@
 constexpr Duration progressCheckInterval = std::chrono::milliseconds(600);
 // Servers in the same region accept a connection within milliseconds, another region within 160 ms.
 constexpr Duration connectTimeout = std::chrono::milliseconds(500);
-// By then, a working server has closed the connection or accepted a new one.
-constexpr Duration serverCheckDelay = std::chrono::milliseconds(300);
 
 } // namespace
 
@@ -417,85 +415,4 @@
     return target.isPeer && resultInfo(attempt.reader().resultCode()).runState == RunState::notRun;
 }
 
-// A connection that breaks accuses the request at once. Servers also time out, or end an answer
-// early, without having crashed; then the request is accused only once it is known that the server
-// is gone.
-void Dispatch::onSuspectedCrash(const Target &target, AttemptOutcome outcome,
-                                const Attempt &attempt)
-{
-    const bool isBroken = outcome == AttemptOutcome::connectionLost;
-    const bool isUnclear
-        = outcome == AttemptOutcome::silent || outcome == AttemptOutcome::truncated;
-    const bool mayAccuse = !attempt.hasBegun() && (isBroken || isUnclear);
-    if (!isBroken && !mayAccuse)
-        return;
-    if (isBroken)
-        markCrash(target);
-    if (mayAccuse)
-        onPromptLost();
-    checkServerAlive(target, {isBroken, mayAccuse, m_knownCrashes});
-}
-
-void Dispatch::markCrash(const Target &target)
-{
-    CrashMark mark;
-    {
-        const std::lock_guard lock(m_state.quarantineMutex);
-        mark = m_state.quarantine.onServerCrashed(m_exchange->fingerprint, target.name,
-                                                  m_state.clock.now());
-    }
-    trace("crash mark for " + target.name);
-    m_control.broadcastCrashMarks({mark});
-}
-
-// A connection can break although the server still runs. If the same incarnation of the server
-// responds, the request did not crash it and the mark is removed. A response of a later
-// incarnation, started by a supervisor, must not remove it: that would clear a request that crashes
-// the server each time.
-void Dispatch::checkServerAlive(const Target &target, const LostAttempt &lost)
-{
-    m_client.postAfter(serverCheckDelay, [self = shared_from_this(), target, lost] {
-        BackendServer server;
-        server.address = target.address;
-        server.pool = self->m_exchange->pool;
-        OutgoingRequest request
-            = self->m_protocol.makeHealthCheck(self->m_exchange->config(), server);
-        request.limits.total = std::chrono::seconds(1);
-        request.useNewConnection = true;
-        sendBuffered(self->m_client, std::move(request),
-                     [self, target, lost](const BufferedResponse &reply) {
-                         self->onServerChecked(target, lost, reply);
-                     });
-    });
-}
-
-void Dispatch::onServerChecked(const Target &target, const LostAttempt &lost,
-                               const BufferedResponse &reply)
-{
-    const bool isAlive = m_protocol.isSameIncarnation(target, reply);
-    // A server that hangs doesn't respond either. Only a broken connection then shows a crash.
-    const bool mayHang = reply.result.outcome == TransferOutcome::timedOut && !lost.isMarked;
-    if (isAlive && lost.isMarked)
-        clearCrash();
-    if (!isAlive && !mayHang && !lost.isMarked)
-        markCrash(target);
-    if (!lost.accusesParts)
-        return;
-    if (isAlive || mayHang)
-        onServerAlive();
-    else
-        onServerCrashed(target, lost.knownCrashes);
-}
-
-void Dispatch::clearCrash()
-{
-    std::vector<CrashMark> cleared;
-    {
-        const std::lock_guard lock(m_state.quarantineMutex);
-        cleared = m_state.quarantine.onAnswered(m_exchange->fingerprint);
-    }
-    if (!cleared.empty())
-        m_control.broadcastCrashMarks(std::move(cleared));
-}
-
 } // namespace ibisnotch
--- a/src/entry/dispatch.h
+++ b/src/entry/dispatch.h
@@ -127,9 +127,17 @@
     // Returns true if the request may be sent to a backend server. If it is quarantined, or held
     // while a trial of it is running, refuses it or lets its stream wait, and returns false.
     bool passesQuarantine();
-    // Parts of the prompt that may crash servers (dispatch-suspects.cc).
+    // Whether a server has crashed, and what is held against the request and the parts of its
+    // prompt (dispatch-suspects.cc).
 
-    // Refuses the request and returns false if one of them is blocked.
+    // Called when an attempt at a server has ended while its caller is there.
+    void onSuspectedCrash(const Target &target, AttemptOutcome outcome, const Attempt &attempt);
+    void checkServerAlive(const Target &target, const LostAttempt &lost);
+    void onServerChecked(const Target &target, const LostAttempt &lost,
+                         const BufferedResponse &reply);
+    void markCrash(const Target &target);
+    void clearCrash();
+    // Refuses the request and returns false if a part of its prompt is blocked.
     bool passesPartCheck(const Target &target);
     // Called when the server begins to answer.
     void onAnswerBegun();
@@ -192,12 +200,6 @@
     static bool isNotRunAtPeer(const Target &target, const Attempt &attempt);
     void logFailedAttempt(const Target &target, AttemptOutcome outcome,
                           const Attempt &attempt) const;
-    void onSuspectedCrash(const Target &target, AttemptOutcome outcome, const Attempt &attempt);
-    void markCrash(const Target &target);
-    void checkServerAlive(const Target &target, const LostAttempt &lost);
-    void onServerChecked(const Target &target, const LostAttempt &lost,
-                         const BufferedResponse &reply);
-    void clearCrash();
     RetryInput retryInput(AttemptOutcome outcome, int runs) const;
     bool mayRetry(const Target &target, AttemptOutcome outcome, int runs) const;
     bool tryAcquireBudget(AttemptOutcome outcome);
--- a/test/part-suspects-test.cc
+++ b/test/part-suspects-test.cc
@@ -139,13 +139,16 @@
     for (int server = 0; server < 3; ++server)
         record = crash(prompt).front();
     CHECK(other.onRecord(record, now) == RecordResult::news);
-    CHECK(suspects.admit("pool", prompt, now));
+    CHECK(suspects.admit("pool", prompt, now).blocked);
     now += PartSuspects::trialDelay;
     CHECK_FALSE(isBlocked(prompt));
-    CHECK_FALSE(suspects.admit("pool", prompt, now));
-    CHECK(suspects.admit("pool", prompt, now));
+    const Admittance trial = suspects.admit("pool", prompt, now);
+    CHECK_FALSE(trial.blocked);
+    REQUIRE(trial.tried.size() == 1);
+    CHECK(trial.tried[0].suspect == record);
+    CHECK(suspects.admit("pool", prompt, now).blocked);
     CHECK(isBlocked(prompt));
-    CHECK(other.admit("pool", prompt, now));
+    CHECK(other.admit("pool", prompt, now).blocked);
 }
 
 // Guards against servers that crash each time that the block of the same part ends.
@@ -178,7 +181,7 @@
         record = crash(prompt).front();
     record.observer = "e2";
     CHECK(suspects.onRecord(record, now) == RecordResult::known);
-    CHECK(suspects.admit("pool", prompt, now + PartSuspects::trialDelay));
+    CHECK(suspects.admit("pool", prompt, now + PartSuspects::trialDelay).blocked);
 }
 
 TEST_CASE_METHOD(SuspectsFixture, "partSuspects_rowRemoved_isForgotten")
