--- /dev/null
+++ b/src/entry/control-config.cc
@@ -0,0 +1,67 @@
+// The part of the control loop that puts configurations in force and gets them from other
+// instances.
+#include <algorithm>
+
+#include "control.h"
+#include "ibisnotch/log.h"
+
+namespace ibisnotch {
+
+void Control::pullConfigFrom(const std::string &gossipAddress)
+{
+    if (m_pullInProgress)
+        return;
+    m_pullInProgress = true;
+    PeerRequest request;
+    request.knownVersion = m_state.activeConfig.version();
+    m_link.sendRequest(gossipAddress, request, [this](const std::optional<PeerReply> &reply) {
+        m_pullInProgress = false;
+        if (reply)
+            applyConfigDelta(reply->delta);
+    });
+}
+
+void Control::applyConfigDelta(const ConfigDelta &delta)
+{
+    if (delta.toVersion == 0)
+        return;
+    const auto before = m_state.activeConfig.document();
+    const auto document = applyDelta(before.get(), delta);
+    if (document.ok())
+        applyConfig(*document, "peer");
+}
+
+void Control::applyConfig(const ConfigDocument &document, const std::string &source)
+{
+    const ConfigApplyResult result = m_state.activeConfig.apply(document);
+    if (result == ConfigApplyResult::invalid) {
+        m_rejectedVersion = std::max(m_rejectedVersion, document.version);
+        logLine(LogPart::config, LogLevel::error, "Configuration version rejected.",
+                {{"version", std::to_string(document.version)},
+                 {"reason", m_state.activeConfig.lastError()}});
+    }
+    if (result != ConfigApplyResult::accepted)
+        return;
+    logLine(LogPart::config, LogLevel::info, "Configuration version in force.",
+            {{"version", std::to_string(document.version)}, {"source", source}});
+    m_state.servers.setConfig(m_state.activeConfig.config());
+    m_state.originHistory.setServices(m_state.activeConfig.config()->services, m_state.clock.now());
+    m_state.usageCaps.setCaps(m_state.activeConfig.config()->customers);
+    m_source->onConfig();
+    publishRoutingTable();
+    announceConfig();
+}
+
+void Control::announceConfig()
+{
+    // Sent without loads, which would make up most of the traffic when the configuration changes
+    // every few seconds.
+    for (OutgoingProbe &item : m_membership.broadcast(gossipFanout, m_state.random)) {
+        GossipMessage message;
+        message.probe = std::move(item.probe);
+        message.configVersion = m_state.activeConfig.version();
+        m_link.sendGossip(item.address, message);
+    }
+}
+
+} // namespace ibisnotch
--- a/src/entry/control.h
+++ b/src/entry/control.h
@@ -99,6 +99,7 @@
 
 private:
     static constexpr std::size_t maxLoadsPerMessage = 48; // 19 bytes each
+    static constexpr int gossipFanout = 4; // members that news is sent to at once
 
     void sendOrigins(const std::string &gossipAddress, const OriginMessage &message) override
     {
