--- a/src/entry/dispatch-suspects.cc
+++ b/src/entry/dispatch-suspects.cc
@@ -147,9 +147,7 @@
         {loadKey(*m_exchange), m_exchange->prompt, knownCrashes, target.name, m_exchange->id},
         m_state.clock.now());
     for (const SuspectPart &suspect : suspects)
-        logSuspect(suspect.crashes >= PartSuspects::crashesToBlock ? "Prompt part blocked."
-                                                                   : "Prompt part suspect.",
-                   suspect, "crash");
+        logSuspect(suspicionSentence(suspect), suspect, "crash");
     if (!suspects.empty())
         m_control.recordSuspects(suspects);
 }
--- a/src/entry/range-source.cc
+++ b/src/entry/range-source.cc
@@ -344,9 +344,7 @@
     }
     if (result == RecordResult::known)
         return;
-    logSuspect(suspect.crashes >= PartSuspects::crashesToBlock ? "Prompt part blocked."
-                                                               : "Prompt part suspect.",
-               suspect, source);
+    logSuspect(suspicionSentence(suspect), suspect, source);
 }
 
 void RangeSource::removeSuspect(const SuspectKey &key, std::string_view source)
--- a/src/entry/suspect-writer.cc
+++ b/src/entry/suspect-writer.cc
@@ -26,6 +26,12 @@
 
 } // namespace
 
+std::string_view suspicionSentence(const SuspectPart &suspect)
+{
+    return suspect.crashes >= PartSuspects::crashesToBlock ? "Prompt part blocked."
+                                                           : "Prompt part suspect.";
+}
+
 void logSuspect(std::string_view sentence, const SuspectPart &suspect, std::string_view source)
 {
     logLine(LogPart::load, LogLevel::warn, sentence,
--- a/src/entry/suspect-writer.h
+++ b/src/entry/suspect-writer.h
@@ -23,6 +23,8 @@
     bool operator==(const SuspectKey &) const = default;
 };
 
+// Returns the sentence of a part that was accused or blocked.
+std::string_view suspicionSentence(const SuspectPart &suspect);
 // Logs a change of what this instance knows of a part. `source` is where it learned of it.
 void logSuspect(std::string_view sentence, const SuspectPart &suspect, std::string_view source);
 
