A block does not end with the record of its row

What callers would see: a part that crashes servers is sent again while its block still stands in the store. Cause: the end of the row's record took the crashes of a blocked part with it, and a part without crashes is forgotten. Evidence: partSuspects_rowRemovedBeforeItsBlock_staysBlocked failed before (three checks) and passes. Ruled out: a removal by an instance that saw an answer, which takes both records at once. Elsewhere: nothing else reads the two records apart.

--- a/include/ibisnotch/part-suspects.h
+++ b/include/ibisnotch/part-suspects.h
@@ -88,8 +88,8 @@
     // Servers that crash in a row before a part is blocked. Two would block sound parts that few
     // requests use when servers fail for other reasons.
     static constexpr int crashesToBlock = 3;
-    // Crashes in a row once the trial of a blocked part has crashed a server too. No mistake is
-    // left then, so the block is renewed for as long as callers send the part.
+    // Crashes in a row once the trial of a blocked part has crashed a server too. The block is then
+    // renewed for as long as callers send the part.
     static constexpr int crashesToConfirm = crashesToBlock + 1;
     // After this time, prompts with a blocked part are sent again. The next server that crashes
     // blocks the part once more, since the record of the crashes before is kept for longer.
--- a/src/decide/part-suspects.cc
+++ b/src/decide/part-suspects.cc
@@ -294,7 +294,8 @@
     } else {
         entry.crashes = 0;
     }
-    entry.suspect.crashes = entry.crashes;
+    if (!entry.blockedAt)
+        entry.suspect.crashes = entry.crashes;
     if (entry.knownCrashes() == 0 && entry.lostPrompts == 0)
         m_entries.erase(found);
     updateIsEmpty();
--- a/test/part-suspects-test.cc
+++ b/test/part-suspects-test.cc
@@ -184,6 +184,21 @@
     CHECK(suspects.admit("pool", prompt, now + PartSuspects::trialDelay).blocked);
 }
 
+// Guards against a block that ends with the record of its row.
+TEST_CASE_METHOD(SuspectsFixture, "partSuspects_rowRemovedBeforeItsBlock_staysBlocked")
+{
+    const Prompt prompt = promptOf({7});
+    std::string id;
+    for (int server = 0; server < 4; ++server)
+        id = crash(prompt).front().id;
+    CHECK(suspects.onRecordRemoved(id, false));
+    CHECK(isBlocked(prompt));
+    CHECK(suspects.knownCrashes("pool", prompt)
+          == std::vector<int>{PartSuspects::crashesToConfirm});
+    CHECK(suspects.onRecordRemoved(id, true));
+    CHECK(suspects.suspects().empty());
+}
+
 TEST_CASE_METHOD(SuspectsFixture, "partSuspects_rowRemoved_isForgotten")
 {
     const std::string id = crash(promptOf({7})).front().id;
