Lines and a count for servers that say that they leave, or ask for rest

Now: "Backend server says that it leaves." with the first such answer of a server, "Backend server asks for rest." when a rest begins, "Backend server's rest cannot be used." once a server, and ibisnotch_server_rests_total. No decision uses any of it yet.

--- a/include/ibisnotch/metrics.h
+++ b/include/ibisnotch/metrics.h
@@ -44,6 +44,8 @@
     // Counts an attempt that continues a stream. `knownBy` names how the stream's origin is known.
     void onStreamContinued(std::string_view knownBy);
     void onServerSilent();
+    // Counts a response in which a server asks for rest.
+    void onServerRest();
     void setGauge(const std::string &name, double value);
 
     // Returns all metrics. Latencies are histograms in seconds.
--- a/include/ibisnotch/server-table.h
+++ b/include/ibisnotch/server-table.h
@@ -98,8 +98,16 @@
     std::atomic<Duration::rep> statusCheckFailedAt = 0;
     std::atomic<int> statusCheckFailures = 0; // in a row, without a sign of life in between
     std::atomic<bool> trialInProgress = false; // one request is testing the ejected server
+
+    // What the server said of itself in responses to this instance.
+    std::atomic<bool> saidLeaving = false;
+    std::atomic<bool> saidInvalidRest = false;
+    std::atomic<Duration::rep> restsUntil = 0; // it wants no requests of this instance before then
 };
 
+// Extends the server's rest; never ends it sooner. Returns true if it did not rest before.
+bool extendRest(ServerCounters &counters, TimePoint until, TimePoint now);
+
 // A server that the platform's list of instances shows as leaving. The list may be outdated: the
 // server may have been restarted since.
 struct LeavingNotice
--- a/src/decide/server-table.cc
+++ b/src/decide/server-table.cc
@@ -54,6 +54,15 @@
     return "usable";
 }
 
+// Requests end on several threads, and a response that asks for a shorter rest may arrive last.
+bool extendRest(ServerCounters &counters, TimePoint until, TimePoint now)
+{
+    const Duration::rep wanted = until.time_since_epoch().count();
+    Duration::rep known = counters.restsUntil;
+    while (known < wanted && !counters.restsUntil.compare_exchange_weak(known, wanted)) { }
+    return known <= now.time_since_epoch().count();
+}
+
 double correctedLoad(const ServerView &view, double trafficFactor)
 {
     // In a region of a hundred instances, one request of this instance says almost nothing about
--- a/src/entry/dispatch.cc
+++ b/src/entry/dispatch.cc
@@ -195,6 +195,7 @@
         m_streamRecorded
             = m_streamRecorded || recordStreamStarted(*target.counters, m_recoveryEpoch);
     }
+    logStatement(target, reader.statement());
     // Few servers name a limit, so most responses need not go through the control loop.
     const NamedLimit limit = reader.namedLimit();
     if (target.limited || limit.perSecond > 0 || !limit.invalidText.empty())
@@ -206,6 +207,32 @@
                                        m_state.clock.now());
 }
 
+// Logs the first response in which a server says that it leaves, and each that begins a rest.
+void Dispatch::logStatement(const Target &target, const ServerStatement &said) const
+{
+    constexpr std::size_t maxLoggedTextLength = 32;
+    const TimePoint now = m_state.clock.now();
+    if (said.leaving && !target.counters->saidLeaving.exchange(true))
+        logLine(LogPart::load, LogLevel::info, "Backend server says that it leaves.",
+                {{"server", target.name},
+                 {"request", m_exchange->id},
+                 {"inFlight", std::to_string(target.counters->inFlight)}});
+    if (!said.rest.invalidText.empty() && !target.counters->saidInvalidRest.exchange(true))
+        logLine(LogPart::load, LogLevel::warn, "Backend server's rest cannot be used.",
+                {{"server", target.name},
+                 {"rest", said.rest.invalidText.substr(0, maxLoggedTextLength)}});
+    if (said.rest.time.count() <= 0)
+        return;
+    const bool begins = extendRest(*target.counters, now + said.rest.time, now);
+    m_state.metrics.onServerRest();
+    if (begins)
+        logLine(LogPart::load, LogLevel::info, "Backend server asks for rest.",
+                {{"server", target.name},
+                 {"request", m_exchange->id},
+                 {"restMs", millisecondsText(said.rest.time)},
+                 {"inFlight", std::to_string(target.counters->inFlight)}});
+}
+
 void Dispatch::writeToCaller(const Attempt &attempt, std::string data)
 {
     const ResponseReader &reader = attempt.reader();
--- a/src/entry/protocol.h
+++ b/src/entry/protocol.h
@@ -12,6 +12,7 @@
 #include "filters.h"
 #include "ibisnotch/http-client.h"
 #include "ibisnotch/retry.h"
+#include "ibisnotch/server-statement.h"
 
 namespace ibisnotch {
 
@@ -81,6 +82,9 @@
     virtual int reportedAttempts() const { return 0; }
     // Returns the origin of the stream as a peer reported it; empty if it reported none.
     virtual std::optional<StreamOrigin> reportedOrigin() const { return std::nullopt; }
+    // Returns what the response's backend server says of itself. Known after onHead(); empty for a
+    // response of a peer.
+    virtual ServerStatement statement() const { return {}; }
     // Returns true if the server reports that it is draining.
     virtual bool isServerLeaving() const { return false; }
     virtual std::optional<ResponseLoad> reportedLoad() const { return std::nullopt; }
--- a/src/net/metrics.cc
+++ b/src/net/metrics.cc
@@ -93,6 +93,7 @@
     std::map<std::string, double> m_gauges;
     std::atomic<std::uint64_t> m_retries = 0;
     std::atomic<std::uint64_t> m_serversSilent = 0;
+    std::atomic<std::uint64_t> m_serverRests = 0;
 };
 
 Metrics::Metrics() : m_d(std::make_unique<Private>()) { }
@@ -127,6 +128,11 @@
     ++m_d->m_continued[std::string(knownBy)];
 }
 
+void Metrics::onServerRest()
+{
+    ++m_d->m_serverRests;
+}
+
 void Metrics::onServerSilent()
 {
     ++m_d->m_serversSilent;
@@ -163,6 +169,7 @@
     }
     out += fmt::format("ibisnotch_retries_total {}\n", m_d->m_retries.load());
     out += fmt::format("ibisnotch_servers_silent_total {}\n", m_d->m_serversSilent.load());
+    out += fmt::format("ibisnotch_server_rests_total {}\n", m_d->m_serverRests.load());
     for (const auto &[end, count] : m_d->m_attempts)
         out += fmt::format("ibisnotch_attempts_total{{end=\"{}\"}} {}\n", end, count);
     for (const auto &[knownBy, count] : m_d->m_continued)
