A server that says in an answer that it leaves gets no new requests (DRAIN)

Callers saw: on an installation whose store was away, requests still reached a server 4.1 to 5 s after it had said in an answer that it leaves. Cause: the header is new and no code read it; and what was known of a server belonged to its list entry, which replaces it whenever its revision rises, not to the process.

Now what an answer says is kept for the process, until a later process of the server is known by the start time in its list entry. It holds for all threads from the moment of the answer, and goes to the region with the load reports.

test/server-table-test.cc calls the changed function with the process; what it checks is unchanged.

--- a/include/ibisnotch/server-table.h
+++ b/include/ibisnotch/server-table.h
@@ -13,6 +13,7 @@
 
 #include "ibisnotch/clock.h"
 #include "ibisnotch/config.h"
+#include "ibisnotch/server-statement.h"
 
 namespace ibisnotch {
 
@@ -99,7 +100,8 @@
     std::atomic<int> statusCheckFailures = 0; // in a row, without a sign of life in between
     std::atomic<bool> trialInProgress = false; // one request is testing the ejected server
 
-    // What the server said of itself in responses to this instance.
+    // What the server's process said of itself. Routing tables are published a little later, and
+    // other threads would send to the server until then.
     std::atomic<bool> saidLeaving = false;
     std::atomic<bool> saidInvalidRest = false;
     std::atomic<Duration::rep> restsUntil = 0; // it wants no requests of this instance before then
@@ -121,6 +123,7 @@
 struct ListedServer
 {
     BackendServer server;
+    std::uint64_t incarnation = 0; // as in LoadReport; 0 if the entry doesn't tell it
     bool leaving = false;
     // Remaining time in which the server can handle only its pool's warm-up rate, as of the entry's
     // last change.
@@ -263,8 +266,8 @@
     bool onReport(const CompactLoad &load, TimePoint now);
     // Called when the platform's list shows that these servers are leaving.
     void onLeavingList(const std::vector<LeavingNotice> &notices);
-    // Called when a server reports in a response that it is leaving.
-    void onSelfReportedLeaving(const std::string &server);
+    // Called when a server says in a response that it is leaving. Returns true if that is news.
+    bool onSelfReportedLeaving(const Speaker &speaker, TimePoint now);
 
     // Records the outcome of an attempt and ejects a server that fails repeatedly.
     void onAttempt(const std::string &server, AttemptHealth health, TimePoint now);
@@ -330,7 +333,9 @@
     // requests to it before.
     void recordCold(Record &record, Duration remaining, bool wasInUse, TimePoint now);
     // Resets the state that belongs to the server's previous process.
-    static void startIncarnation(Record &record, const LoadReport &report);
+    void startIncarnation(Record &record, const LoadReport &report);
+    // Sets in the record what its server's process said of itself.
+    void applyStatements(Record &record);
 
     Limits m_limits;
     mutable std::mutex m_mutex;
@@ -348,6 +353,7 @@
     // entry that is read late may be older than the report, and may have been removed and added
     // again since.
     std::map<std::string, TimePoint> m_selfReportedCold;
+    ServerStatements m_statements;
     std::map<std::uint32_t, double> m_requestLimits; // by serverId()
     std::vector<std::string> m_senders;
     bool m_sendersComplete = false;
--- a/src/decide/server-table.cc
+++ b/src/decide/server-table.cc
@@ -132,8 +132,9 @@
             continue;
         const bool wasListed = record.revision > 0;
         // A newer entry replaces the status, also if it shows a leaving server as live again: the
-        // server was restarted under the same name.
+        // server was restarted under the same name. What its process said of itself stays.
         record.revision = listed.revision;
+        record.report.incarnation = std::max(record.report.incarnation, listed.incarnation);
         record.leaving = listed.leaving;
         const auto cold = m_selfReportedCold.find(name);
         const Duration selfReportedRemaining
@@ -142,8 +143,10 @@
     }
     m_records = std::move(records);
     m_names.clear();
-    for (const auto &[name, record] : m_records)
+    for (auto &[name, record] : m_records) {
         m_names[serverId(name)] = name;
+        applyStatements(record);
+    }
 }
 
 void ServerTable::recordCold(Record &record, Duration remaining, bool wasInUse, TimePoint now)
@@ -172,7 +175,7 @@
 CompactLoad ServerTable::compact(const Record &record, TimePoint now)
 {
     LoadReport report = record.report;
-    report.leaving = record.leaving;
+    report.leaving = record.leaving || record.counters->saidLeaving;
     report.ageMs = static_cast<std::uint32_t>(
         std::chrono::duration_cast<std::chrono::milliseconds>(now - record.reportedAt).count());
     return compactLoad(report);
@@ -220,6 +223,13 @@
     record.ejections = 0;
     record.ejectedUntil = {};
     record.report.incarnation = report.incarnation;
+    applyStatements(record);
+}
+
+void ServerTable::applyStatements(Record &record)
+{
+    record.counters->saidLeaving = m_statements.isLeaving(record.server.name, record.server.address,
+                                                          record.report.incarnation);
 }
 
 bool ServerTable::onReport(const CompactLoad &load, TimePoint now)
@@ -257,6 +267,11 @@
     if (report.incarnation > record.report.incarnation)
         startIncarnation(record, report);
     record.leaving = record.leaving || report.leaving;
+    // Without the start time, the report may be of an earlier process.
+    if (report.leaving && report.incarnation != 0) {
+        m_statements.onLeaving({report.server, record.server.address, report.incarnation}, now);
+        applyStatements(record);
+    }
     if (record.everReported && at <= record.reportedAt)
         return statusOf(record, now) != before;
     const std::uint64_t incarnation = record.report.incarnation;
@@ -288,12 +303,16 @@
     }
 }
 
-void ServerTable::onSelfReportedLeaving(const std::string &server)
+bool ServerTable::onSelfReportedLeaving(const Speaker &speaker, TimePoint now)
 {
     const std::lock_guard lock(m_mutex);
-    const auto found = m_records.find(server);
-    if (found != m_records.end())
-        found->second.leaving = true;
+    m_statements.onLeaving(speaker, now);
+    const auto found = m_records.find(speaker.server);
+    if (found == m_records.end() || found->second.server.address != speaker.address)
+        return false;
+    const bool before = found->second.counters->saidLeaving;
+    applyStatements(found->second);
+    return !before && found->second.counters->saidLeaving;
 }
 
 void ServerTable::onAttempt(const std::string &server, AttemptHealth health, TimePoint now)
@@ -409,7 +428,7 @@
 ServerStatus ServerTable::statusOf(const Record &record, TimePoint now) const
 {
     const bool evacuated = m_evacuated.count(record.server.dataCentre) > 0;
-    if (record.leaving || record.drained || evacuated)
+    if (record.leaving || record.counters->saidLeaving || record.drained || evacuated)
         return ServerStatus::leaving;
     if (record.everReported && !record.report.reachable)
         return ServerStatus::unreachable;
--- a/src/entry/chat-protocol.cc
+++ b/src/entry/chat-protocol.cc
@@ -21,7 +21,7 @@
 
     std::optional<AttemptOutcome> onHead(int status, const Headers &headers) override
     {
-        m_isServerLeaving = !m_fromPeer && headers.get("X-Engine-Draining").has_value();
+        m_statement.leaving = !m_fromPeer && headers.get("X-Engine-Draining").has_value();
         if (m_check.onHead(status, headers) != ResponseVerdict::valid)
             return AttemptOutcome::mismatched;
         const std::string type = headers.get("Content-Type").value_or("");
@@ -58,7 +58,7 @@
     bool isStreaming() const override { return m_isStreaming; }
     ResultCode resultCode() const override { return m_resultCode; }
     int reportedAttempts() const override { return m_reportedAttempts; }
-    bool isServerLeaving() const override { return m_isServerLeaving; }
+    ServerStatement statement() const override { return m_statement; }
 
 private:
     static std::optional<AttemptOutcome> classifyStatus(int status, const Headers &headers)
@@ -74,7 +74,7 @@
     ResponseFormat m_format;
     bool m_fromPeer;
     bool m_isStreaming = false;
-    bool m_isServerLeaving = false;
+    ServerStatement m_statement;
     ResultCode m_resultCode = ResultCode::served;
     int m_reportedAttempts = 0;
 };
--- a/src/entry/control-loads.cc
+++ b/src/entry/control-loads.cc
@@ -7,6 +7,7 @@
 #include "ibisnotch/hash.h"
 #include "ibisnotch/load-metrics.h"
 #include "ibisnotch/log.h"
+#include "statements.h"
 
 namespace ibisnotch {
 
@@ -144,13 +145,26 @@
     sendToRegion(report);
 }
 
+void Control::onCheckResponse(const ServerView &view, TimePoint sentAt,
+                              const BufferedResponse &reply)
+{
+    Target target;
+    target.name = view.server.name;
+    target.address = view.server.address;
+    target.incarnation = view.incarnation;
+    if (m_protocol.saysServerLeaves(target, reply) && hearLeaving(m_state, target, sentAt, "check"))
+        publishRoutingTable();
+}
+
 void Control::checkSilentServers()
 {
+    const TimePoint sentAt = m_state.clock.now();
     onSilenceChanges(m_silentServers.tick());
     for (const ServerView &view : m_silentServers.dueForStatusCheck()) {
         sendBuffered(m_client, makeRegionStatusCheck(m_protocol, view.server),
-                     [this, view](const BufferedResponse &reply) {
-                         m_link.post([this, view, reply] {
+                     [this, view, sentAt](const BufferedResponse &reply) {
+                         m_link.post([this, view, sentAt, reply] {
+                             onCheckResponse(view, sentAt, reply);
                              onSilenceChanges(m_silentServers.onStatusCheckEnded(view, reply));
                          });
                      });
@@ -161,8 +175,9 @@
         // The response also shows whether the server is cold.
         const ColdCheck check{view, view.counters->possiblyColdSent};
         sendBuffered(m_client, makeRegionHealthCheck(m_state, m_protocol, view.server),
-                     [this, check](const BufferedResponse &reply) {
-                         m_link.post([this, check, reply] {
+                     [this, check, sentAt](const BufferedResponse &reply) {
+                         m_link.post([this, check, sentAt, reply] {
+                             onCheckResponse(check.view, sentAt, reply);
                              broadcastColdUpdate(m_coldServers.onHealthCheckEnded(check, reply));
                              onSilenceChanges(
                                  m_silentServers.onHealthCheckEnded(check.view, reply));
@@ -173,13 +188,15 @@
 
 void Control::checkColdServers()
 {
+    const TimePoint sentAt = m_state.clock.now();
     const auto isResponsible = [this](const ServerView &view) {
         return isResponsibleFor(view.server.name, checkersPerServer);
     };
     for (const ColdCheck &check : m_coldServers.dueForHealthCheck(isResponsible)) {
         sendBuffered(m_client, makeRegionHealthCheck(m_state, m_protocol, check.view.server),
-                     [this, check](const BufferedResponse &reply) {
-                         m_link.post([this, check, reply] {
+                     [this, check, sentAt](const BufferedResponse &reply) {
+                         m_link.post([this, check, sentAt, reply] {
+                             onCheckResponse(check.view, sentAt, reply);
                              broadcastColdUpdate(m_coldServers.onHealthCheckEnded(check, reply));
                          });
                      });
--- a/src/entry/control.h
+++ b/src/entry/control.h
@@ -122,6 +122,8 @@
 
     void checkColdServers();
     void broadcastColdUpdate(const std::optional<ColdUpdate> &update);
+    // Hears what a server says of itself in the response to a check sent at `sentAt`.
+    void onCheckResponse(const ServerView &view, TimePoint sentAt, const BufferedResponse &reply);
     void checkSilentServers();
     void onSilenceChanges(SilenceChanges changes);
     void sendLimitUpdate(const LimitResult &result);
--- a/src/entry/dispatch-plan.cc
+++ b/src/entry/dispatch-plan.cc
@@ -62,10 +62,12 @@
     return m_state.clock.now() < view.coldUntil || view.requestLimit > 0;
 }
 
-// Returns false if the server is cold, or named a limit, and may not get a request from this
-// instance now.
+// Returns false if the server leaves, or is cold or named a limit and may not get a request from
+// this instance now.
 bool Dispatch::maySend(const RoutingTable &table, const ServerView &view) const
 {
+    if (view.counters->saidLeaving)
+        return false;
     if (!isRateLimited(view))
         return true;
     const TimePoint now = m_state.clock.now();
--- a/src/entry/dispatch-suspects.cc
+++ b/src/entry/dispatch-suspects.cc
@@ -4,6 +4,7 @@
 #include "dispatch.h"
 #include "filters.h"
 #include "ibisnotch/log.h"
+#include "statements.h"
 
 namespace ibisnotch {
 
@@ -59,8 +60,12 @@
             = self->m_protocol.makeHealthCheck(self->m_exchange->config(), server);
         request.limits.total = std::chrono::seconds(1);
         request.useNewConnection = true;
+        const TimePoint sentAt = self->m_state.clock.now();
         sendBuffered(self->m_client, std::move(request),
-                     [self, target, lost](const BufferedResponse &reply) {
+                     [self, target, lost, sentAt](const BufferedResponse &reply) {
+                         if (self->m_protocol.saysServerLeaves(target, reply)
+                             && hearLeaving(self->m_state, target, sentAt, "check"))
+                             self->m_control.scheduleRoutingUpdate();
                          self->onServerChecked(target, lost, reply);
                      });
     });
--- a/src/entry/dispatch.cc
+++ b/src/entry/dispatch.cc
@@ -8,6 +8,7 @@
 #include "ibisnotch/log.h"
 #include "ibisnotch/read-delay.h"
 #include "ibisnotch/silence.h"
+#include "statements.h"
 
 namespace ibisnotch {
 
@@ -15,8 +16,6 @@
 
 // An attempt that receives nothing is checked for the first time after this.
 constexpr Duration progressCheckInterval = std::chrono::milliseconds(600);
-// Servers in the same region accept a connection within milliseconds, another region within 160 ms.
-constexpr Duration connectTimeout = std::chrono::milliseconds(500);
 
 } // namespace
 
@@ -195,41 +194,37 @@
         m_streamRecorded
             = m_streamRecorded || recordStreamStarted(*target.counters, m_recoveryEpoch);
     }
-    logStatement(target, reader.statement());
+    logRest(target, reader.statement().rest);
     // Few servers name a limit, so most responses need not go through the control loop.
     const NamedLimit limit = reader.namedLimit();
     if (target.limited || limit.perSecond > 0 || !limit.invalidText.empty())
         m_control.onNamedLimit(target.name, limit, m_attemptStartedAt);
-    if (reader.isServerLeaving())
-        m_state.servers.onSelfReportedLeaving(target.name);
+    if (reader.statement().leaving
+        && hearLeaving(m_state, target, m_attemptStartedAt, m_exchange->id))
+        m_control.scheduleRoutingUpdate();
     if (const auto load = m_responseLoad)
         m_state.servers.onResponseLoad(target.name, load->running, load->waiting,
                                        m_state.clock.now());
 }
 
-// Logs the first response in which a server says that it leaves, and each that begins a rest.
-void Dispatch::logStatement(const Target &target, const ServerStatement &said) const
+// Logs the response that begins a rest, and the first whose rest can't be used.
+void Dispatch::logRest(const Target &target, const NamedRest &rest) const
 {
     constexpr std::size_t maxLoggedTextLength = 32;
     const TimePoint now = m_state.clock.now();
-    if (said.leaving && !target.counters->saidLeaving.exchange(true))
-        logLine(LogPart::load, LogLevel::info, "Backend server says that it leaves.",
-                {{"server", target.name},
-                 {"request", m_exchange->id},
-                 {"inFlight", std::to_string(target.counters->inFlight)}});
-    if (!said.rest.invalidText.empty() && !target.counters->saidInvalidRest.exchange(true))
-        logLine(LogPart::load, LogLevel::warn, "Backend server's rest cannot be used.",
-                {{"server", target.name},
-                 {"rest", said.rest.invalidText.substr(0, maxLoggedTextLength)}});
-    if (said.rest.time.count() <= 0)
+    if (!rest.invalidText.empty() && !target.counters->saidInvalidRest.exchange(true))
+        logLine(
+            LogPart::load, LogLevel::warn, "Backend server's rest cannot be used.",
+            {{"server", target.name}, {"rest", rest.invalidText.substr(0, maxLoggedTextLength)}});
+    if (rest.time.count() <= 0)
         return;
-    const bool begins = extendRest(*target.counters, now + said.rest.time, now);
+    const bool begins = extendRest(*target.counters, now + rest.time, now);
     m_state.metrics.onServerRest();
     if (begins)
         logLine(LogPart::load, LogLevel::info, "Backend server asks for rest.",
                 {{"server", target.name},
                  {"request", m_exchange->id},
-                 {"restMs", millisecondsText(said.rest.time)},
+                 {"restMs", millisecondsText(rest.time)},
                  {"inFlight", std::to_string(target.counters->inFlight)}});
 }
 
--- a/src/entry/dispatch.h
+++ b/src/entry/dispatch.h
@@ -171,7 +171,7 @@
     void logContinuation(const Target &target) const;
     // Called by the current attempt.
     void onServerResponse(const Target &target, const ResponseReader &reader);
-    void logStatement(const Target &target, const ServerStatement &said) const;
+    void logRest(const Target &target, const NamedRest &rest) const;
     // Writes complete events, or data of a long response, that the attempt received.
     void writeToCaller(const Attempt &attempt, std::string data);
     void onCallerLeft();
--- a/src/entry/protocol.h
+++ b/src/entry/protocol.h
@@ -85,8 +85,6 @@
     // Returns what the response's backend server says of itself. Known after onHead(); empty for a
     // response of a peer.
     virtual ServerStatement statement() const { return {}; }
-    // Returns true if the server reports that it is draining.
-    virtual bool isServerLeaving() const { return false; }
     virtual std::optional<ResponseLoad> reportedLoad() const { return std::nullopt; }
     virtual NamedLimit namedLimit() const { return {}; }
 };
@@ -139,6 +137,8 @@
     // Returns true if the response to a health check comes from the server process that `target`
     // names, not from one that was started later.
     virtual bool isSameIncarnation(const Target &target, const BufferedResponse &reply) const = 0;
+    // Returns whether the response to a health check or status check says that the server leaves.
+    virtual bool saysServerLeaves(const Target &, const BufferedResponse &) const { return false; }
     // Returns how much longer the server is cold according to that response; empty if it is warm
     // or the response doesn't say so.
     virtual std::optional<Duration> remainingColdTime(const BufferedResponse &) const
--- /dev/null
+++ b/src/entry/statements.cc
@@ -0,0 +1,35 @@
+#include "statements.h"
+
+#include "ibisnotch/log.h"
+
+namespace ibisnotch {
+
+namespace {
+
+// Returns the process that responded to a request sent at `sentAt`. It ran when the connection was
+// established, however long its response took. The listed process may be an earlier one.
+Speaker speakerOf(const EntryState &state, const Target &target, TimePoint sentAt)
+{
+    const TimePoint now = state.clock.now();
+    const Duration since = now - std::min(now, sentAt + connectTimeout);
+    const auto connectedBy
+        = static_cast<std::uint64_t>(wallMilliseconds(state.clock.wallNow() - since));
+    return {target.name, target.address, std::max(connectedBy, target.incarnation)};
+}
+
+} // namespace
+
+bool hearLeaving(EntryState &state, const Target &target, TimePoint sentAt, std::string_view source)
+{
+    const Speaker speaker = speakerOf(state, target, sentAt);
+    if (!state.servers.onSelfReportedLeaving(speaker, state.clock.now()))
+        return false;
+    logLine(LogPart::load, LogLevel::info, "Backend server says that it leaves.",
+            {{"server", target.name},
+             {"source", std::string(source)},
+             {"incarnation", std::to_string(target.incarnation)},
+             {"startedBy", std::to_string(speaker.startedBy)}});
+    return true;
+}
+
+} // namespace ibisnotch
--- a/test/server-table-test.cc
+++ b/test/server-table-test.cc
@@ -34,6 +34,11 @@
         return result;
     }
 
+    std::string address() const
+    {
+        return table.routingTable(now).config->servers.at("a-m").address;
+    }
+
     ServerStatus status()
     {
         for (const ServerView &view : table.routingTable(now).servers) {
@@ -57,7 +62,7 @@
         if (source == 0)
             fixture.table.onReport(report(7, true), fixture.now);
         else if (source == 1)
-            fixture.table.onSelfReportedLeaving("a-m");
+            fixture.table.onSelfReportedLeaving({"a-m", fixture.address(), 7}, fixture.now);
         else
             fixture.table.onLeavingList({{"a-m", 7}});
         for (int i = 0; i < 10; ++i) {
