--- a/include/ibisnotch/pick.h
+++ b/include/ibisnotch/pick.h
@@ -45,6 +45,9 @@
 // Removes servers that named a limit, for the same reason.
 void removeLimited(std::vector<Candidate> &candidates);
 
+// Removes servers that rest. Until their rest ends they are no capacity of this instance.
+void removeResting(std::vector<Candidate> &candidates, TimePoint now);
+
 // Returns the servers of a pool that may run requests.
 std::vector<Candidate> candidatesForPool(const RoutingTable &table, const std::string &pool);
 
--- a/include/ibisnotch/server-statement.h
+++ b/include/ibisnotch/server-statement.h
@@ -46,17 +46,25 @@
     static constexpr std::size_t maxKept = 8192;
 
     void onLeaving(const Speaker &speaker, TimePoint now);
+    // Called when a process wants no requests before `until`. A later answer that asks for a
+    // shorter rest, or for none, doesn't end it.
+    void onRest(const Speaker &speaker, TimePoint until, TimePoint now);
     // Returns whether the server's process said that it leaves. `incarnation` is the start time of
     // the process as listed, 0 if unknown; if it is later than that of the speaker, the statement
     // ends.
     bool isLeaving(const std::string &server, const std::string &address,
                    std::uint64_t incarnation);
+    // The same for a rest: returns its end, or TimePoint{} if the process asked for none.
+    TimePoint restsUntil(const std::string &server, const std::string &address,
+                         std::uint64_t incarnation);
 
 private:
     struct Kept
     {
         std::uint64_t leavingStartedBy = 0;
         bool leaving = false;
+        std::uint64_t restStartedBy = 0;
+        TimePoint restsUntil{};
         TimePoint heardAt{};
     };
 
--- a/include/ibisnotch/server-table.h
+++ b/include/ibisnotch/server-table.h
@@ -103,12 +103,12 @@
     // What the server's process said of itself. Routing tables are published a little later, and
     // other threads would send to the server until then.
     std::atomic<bool> saidLeaving = false;
-    std::atomic<bool> saidInvalidRest = false;
     std::atomic<Duration::rep> restsUntil = 0; // it wants no requests of this instance before then
+    std::atomic<bool> saidInvalidRest = false;
 };
 
-// Extends the server's rest; never ends it sooner. Returns true if it did not rest before.
-bool extendRest(ServerCounters &counters, TimePoint until, TimePoint now);
+// Returns whether the server has asked this instance to send nothing now.
+bool isResting(const ServerCounters &counters, TimePoint now);
 
 // A server that the platform's list of instances shows as leaving. The list may be outdated: the
 // server may have been restarted since.
@@ -269,6 +269,10 @@
     // Called when a server says in a response that it is leaving. Returns true if that is news.
     bool onSelfReportedLeaving(const Speaker &speaker, TimePoint now);
 
+    // Called when a server asks this instance in a response to send nothing before `until`. Returns
+    // true if it did not rest before. It says nothing of the other instances.
+    bool onRest(const Speaker &speaker, TimePoint until, TimePoint now);
+
     // Records the outcome of an attempt and ejects a server that fails repeatedly.
     void onAttempt(const std::string &server, AttemptHealth health, TimePoint now);
     // Sets whether the server gets no new requests of this instance, without counting as ejected.
--- a/src/decide/pick.cc
+++ b/src/decide/pick.cc
@@ -133,6 +133,13 @@
                   [](const Candidate &candidate) { return candidate.view->requestLimit > 0; });
 }
 
+void removeResting(std::vector<Candidate> &candidates, TimePoint now)
+{
+    std::erase_if(candidates, [now](const Candidate &candidate) {
+        return isResting(*candidate.view->counters, now);
+    });
+}
+
 std::size_t RandomPicker::pick(const PickInput &input, Random &random)
 {
     return random.below(input.candidates.size());
--- a/src/decide/server-statement.cc
+++ b/src/decide/server-statement.cc
@@ -26,6 +26,25 @@
     kept.leavingStartedBy = std::max(kept.leavingStartedBy, speaker.startedBy);
 }
 
+void ServerStatements::onRest(const Speaker &speaker, TimePoint until, TimePoint now)
+{
+    Kept &kept = keep(speaker, now);
+    kept.restsUntil = std::max(kept.restsUntil, until);
+    kept.restStartedBy = std::max(kept.restStartedBy, speaker.startedBy);
+}
+
+TimePoint ServerStatements::restsUntil(const std::string &server, const std::string &address,
+                                       std::uint64_t incarnation)
+{
+    const auto found = m_kept.find({server, address});
+    if (found == m_kept.end())
+        return {};
+    Kept &kept = found->second;
+    if (incarnation > kept.restStartedBy)
+        kept.restsUntil = {};
+    return kept.restsUntil;
+}
+
 bool ServerStatements::isLeaving(const std::string &server, const std::string &address,
                                  std::uint64_t incarnation)
 {
--- a/src/decide/server-table.cc
+++ b/src/decide/server-table.cc
@@ -54,13 +54,9 @@
     return "usable";
 }
 
-// Requests end on several threads, and a response that asks for a shorter rest may arrive last.
-bool extendRest(ServerCounters &counters, TimePoint until, TimePoint now)
+bool isResting(const ServerCounters &counters, TimePoint now)
 {
-    const Duration::rep wanted = until.time_since_epoch().count();
-    Duration::rep known = counters.restsUntil;
-    while (known < wanted && !counters.restsUntil.compare_exchange_weak(known, wanted)) { }
-    return known <= now.time_since_epoch().count();
+    return now.time_since_epoch().count() < counters.restsUntil;
 }
 
 double correctedLoad(const ServerView &view, double trafficFactor)
@@ -228,8 +224,11 @@
 
 void ServerTable::applyStatements(Record &record)
 {
-    record.counters->saidLeaving = m_statements.isLeaving(record.server.name, record.server.address,
-                                                          record.report.incarnation);
+    const BackendServer &server = record.server;
+    const std::uint64_t incarnation = record.report.incarnation;
+    record.counters->saidLeaving = m_statements.isLeaving(server.name, server.address, incarnation);
+    const TimePoint until = m_statements.restsUntil(server.name, server.address, incarnation);
+    record.counters->restsUntil = until.time_since_epoch().count();
 }
 
 bool ServerTable::onReport(const CompactLoad &load, TimePoint now)
@@ -315,6 +314,18 @@
     return !before && found->second.counters->saidLeaving;
 }
 
+bool ServerTable::onRest(const Speaker &speaker, TimePoint until, TimePoint now)
+{
+    const std::lock_guard lock(m_mutex);
+    m_statements.onRest(speaker, until, now);
+    const auto found = m_records.find(speaker.server);
+    if (found == m_records.end() || found->second.server.address != speaker.address)
+        return false;
+    const bool before = isResting(*found->second.counters, now);
+    applyStatements(found->second);
+    return !before && isResting(*found->second.counters, now);
+}
+
 void ServerTable::onAttempt(const std::string &server, AttemptHealth health, TimePoint now)
 {
     const std::lock_guard lock(m_mutex);
--- a/src/entry/control-loads.cc
+++ b/src/entry/control-loads.cc
@@ -59,6 +59,7 @@
         // whose servers had all just restarted, and 324 requests were refused in two seconds.
         removeCold(candidates, now);
         removeLimited(candidates);
+        removeResting(candidates, now);
         addEngineEstimates(candidates, m_state.promptLengths.mean(loadKey), now);
         if (loads.size() < maxRegionLoadsPerMessage)
             loads.push_back(summarizeLoad(m_state.settings.region, loadKey, candidates));
--- a/src/entry/dispatch-end.cc
+++ b/src/entry/dispatch-end.cc
@@ -99,7 +99,8 @@
     else
         settleUnknown();
     const bool mayRetry = m_exchange->service->idempotent || notRun;
-    refuse({code, "", mayRetry ? jitteredRetryAfter(1, m_state.random) : Duration(0)});
+    refuse(
+        {code, "", mayRetry ? retryAfterWithoutServer(*m_state.routing.read(), 1) : Duration(0)});
 }
 
 void Dispatch::refuse(const Refusal &wanted)
--- a/src/entry/dispatch-plan.cc
+++ b/src/entry/dispatch-plan.cc
@@ -14,6 +14,10 @@
 namespace {
 
 constexpr double noServerRetrySeconds = 2;
+// Callers that are told when a server's rest ends come back within this time after it, not all at
+// the same moment.
+constexpr double minReturnDelaySeconds = 0.05;
+constexpr double maxReturnDelaySeconds = 1;
 // The health check of a possibly cold server takes up to one tick of the control loop and one
 // network round trip.
 constexpr Duration coldCheckWait = std::chrono::milliseconds(30);
@@ -62,15 +66,15 @@
     return m_state.clock.now() < view.coldUntil || view.requestLimit > 0;
 }
 
-// Returns false if the server leaves, or is cold or named a limit and may not get a request from
-// this instance now.
+// Returns false if the server leaves or rests, or is cold or named a limit and may not get a
+// request from this instance now.
 bool Dispatch::maySend(const RoutingTable &table, const ServerView &view) const
 {
-    if (view.counters->saidLeaving)
+    const TimePoint now = m_state.clock.now();
+    if (view.counters->saidLeaving || isResting(*view.counters, now))
         return false;
     if (!isRateLimited(view))
         return true;
-    const TimePoint now = m_state.clock.now();
     // An instance that has just started may not know all other senders, and they may not know it.
     // With a part of them only, its share of the server's rate would be too large.
     if (now < m_state.startedAt + membershipSettleTime || !table.sendersComplete)
@@ -197,7 +201,7 @@
         return Refusal{ResultCode::residencyForbids, "", {}};
     if (!decision.region)
         return Refusal{ResultCode::noBackendServer, "",
-                       jitteredRetryAfter(noServerRetrySeconds, m_state.random)};
+                       retryAfterWithoutServer(*table, noServerRetrySeconds)};
     const bool isRemote = *decision.region != input.localRegion;
     m_routeInputs = {};
     m_routeInputs.localLoad = input.localLoad;
@@ -227,6 +231,34 @@
     return pickServer(*table);
 }
 
+std::optional<Duration> Dispatch::leastRest(const RoutingTable &table) const
+{
+    const TimePoint now = m_state.clock.now();
+    const auto servers = candidatesForService(table, *m_exchange->service, {}, m_exchange->pool);
+    std::optional<Duration> least;
+    for (const Candidate &one : servers) {
+        const ServerCounters &counters = *one.view->counters;
+        if (counters.saidLeaving || !mayContinue(one.view->server))
+            continue;
+        if (!isResting(counters, now))
+            return std::nullopt;
+        const Duration left = Duration(counters.restsUntil.load()) - now.time_since_epoch();
+        least = std::min(least.value_or(left), left);
+    }
+    return least;
+}
+
+Duration Dispatch::retryAfterWithoutServer(const RoutingTable &table, double defaultSeconds) const
+{
+    const auto rest = leastRest(table);
+    if (!rest)
+        return jitteredRetryAfter(defaultSeconds, m_state.random);
+    const std::chrono::duration<double> delay(minReturnDelaySeconds
+                                              + (maxReturnDelaySeconds - minReturnDelaySeconds)
+                                                  * m_state.random.uniform());
+    return *rest + std::chrono::duration_cast<Duration>(delay);
+}
+
 AdmissionInput Dispatch::admissionInput(const RegionLoad &load, bool isRemote) const
 {
     const FleetConfig &config = m_exchange->config();
@@ -288,7 +320,7 @@
         return PlanAgain{coldCheckWait};
     if (candidates.empty())
         return Refusal{ResultCode::noBackendServer, "",
-                       jitteredRetryAfter(noServerRetrySeconds, m_state.random)};
+                       retryAfterWithoutServer(table, noServerRetrySeconds)};
     PickInput input;
     input.candidates = candidates;
     input.prefixHash = m_exchange->prefixHash;
--- a/src/entry/dispatch.cc
+++ b/src/entry/dispatch.cc
@@ -194,7 +194,7 @@
         m_streamRecorded
             = m_streamRecorded || recordStreamStarted(*target.counters, m_recoveryEpoch);
     }
-    logRest(target, reader.statement().rest);
+    hearRest(m_state, target, m_attemptStartedAt, reader.statement().rest, m_exchange->id);
     // Few servers name a limit, so most responses need not go through the control loop.
     const NamedLimit limit = reader.namedLimit();
     if (target.limited || limit.perSecond > 0 || !limit.invalidText.empty())
@@ -207,27 +207,6 @@
                                        m_state.clock.now());
 }
 
-// Logs the response that begins a rest, and the first whose rest can't be used.
-void Dispatch::logRest(const Target &target, const NamedRest &rest) const
-{
-    constexpr std::size_t maxLoggedTextLength = 32;
-    const TimePoint now = m_state.clock.now();
-    if (!rest.invalidText.empty() && !target.counters->saidInvalidRest.exchange(true))
-        logLine(
-            LogPart::load, LogLevel::warn, "Backend server's rest cannot be used.",
-            {{"server", target.name}, {"rest", rest.invalidText.substr(0, maxLoggedTextLength)}});
-    if (rest.time.count() <= 0)
-        return;
-    const bool begins = extendRest(*target.counters, now + rest.time, now);
-    m_state.metrics.onServerRest();
-    if (begins)
-        logLine(LogPart::load, LogLevel::info, "Backend server asks for rest.",
-                {{"server", target.name},
-                 {"request", m_exchange->id},
-                 {"restMs", millisecondsText(rest.time)},
-                 {"inFlight", std::to_string(target.counters->inFlight)}});
-}
-
 void Dispatch::writeToCaller(const Attempt &attempt, std::string data)
 {
     const ResponseReader &reader = attempt.reader();
--- a/src/entry/dispatch.h
+++ b/src/entry/dispatch.h
@@ -103,6 +103,10 @@
     bool tryAcquireSend(const RoutingTable &table, const ServerView &view) const;
     bool maySend(const RoutingTable &table, const ServerView &view) const;
     std::optional<Duration> sendIntervalOf(const RoutingTable &table, const ServerView &view) const;
+    // Returns the least time for which a server of the service rests if all of them do.
+    std::optional<Duration> leastRest(const RoutingTable &table) const;
+    // Returns when a caller should come back whom no server can serve now.
+    Duration retryAfterWithoutServer(const RoutingTable &table, double defaultSeconds) const;
     AdmissionInput admissionInput(const RegionLoad &load, bool isRemote) const;
     Plan planRemote(const std::string &region);
     Plan pickServer(const RoutingTable &table);
@@ -171,7 +175,6 @@
     void logContinuation(const Target &target) const;
     // Called by the current attempt.
     void onServerResponse(const Target &target, const ResponseReader &reader);
-    void logRest(const Target &target, const NamedRest &rest) const;
     // Writes complete events, or data of a long response, that the attempt received.
     void writeToCaller(const Attempt &attempt, std::string data);
     void onCallerLeft();
--- a/src/entry/statements.cc
+++ b/src/entry/statements.cc
@@ -17,6 +17,8 @@
     return {target.name, target.address, std::max(connectedBy, target.incarnation)};
 }
 
+constexpr std::size_t maxLoggedTextLength = 32;
+
 } // namespace
 
 bool hearLeaving(EntryState &state, const Target &target, TimePoint sentAt, std::string_view source)
@@ -32,4 +34,25 @@
     return true;
 }
 
+void hearRest(EntryState &state, const Target &target, TimePoint sentAt, const NamedRest &rest,
+              std::string_view source)
+{
+    if (!rest.invalidText.empty() && !target.counters->saidInvalidRest.exchange(true))
+        logLine(
+            LogPart::load, LogLevel::warn, "Backend server's rest cannot be used.",
+            {{"server", target.name}, {"rest", rest.invalidText.substr(0, maxLoggedTextLength)}});
+    if (rest.time.count() <= 0)
+        return;
+    state.metrics.onServerRest();
+    const TimePoint now = state.clock.now();
+    const Speaker speaker = speakerOf(state, target, sentAt);
+    if (!state.servers.onRest(speaker, now + rest.time, now))
+        return;
+    logLine(LogPart::load, LogLevel::info, "Backend server asks for rest.",
+            {{"server", target.name},
+             {"source", std::string(source)},
+             {"restMs", millisecondsText(rest.time)},
+             {"inFlight", std::to_string(target.counters->inFlight)}});
+}
+
 } // namespace ibisnotch
--- a/src/entry/statements.h
+++ b/src/entry/statements.h
@@ -16,4 +16,9 @@
 bool hearLeaving(EntryState &state, const Target &target, TimePoint sentAt,
                  std::string_view source);
 
+// Records the rest that the server asked for in the response to such a request. It holds for this
+// instance only. May be called from any thread.
+void hearRest(EntryState &state, const Target &target, TimePoint sentAt, const NamedRest &rest,
+              std::string_view source);
+
 } // namespace ibisnotch
--- a/test/server-statement-test.cc
+++ b/test/server-statement-test.cc
@@ -53,6 +53,20 @@
     CHECK_FALSE(statements.isLeaving(server, address, 13));
 }
 
+// Guards against a rest that a later answer, or the entry of the same process, ends early.
+TEST_CASE("statements_rests_keepTheLongestOfTheProcess")
+{
+    ServerStatements statements;
+    const TimePoint now(1h);
+    statements.onRest({server, address, 7}, now + 5s, now);
+    statements.onRest({server, address, 9}, now + 2s, now + 1s);
+    CHECK(statements.restsUntil(server, address, 0) == now + 5s);
+    CHECK(statements.restsUntil(server, address, 9) == now + 5s);
+    CHECK_FALSE(statements.isLeaving(server, address, 9));
+    CHECK(statements.restsUntil(server, "127.0.0.1:2", 9) == TimePoint{});
+    CHECK(statements.restsUntil(server, address, 10) == TimePoint{});
+}
+
 // Guards against memory that grows with each server that ever left.
 TEST_CASE("statements_manyServersLeave_keepsTheLatest")
 {
