Lines for a store that comes back from a copy

The era that every answer of the store names was read nowhere, so nothing told that its history had changed. "Older configuration version not applied." tells the version read against the one in force.

Revisions get their era in the high bits, so that one comparison orders them over eras; log lines show ERA.NUMBER. The adapter does not put it there yet: no decision changes.

--- a/include/ibisnotch/store.h
+++ b/include/ibisnotch/store.h
@@ -13,6 +13,27 @@
 
 class HttpClient;
 
+// Returns the position of a change in the store's history. After the store came back from a copy,
+// in the next era, it gives out numbers again that were known before. So the era comes first in the
+// order: it takes the high bits. It is 0 where the store names none.
+constexpr std::uint64_t makeRevision(std::uint64_t era, std::uint64_t number)
+{
+    return (era << 40U) | number;
+}
+// Higher numbers and eras than these can't be told.
+constexpr std::uint64_t maxRevisionNumber = makeRevision(1, 0) - 1;
+constexpr std::uint64_t maxEra = (std::uint64_t(1) << 24U) - 1;
+constexpr std::uint64_t eraOf(std::uint64_t revision)
+{
+    return revision >> 40U;
+}
+constexpr std::uint64_t numberOf(std::uint64_t revision)
+{
+    return revision & maxRevisionNumber;
+}
+// Returns "ERA.NUMBER" for the log, or the number alone in era 0.
+std::string revisionText(std::uint64_t revision);
+
 enum class StoreStatus {
     ok,
     notFound,
@@ -89,6 +110,10 @@
 public:
     virtual ~RangeStore() = default;
 
+    // Sets the function to call with the era of each response that names one, before the response's
+    // own function. Called before the first call.
+    virtual void setEraHandler(std::function<void(std::uint64_t)>) { }
+
     // Lists the items whose keys begin with the prefix, starting after the key `after`. The pages
     // of a list are not a snapshot.
     virtual void list(const std::string &prefix, const std::string &after,
--- a/src/entry/dispatch-end.cc
+++ b/src/entry/dispatch-end.cc
@@ -5,6 +5,7 @@
 #include "attempt.h"
 #include "dispatch.h"
 #include "ibisnotch/log.h"
+#include "ibisnotch/store.h"
 
 namespace ibisnotch {
 
@@ -203,7 +204,7 @@
                             millisecondsText(*m_routeInputs.remainingColdTime),
                             m_routeInputs.senders);
     if (m_routeInputs.listAge)
-        text += fmt::format(";list:{},age:{}", m_routeInputs.listRevision,
+        text += fmt::format(";list:{},age:{}", revisionText(m_routeInputs.listRevision),
                             millisecondsText(*m_routeInputs.listAge));
     if (m_coldCheckWaits > 0)
         text += fmt::format(",looks:{}", m_coldCheckWaits);
--- a/src/entry/range-source.cc
+++ b/src/entry/range-source.cc
@@ -1,6 +1,7 @@
 #include "range-source.h"
 
 #include <algorithm>
+#include <utility>
 
 #include "ibisnotch/log.h"
 
@@ -51,6 +52,28 @@
         m_ranges.back()->follower
             = PrefixFollower(isSuspects ? suspectLimits() : PrefixFollower::Limits{});
     }
+    m_store->setEraHandler(
+        [this](std::uint64_t era) { m_control.post([this, era] { onEra(era); }); });
+}
+
+void RangeSource::onEra(std::uint64_t era)
+{
+    if (era <= m_era)
+        return;
+    const std::uint64_t before = std::exchange(m_era, era);
+    if (before == 0)
+        return;
+    for (const auto &range : m_ranges) {
+        const PrefixFollower &follower = range->follower;
+        logLine(
+            LogPart::store, LogLevel::warn, "Store came back from a copy.",
+            {{"range", range->prefix},
+             {"eraBefore", std::to_string(before)},
+             {"era", std::to_string(era)},
+             {"known", revisionText(follower.asOf())},
+             {"confirmedMsAgo", millisecondsText(m_state.clock.now() - follower.lastConfirmedAt())},
+             {"configVersion", std::to_string(m_state.activeConfig.version())}});
+    }
 }
 
 void RangeSource::tick()
@@ -82,7 +105,7 @@
             m_state.metrics.setGauge("ibisnotch_server_list_age_seconds",
                                      seconds(m_state.clock.now() - follower.lastConfirmedAt()));
         m_state.metrics.setGauge("ibisnotch_server_list_revision",
-                                 static_cast<double>(follower.asOf()));
+                                 static_cast<double>(numberOf(follower.asOf())));
     }
 }
 
@@ -191,7 +214,7 @@
     logLine(LogPart::store, LogLevel::info, "Requested missed changes from a peer.",
             {{"range", range.prefix},
              {"peer", from},
-             {"known", std::to_string(known)},
+             {"known", revisionText(known)},
              {"storeReachable", range.follower.isStoreReachable() ? "yes" : "no"}});
     m_control.requestRanges(from, {{range.id, known}}, [this, &range](const auto &reply) {
         range.peerRequestPending = false;
@@ -295,7 +318,7 @@
         return removeItem(item, source);
     Record record = m_format->read(item);
     if (const auto *document = std::get_if<ConfigDocument>(&record))
-        return m_control.applyConfig(*document, std::string(source));
+        return applyDocument(item, *document, source);
     if (auto *server = std::get_if<ListedServer>(&record))
         return applyServer(item, std::move(*server), source);
     if (const auto *suspect = std::get_if<SuspectPart>(&record))
@@ -304,20 +327,33 @@
         m_serversChanged |= m_evacuated.insert(evacuated->name).second;
         logLine(LogPart::load, LogLevel::info, "Data centre evacuated.",
                 {{"dataCentre", evacuated->name},
-                 {"revision", std::to_string(item.revision)},
+                 {"revision", revisionText(item.revision)},
                  {"source", std::string(source)}});
         return;
     }
     if (const auto *invalid = std::get_if<InvalidRecord>(&record)) {
         logLine(LogPart::store, LogLevel::warn, "Record could not be parsed.",
                 {{"key", item.key},
-                 {"revision", std::to_string(item.revision)},
+                 {"revision", revisionText(item.revision)},
                  {"reason", invalid->reason}});
         // Treated as removed: the record no longer names a backend server that may be used.
         removeItem(item, source);
     }
 }
 
+void RangeSource::applyDocument(const StoreItem &item, const ConfigDocument &document,
+                                std::string_view source)
+{
+    const std::uint64_t inForce = m_state.activeConfig.version();
+    if (document.version < inForce)
+        logLine(LogPart::config, LogLevel::warn, "Older configuration version not applied.",
+                {{"version", std::to_string(document.version)},
+                 {"inForce", std::to_string(inForce)},
+                 {"revision", revisionText(item.revision)},
+                 {"source", std::string(source)}});
+    m_control.applyConfig(document, std::string(source));
+}
+
 void RangeSource::applyServer(const StoreItem &item, ListedServer server, std::string_view source)
 {
     if (isLocal(server.server.dataCentre))
@@ -328,7 +364,7 @@
                  {"version", server.server.softwareVersion},
                  {"leaving", server.leaving ? "yes" : "no"},
                  {"warmupMs", std::to_string(server.warmup.count() / 1000)},
-                 {"revision", std::to_string(item.revision)},
+                 {"revision", revisionText(item.revision)},
                  {"source", std::string(source)}});
     server.revision = item.revision;
     m_servers.put(std::move(server));
@@ -365,7 +401,7 @@
     m_serversChanged = true;
     logLine(LogPart::load, LogLevel::info, "Record removed.",
             {{"key", item.key},
-             {"revision", std::to_string(item.revision)},
+             {"revision", revisionText(item.revision)},
              {"source", std::string(source)}});
 }
 
--- a/src/entry/range-source.h
+++ b/src/entry/range-source.h
@@ -96,6 +96,8 @@
         TimePoint toldAt{}; // when an update of another instance arrived last
     };
 
+    // Called with the era that a response of the store names.
+    void onEra(std::uint64_t era);
     void chooseRoles();
     Range *findRange(std::uint32_t id);
 
@@ -112,6 +114,8 @@
     void updateListState();
     void updateConfigState();
     void applyItem(const StoreItem &item, std::string_view source);
+    void applyDocument(const StoreItem &item, const ConfigDocument &document,
+                       std::string_view source);
     void applyServer(const StoreItem &item, ListedServer server, std::string_view source);
     void applySuspect(const SuspectPart &suspect, std::string_view source);
     void removeSuspect(const SuspectKey &key, std::string_view source);
@@ -128,6 +132,7 @@
     ServerList m_servers;
     std::set<std::string> m_evacuated;
     bool m_serversChanged = false;
+    std::uint64_t m_era = 0; // the store's, as last heard
     SuspectWriter m_suspects;
 };
 
