A store that comes back from a copy is noticed by its era, and what it lost holds meanwhile (CONFIG)

Callers saw: a change that had been confirmed was not in force 4 s later; requests went to routes that newer versions had dropped. Cause: the store went back to a copy and gave its revisions out again, and a revision alone ordered what is known: in listings, watches, between instances and in the table of servers. What had a revision that was known before was dropped; instances asked each other 21 to 35 times a second for changes that they then dropped. The store's era was read nowhere.

Now a revision has the era in its high bits, everywhere. A higher era makes each range be listed anew; news of an earlier one, also of an instance that was cut off, say nothing. Until then, and for what the copy lacks, what was known holds: versions never go back, lost evacuations for ten seconds, leaving servers for their process, cold ones for their time, removed keys until they are written again, records of suspect parts until we have written them again with new leases. Messages between instances have protocol 6; earlier versions get no ranges of these.

--- a/include/ibisnotch/peer-link.h
+++ b/include/ibisnotch/peer-link.h
@@ -25,7 +25,7 @@
 
 // Increased when fields are appended. A reader ignores bytes after the fields that it knows, so
 // instances of different versions can communicate during a rolling update.
-constexpr std::uint16_t peerProtocolVersion = 5;
+constexpr std::uint16_t peerProtocolVersion = 6;
 
 struct GossipMessage
 {
@@ -37,9 +37,11 @@
     std::vector<CrashMark> crashMarks;
     // Since protocol 2.
     std::vector<SilenceUpdate> silenceUpdates;
+    // Ranges of the store, since protocol 6 with the store's era in their revisions. Earlier
+    // revisions can't be compared with these and are dropped.
     std::vector<RangeUpdate> rangeUpdates;
-    // Since protocol 3.
     std::vector<RangePosition> rangePositions;
+    // Since protocol 3.
     std::vector<ColdUpdate> coldUpdates;
     // Since protocol 4. If hasCustomerUsage is true, customerUsage is the whole usage of the
     // sender; customers that it does not list use nothing.
@@ -66,7 +68,7 @@
     std::uint16_t protocol = peerProtocolVersion;
     std::uint64_t knownVersion = 0;
     bool wantsMembers = false;
-    std::vector<RangeRequest> rangeRequests; // since protocol 3
+    std::vector<RangeRequest> rangeRequests; // since protocol 6, as in GossipMessage
     bool operator==(const PeerRequest &) const = default;
 };
 
@@ -75,7 +77,7 @@
     std::uint16_t protocol = peerProtocolVersion;
     ConfigDelta delta; // toVersion is 0 if the sender has no newer configuration
     std::vector<Member> members;
-    std::vector<RangeReply> rangeReplies; // since protocol 3
+    std::vector<RangeReply> rangeReplies; // since protocol 6, as in GossipMessage
     bool operator==(const PeerReply &) const = default;
 };
 
--- a/include/ibisnotch/prefix-follower.h
+++ b/include/ibisnotch/prefix-follower.h
@@ -78,6 +78,11 @@
     // first.
     std::vector<StoreItem> onResponse(const StorePage &page, TimePoint now);
 
+    // Called when the store has come back from a copy and is in this era now. What was known stays
+    // until the range has been listed anew, first after `delay`. Returns true if it has to be; the
+    // response to a pending call must then not be passed on.
+    bool startEra(std::uint64_t era, TimePoint now, Duration delay);
+
     void setRole(FollowRole role) { m_role = role; }
     // Called with an update of another instance and the time at which it was current. Returns the
     // changes, like onResponse().
@@ -118,6 +123,8 @@
     std::vector<StoreItem> onFullRange(const RangeUpdate &update);
     std::vector<StoreItem> apply(const std::vector<StoreItem> &items);
     void recordRemoval(const StoreItem &item);
+    // Keeps a map within Limits::maxRemovals. Returns the revision of the entry that was dropped.
+    std::optional<std::uint64_t> dropOldest(std::map<std::string, std::uint64_t> &revisions) const;
     // Removes the known keys that changed since the base of the update but are missing in it. An
     // update contains each key that changed since its base, except keys that were written and
     // removed again before its sender received them; this instance may know those.
@@ -126,6 +133,8 @@
     // `snapshot` is true if the listing is a snapshot of the store, as nothing changed during it.
     std::vector<StoreItem> removeUnlistedKeys(const std::set<std::string> &listed,
                                               std::uint64_t asOf, bool snapshot);
+    // Removes listed writes that are known to have been removed before the store went back to them.
+    void dropObsolete(std::vector<StoreItem> &items) const;
     void restartListing();
     Duration watchTimeout(TimePoint now) const;
     void dropKnownRevisions(std::vector<StoreItem> &items) const;
@@ -134,6 +143,9 @@
     std::map<std::string, StoreItem> m_items; // existing keys
     // Keys removed after revision m_removedSince, with the revision of their removal.
     std::map<std::string, std::uint64_t> m_removed;
+    // The writes that were removed, of any era, by key. At most as many as in m_removed.
+    std::map<std::string, std::uint64_t> m_removedWrites;
+    std::uint64_t m_eraStart = 0; // revisions below are of an earlier era than the store's
     std::uint64_t m_removedSince = 0;
     // Revision of the last listed page. Pages are no snapshot: a key that exists when the first
     // page is read may be removed before its own page is. So no update is made until the watch has
--- a/include/ibisnotch/store.h
+++ b/include/ibisnotch/store.h
@@ -69,8 +69,11 @@
 {
     std::string key;
     std::string value;
-    std::uint64_t revision = 0; // of the item's last change
+    std::uint64_t revision = 0; // of the item's last change, see makeRevision()
     bool deleted = false;
+    // Of a deletion: nobody removed the key, but the store came back from a copy without it. Not
+    // sent to other instances, which find it by themselves.
+    bool lost = false;
 
     template <typename Archive> void serialize(Archive &archive)
     {
--- a/src/decide/prefix-follower.cc
+++ b/src/decide/prefix-follower.cc
@@ -40,6 +40,22 @@
     m_listAsOf = 0;
 }
 
+bool PrefixFollower::startEra(std::uint64_t era, TimePoint now, Duration delay)
+{
+    const std::uint64_t start = makeRevision(era, 0);
+    if (start <= m_eraStart)
+        return false;
+    m_eraStart = start;
+    const bool isAhead = m_asOf >= start;
+    const bool knowsNothing = m_asOf == 0 && m_listAsOf == 0;
+    if (isAhead || knowsNothing)
+        return false;
+    restartListing();
+    m_callPending = false;
+    m_nextCallAt = now + delay;
+    return true;
+}
+
 std::vector<StoreItem> PrefixFollower::onResponse(const StorePage &page, TimePoint now)
 {
     m_callPending = false;
@@ -47,7 +63,8 @@
         restartListing();
         return {};
     }
-    if (page.status != StoreStatus::ok) {
+    // A response of an earlier era that comes late says nothing of the store's state.
+    if (page.status != StoreStatus::ok || page.asOf < m_eraStart) {
         const Duration pause = m_limits.initialRetryDelay * (1 << std::min(m_failures, 4));
         m_nextCallAt = now + std::min(pause, m_limits.maxRetryDelay);
         ++m_failures;
@@ -81,6 +98,9 @@
 
 std::vector<StoreItem> PrefixFollower::onUpdate(const RangeUpdate &update, TimePoint at)
 {
+    // An instance that was cut off while the store went back may still know the earlier era only.
+    if (update.asOf < m_eraStart)
+        return {};
     if (update.base == 0 && (update.asOf > m_asOf || !m_watching)) {
         m_lastConfirmedAt = std::max(m_lastConfirmedAt, at);
         return onFullRange(update);
@@ -127,7 +147,9 @@
     std::set<std::string> listed;
     for (const StoreItem &item : update.items)
         listed.insert(item.key);
-    std::vector<StoreItem> changes = apply(update.items);
+    std::vector<StoreItem> items = update.items;
+    dropObsolete(items);
+    std::vector<StoreItem> changes = apply(items);
     for (StoreItem &item : removeUnlistedKeys(listed, update.asOf, true))
         changes.push_back(std::move(item));
     m_pagesAsOf = update.asOf;
@@ -140,6 +162,8 @@
 
 bool PrefixFollower::onPosition(std::uint64_t lastChange, TimePoint at)
 {
+    if (lastChange < m_eraStart)
+        return true;
     if (!m_watching || lastChange > m_asOf)
         return lastChange == 0;
     m_lastConfirmedAt = std::max(m_lastConfirmedAt, at);
@@ -175,7 +199,9 @@
         m_listAsOf = page.asOf;
     for (const StoreItem &item : page.items)
         m_listed.insert(item.key);
-    std::vector<StoreItem> changes = apply(page.items);
+    std::vector<StoreItem> items = page.items;
+    dropObsolete(items);
+    std::vector<StoreItem> changes = apply(items);
     if (page.hasMore && !page.items.empty()) {
         m_after = page.items.back().key;
         return changes;
@@ -196,10 +222,13 @@
     std::vector<StoreItem> removals;
     for (const auto &[key, item] : m_items) {
         // A key with a later revision was written while the pages were read.
+        const bool isLost = eraOf(item.revision) < eraOf(asOf);
         if (listed.count(key) == 0 && item.revision <= asOf)
-            removals.push_back({key, "", asOf, true});
+            removals.push_back({key, "", asOf, true, isLost});
     }
-    const bool isGapKnown = m_complete && snapshot && m_asOf >= m_pagesAsOf;
+    // What others know of an earlier era has to be replaced as a whole.
+    const bool isSameEra = eraOf(m_asOf) == eraOf(asOf);
+    const bool isGapKnown = m_complete && snapshot && m_asOf >= m_pagesAsOf && isSameEra;
     if (isGapKnown) {
         m_removedSince = std::max(m_removedSince, m_gapEnd);
         m_gapStart = m_asOf;
@@ -215,6 +244,18 @@
     return apply(removals);
 }
 
+// A write of the copy has the number that it had in the era before. A new write of the key has
+// another one, unless the removed write was lost too and its number was given out again; it is then
+// used once it changes.
+void PrefixFollower::dropObsolete(std::vector<StoreItem> &items) const
+{
+    std::erase_if(items, [this](const StoreItem &item) {
+        const auto removed = m_removedWrites.find(item.key);
+        return removed != m_removedWrites.end() && eraOf(item.revision) > eraOf(removed->second)
+            && numberOf(item.revision) == numberOf(removed->second);
+    });
+}
+
 std::vector<StoreItem> PrefixFollower::apply(const std::vector<StoreItem> &items)
 {
     std::map<std::string, StoreItem> latest;
@@ -239,6 +280,7 @@
         } else {
             m_items[key] = item;
             m_removed.erase(key);
+            m_removedWrites.erase(key);
         }
         changes.push_back(std::move(item));
     }
@@ -250,15 +292,28 @@
 // Records the removal even if the key was unknown here, as another instance may know it.
 void PrefixFollower::recordRemoval(const StoreItem &item)
 {
+    const auto known = m_items.find(item.key);
+    if (known != m_items.end() && !item.lost) {
+        m_removedWrites[item.key] = known->second.revision;
+        dropOldest(m_removedWrites);
+    }
     auto &removal = m_removed[item.key];
     removal = std::max(removal, item.revision);
-    if (m_removed.size() <= m_limits.maxRemovals)
-        return;
+    if (const auto dropped = dropOldest(m_removed))
+        m_removedSince = std::max(m_removedSince, *dropped);
+}
+
+std::optional<std::uint64_t>
+PrefixFollower::dropOldest(std::map<std::string, std::uint64_t> &revisions) const
+{
+    if (revisions.size() <= m_limits.maxRemovals)
+        return std::nullopt;
     const auto oldest
-        = std::min_element(m_removed.begin(), m_removed.end(),
+        = std::min_element(revisions.begin(), revisions.end(),
                            [](const auto &a, const auto &b) { return a.second < b.second; });
-    m_removedSince = std::max(m_removedSince, oldest->second);
-    m_removed.erase(oldest);
+    const std::uint64_t dropped = oldest->second;
+    revisions.erase(oldest);
+    return dropped;
 }
 
 std::vector<RangeUpdate> updatesFromResponse(const std::string &prefix, std::uint64_t base,
--- a/src/decide/server-table.cc
+++ b/src/decide/server-table.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "ibisnotch/hash.h"
+#include "ibisnotch/store.h"
 
 namespace ibisnotch {
 
@@ -127,15 +128,22 @@
         if (listed.revision <= record.revision)
             continue;
         const bool wasListed = record.revision > 0;
+        // The store came back from a copy. Its entry may be older than what is known.
+        const bool isFromCopy = wasListed && eraOf(listed.revision) > eraOf(record.revision)
+            && listed.incarnation <= record.report.incarnation;
         // A newer entry replaces the status, also if it shows a leaving server as live again: the
         // server was restarted under the same name. What its process said of itself stays.
         record.revision = listed.revision;
         record.report.incarnation = std::max(record.report.incarnation, listed.incarnation);
-        record.leaving = listed.leaving;
+        record.leaving = listed.leaving || (isFromCopy && record.leaving);
+        if (listed.leaving && listed.incarnation > 0)
+            m_statements.onLeaving({name, listed.server.address, listed.incarnation}, now);
         const auto cold = m_selfReportedCold.find(name);
         const Duration selfReportedRemaining
             = cold == m_selfReportedCold.end() ? Duration(0) : cold->second - now;
-        recordCold(record, std::max(listed.warmup, selfReportedRemaining), wasListed, now);
+        const Duration knownRemaining = isFromCopy ? record.coldUntil - now : Duration(0);
+        recordCold(record, std::max({listed.warmup, selfReportedRemaining, knownRemaining}),
+                   wasListed, now);
     }
     m_records = std::move(records);
     m_names.clear();
--- a/src/entry/range-source.cc
+++ b/src/entry/range-source.cc
@@ -22,6 +22,11 @@
 constexpr std::string_view sourceStore = "store";
 constexpr std::string_view sourcePeer = "peer";
 
+// Time after which the operator has written again what a store that came back from a copy lacks.
+constexpr Duration lostEvacuationTime = std::chrono::seconds(10);
+// An instance that doesn't watch the store gets the range from the one that told it of the new era.
+constexpr Duration listenerListDelay = std::chrono::seconds(1);
+
 // The range with the suspect parts is empty and rarely changes, so it is watched with fewer calls:
 // a watch that hangs is noticed within the time in which the platform lets a disturbed instance
 // recover, and after a crash one call fetches the records of several instances.
@@ -53,27 +58,41 @@
             = PrefixFollower(isSuspects ? suspectLimits() : PrefixFollower::Limits{});
     }
     m_store->setEraHandler(
-        [this](std::uint64_t era) { m_control.post([this, era] { onEra(era); }); });
+        [this](std::uint64_t era) { m_control.post([this, era] { onEra(era, sourceStore); }); });
 }
 
-void RangeSource::onEra(std::uint64_t era)
+// What is known stays in force until the new era's ranges are read: the store's copy is older, and
+// its writers write again what it lacks.
+void RangeSource::onEra(std::uint64_t era, std::string_view source)
 {
     if (era <= m_era)
         return;
     const std::uint64_t before = std::exchange(m_era, era);
-    if (before == 0)
-        return;
+    const TimePoint now = m_state.clock.now();
     for (const auto &range : m_ranges) {
-        const PrefixFollower &follower = range->follower;
-        logLine(
-            LogPart::store, LogLevel::warn, "Store came back from a copy.",
-            {{"range", range->prefix},
-             {"eraBefore", std::to_string(before)},
-             {"era", std::to_string(era)},
-             {"known", revisionText(follower.asOf())},
-             {"confirmedMsAgo", millisecondsText(m_state.clock.now() - follower.lastConfirmedAt())},
-             {"configVersion", std::to_string(m_state.activeConfig.version())}});
+        PrefixFollower &follower = range->follower;
+        if (before > 0)
+            logLine(LogPart::store, LogLevel::warn, "Store came back from a copy.",
+                    {{"range", range->prefix},
+                     {"eraBefore", std::to_string(before)},
+                     {"era", std::to_string(era)},
+                     {"known", revisionText(follower.asOf())},
+                     {"confirmedMsAgo", millisecondsText(now - follower.lastConfirmedAt())},
+                     {"configVersion", std::to_string(m_state.activeConfig.version())},
+                     {"source", std::string(source)}});
+        const bool listens = range->role == FollowRole::listener;
+        if (follower.startEra(era, now, listens ? listenerListDelay : Duration(0)))
+            ++range->calls;
     }
+    if (before > 0)
+        m_suspects.onStoreWentBack(m_state.suspects.suspects());
+}
+
+bool RangeSource::onPeerEra(std::uint64_t revision)
+{
+    const bool isNews = eraOf(revision) > m_era;
+    onEra(eraOf(revision), sourcePeer);
+    return isNews;
 }
 
 void RangeSource::tick()
@@ -84,6 +103,7 @@
     m_suspects.renew(m_state.suspects.renewals(m_state.clock.now()));
     m_suspects.tick();
     m_serversChanged |= m_servers.expire(m_state.clock.now());
+    expireLostEvacuations();
     updateListState();
     updateConfigState();
     publishChanges();
@@ -150,8 +170,10 @@
     if (range == nullptr)
         return;
     range->toldAt = m_state.clock.now();
+    const bool isNewEra = onPeerEra(update.asOf);
     applyUpdate(*range, update, range->toldAt);
-    if (update.asOf > range->follower.asOf() && !range->follower.isStoreReachable())
+    const bool isBehind = update.asOf > range->follower.asOf();
+    if (isBehind && (isNewEra || !range->follower.isStoreReachable()))
         requestFromPeer(*range, from);
 }
 
@@ -191,10 +213,11 @@
 void RangeSource::onPosition(Range &range, const RangePosition &position, const std::string &from)
 {
     const TimePoint now = m_state.clock.now();
+    const bool isNewEra = onPeerEra(position.lastChange);
     if (range.follower.onPosition(position.lastChange,
                                   now - std::chrono::milliseconds(position.ageMs)))
         return;
-    if (!range.follower.isStoreReachable())
+    if (isNewEra || !range.follower.isStoreReachable())
         return requestFromPeer(range, from);
     // The store's own response is likely to arrive first.
     m_control.postAfter(peerRequestDelay, [this, &range, from, missed = position.lastChange] {
@@ -270,9 +293,12 @@
     const auto call = range.follower.nextCall(m_state.clock.now());
     if (!call)
         return;
-    const auto done = [this, &range](const StorePage &page) {
-        m_control.post(
-            [this, &range, copy = StorePage(page)]() mutable { onPage(range, std::move(copy)); });
+    const int number = ++range.calls;
+    const auto done = [this, &range, number](const StorePage &page) {
+        m_control.post([this, &range, number, copy = StorePage(page)]() mutable {
+            if (number == range.calls)
+                onPage(range, std::move(copy));
+        });
     };
     if (const auto *list = std::get_if<ListCall>(&*call))
         return m_store->list(range.prefix, list->after, done);
@@ -325,6 +351,7 @@
         return applySuspect(*suspect, source);
     if (const auto *evacuated = std::get_if<EvacuatedDataCentre>(&record)) {
         m_serversChanged |= m_evacuated.insert(evacuated->name).second;
+        m_lostEvacuations.erase(evacuated->name);
         logLine(LogPart::load, LogLevel::info, "Data centre evacuated.",
                 {{"dataCentre", evacuated->name},
                  {"revision", revisionText(item.revision)},
@@ -373,6 +400,7 @@
 
 void RangeSource::applySuspect(const SuspectPart &suspect, std::string_view source)
 {
+    m_suspects.onWritten(suspect);
     const RecordResult result = m_state.suspects.onRecord(suspect, m_state.clock.now());
     if (result == RecordResult::refuted) {
         m_suspects.remove({suspect});
@@ -393,18 +421,41 @@
 
 void RangeSource::removeItem(const StoreItem &item, std::string_view source)
 {
-    if (const auto key = m_format->parseSuspectKey(item.key))
-        return removeSuspect(*key, source);
+    const TimePoint now = m_state.clock.now();
+    if (const auto key = m_format->parseSuspectKey(item.key)) {
+        // The instances write their own records again.
+        if (!item.lost)
+            removeSuspect(*key, source);
+        return;
+    }
     const std::string subject = m_format->subject(item.key);
-    m_servers.remove(subject, m_state.clock.now());
-    m_evacuated.erase(subject);
+    m_servers.remove(subject, now);
+    if (item.lost && m_evacuated.count(subject) > 0)
+        m_lostEvacuations.try_emplace(subject, now + lostEvacuationTime);
+    else
+        m_evacuated.erase(subject);
     m_serversChanged = true;
-    logLine(LogPart::load, LogLevel::info, "Record removed.",
+    logLine(LogPart::load, item.lost ? LogLevel::warn : LogLevel::info,
+            item.lost ? "Record lost by the store." : "Record removed.",
             {{"key", item.key},
              {"revision", revisionText(item.revision)},
              {"source", std::string(source)}});
 }
 
+void RangeSource::expireLostEvacuations()
+{
+    const TimePoint now = m_state.clock.now();
+    std::erase_if(m_lostEvacuations, [&](const auto &lost) {
+        if (now < lost.second)
+            return false;
+        logLine(LogPart::load, LogLevel::warn, "Lost evacuation not written again, ended.",
+                {{"dataCentre", lost.first}});
+        m_evacuated.erase(lost.first);
+        m_serversChanged = true;
+        return true;
+    });
+}
+
 std::string RangeSource::regionOf(const std::string &dataCentre) const
 {
     for (const Region &region : m_state.settings.regions) {
--- a/src/entry/range-source.h
+++ b/src/entry/range-source.h
@@ -94,10 +94,14 @@
         FollowRole role = FollowRole::alone;
         bool peerRequestPending = false; // a request for missed changes awaits its reply
         TimePoint toldAt{}; // when an update of another instance arrived last
+        int calls = 0; // made so far; the response to an earlier one than the last is dropped
     };
 
-    // Called with the era that a response of the store names.
-    void onEra(std::uint64_t era);
+    // Called with the era of the store as a response of it, or another instance, tells it.
+    void onEra(std::uint64_t era, std::string_view source);
+    // The same for the era of an instance's revision. Returns true if it was news: the range has to
+    // be read anew.
+    bool onPeerEra(std::uint64_t revision);
     void chooseRoles();
     Range *findRange(std::uint32_t id);
 
@@ -120,6 +124,7 @@
     void applySuspect(const SuspectPart &suspect, std::string_view source);
     void removeSuspect(const SuspectKey &key, std::string_view source);
     void removeItem(const StoreItem &item, std::string_view source);
+    void expireLostEvacuations();
     void publishChanges();
     std::string regionOf(const std::string &dataCentre) const; // empty if unknown
     bool isLocal(const std::string &dataCentre) const;
@@ -131,6 +136,8 @@
     std::vector<std::unique_ptr<Range>> m_ranges;
     ServerList m_servers;
     std::set<std::string> m_evacuated;
+    // Evacuations that the store lost, and when each ends unless it is written again.
+    std::map<std::string, TimePoint> m_lostEvacuations;
     bool m_serversChanged = false;
     std::uint64_t m_era = 0; // the store's, as last heard
     SuspectWriter m_suspects;
--- a/src/entry/suspect-writer.cc
+++ b/src/entry/suspect-writer.cc
@@ -20,6 +20,8 @@
 // Share of the ticks, of which there are ten a second, at which an instance renews a block that is
 // due. The others have about the time until then to learn of it.
 constexpr double renewalShare = 0.01;
+// Instances write their records again within this time after the store came back from a copy.
+constexpr Duration maxRestoreDelay = std::chrono::milliseconds(1000);
 constexpr Duration retryDelay = std::chrono::milliseconds(500);
 // The store accepts 32 entries in one call. A record has up to two keys.
 constexpr std::size_t maxPartsPerCall = 16;
@@ -98,6 +100,39 @@
     record(chosen);
 }
 
+void SuspectWriter::onStoreWentBack(const std::vector<SuspectPart> &known)
+{
+    // Their ids may be given out again, for another lifetime.
+    m_leases.clear();
+    ++m_timesWentBack;
+    for (const SuspectPart &suspect : known) {
+        const auto delay
+            = std::chrono::duration_cast<Duration>(maxRestoreDelay * m_random.uniform());
+        m_restores[suspect.id] = {suspect, m_clock.now() + delay};
+    }
+}
+
+void SuspectWriter::onWritten(const SuspectPart &written)
+{
+    const auto found = m_restores.find(written.id);
+    if (found != m_restores.end() && written.crashes >= found->second.suspect.crashes)
+        m_restores.erase(found);
+}
+
+void SuspectWriter::tick()
+{
+    std::vector<SuspectPart> due;
+    std::erase_if(m_restores, [&](const auto &entry) {
+        const bool isDue = entry.second.dueAt <= m_clock.now();
+        if (isDue)
+            due.push_back(entry.second.suspect);
+        return isDue;
+    });
+    if (!due.empty())
+        record(due);
+    sendNext();
+}
+
 void SuspectWriter::sendNext()
 {
     if (m_callPending || m_clock.now() < m_nextCallAt)
@@ -116,8 +151,11 @@
         && m_clock.now() < found->second.grantedAt + lifetime / leaseSharingDivisor)
         return found->second.id;
     m_callPending = true;
-    m_store.grantLease(lifetime, [this, lifetime](const StoreLease &lease) {
-        m_tasks.post([this, lifetime, lease] { onLease(lifetime, lease); });
+    const int times = m_timesWentBack;
+    m_store.grantLease(lifetime, [this, lifetime, times](const StoreLease &lease) {
+        m_tasks.post([this, lifetime, times, lease] {
+            onLease(lifetime, times == m_timesWentBack ? lease : StoreLease{});
+        });
     });
     return std::nullopt;
 }
@@ -186,10 +224,13 @@
 void SuspectWriter::apply(const StoreChange &change, std::function<void()> onApplied)
 {
     m_callPending = true;
-    m_store.apply(change, [this, onApplied = std::move(onApplied)](StoreStatus status) {
-        m_tasks.post([this, onApplied, status] {
+    const int times = m_timesWentBack;
+    m_store.apply(change, [this, times, onApplied = std::move(onApplied)](StoreStatus status) {
+        m_tasks.post([this, times, onApplied, status] {
             m_callPending = false;
-            if (status != StoreStatus::ok) {
+            // The change may have been lost with the store's latest state, or hang on a lease that
+            // was given out again.
+            if (status != StoreStatus::ok || times != m_timesWentBack) {
                 // The store may have lost the leases.
                 m_leases.clear();
                 return retryLater();
--- a/src/entry/suspect-writer.h
+++ b/src/entry/suspect-writer.h
@@ -52,12 +52,26 @@
     void remove(const std::vector<SuspectPart> &suspects);
     // Called at each tick with the blocks that have to be renewed.
     void renew(const std::vector<SuspectPart> &blocks);
+    // Called with all known parts when the store has come back from a copy, without the latest
+    // records and leases. Writes them again, each instance at another moment, unless another has
+    // done so.
+    void onStoreWentBack(const std::vector<SuspectPart> &known);
+    // Called when the store holds a record of the part. The copy may have the row without the
+    // block.
+    void onWritten(const SuspectPart &written);
     // Called when the store no longer holds the part's record.
     void onRemoved(const std::string &id) { m_removals.erase(id); }
     // Called several times a second.
-    void tick() { sendNext(); }
+    void tick();
 
 private:
+    // A record to be written again.
+    struct Restore
+    {
+        SuspectPart suspect;
+        TimePoint dueAt{};
+    };
+
     struct Lease
     {
         std::string id;
@@ -82,6 +96,8 @@
     std::map<std::string, SuspectPart> m_unwritten; // by id
     std::map<std::string, TimePoint> m_removals; // when each is due, by id
     std::map<Duration, Lease> m_leases; // by lifetime
+    std::map<std::string, Restore> m_restores; // by id
+    int m_timesWentBack = 0; // of the store
     bool m_callPending = false;
     bool m_sendScheduled = false;
     TimePoint m_nextCallAt{};
--- a/src/net/peer-link.cc
+++ b/src/net/peer-link.cc
@@ -37,25 +37,42 @@
 constexpr std::uint16_t protocolWithRangePositions = 3;
 constexpr std::uint16_t protocolWithCustomerUsage = 4;
 constexpr std::uint16_t protocolWithRequestLimits = 5;
+constexpr std::uint16_t protocolWithEras = 6;
+
+// Reads or writes a list of revisions without eras. Earlier instances have it at this place, and
+// must not get revisions that they can't compare with their own.
+template <typename Element, typename Archive> void serializeWithoutEras(Archive &archive)
+{
+    std::vector<Element> none;
+    archive(none);
+}
 
 template <typename Archive> void serializeFields(Archive &archive, GossipMessage &message)
 {
     archive(message.protocol, message.probe, message.configVersion, message.loads,
             message.regionLoads, message.crashMarks);
     if (message.protocol >= protocolWithRangeUpdates)
-        archive(message.silenceUpdates, message.rangeUpdates);
-    if (message.protocol >= protocolWithRangePositions)
-        archive(message.rangePositions, message.coldUpdates);
+        archive(message.silenceUpdates);
+    if (message.protocol >= protocolWithRangeUpdates)
+        serializeWithoutEras<RangeUpdate>(archive);
+    if (message.protocol >= protocolWithRangePositions) {
+        serializeWithoutEras<RangePosition>(archive);
+        archive(message.coldUpdates);
+    }
     if (message.protocol >= protocolWithCustomerUsage)
         archive(message.hasCustomerUsage, message.customerUsage, message.regionUsage);
     if (message.protocol >= protocolWithRequestLimits)
         archive(message.limitUpdates);
+    if (message.protocol >= protocolWithEras)
+        archive(message.rangeUpdates, message.rangePositions);
 }
 
 template <typename Archive> void serializeFields(Archive &archive, PeerRequest &request)
 {
     archive(request.protocol, request.knownVersion, request.wantsMembers);
     if (request.protocol >= protocolWithRangePositions)
+        serializeWithoutEras<RangeRequest>(archive);
+    if (request.protocol >= protocolWithEras)
         archive(request.rangeRequests);
 }
 
@@ -63,6 +80,8 @@
 {
     archive(reply.protocol, reply.delta, reply.members);
     if (reply.protocol >= protocolWithRangePositions)
+        serializeWithoutEras<RangeReply>(archive);
+    if (reply.protocol >= protocolWithEras)
         archive(reply.rangeReplies);
 }
 
--- a/test/peer-link-test.cc
+++ b/test/peer-link-test.cc
@@ -43,6 +43,20 @@
     CHECK(*decodeGossip(encodeGossip(oldMessage)) == oldMessage);
 }
 
+// Guards against revisions of an earlier version of the program, which has no eras and can't
+// compare them: neither side uses those of the other.
+TEST_CASE("decodeGossip_messageOfProtocol5_hasNoRanges")
+{
+    GossipMessage oldMessage = sampleMessage();
+    oldMessage.protocol = 5;
+    const auto received = decodeGossip(encodeGossip(oldMessage));
+    REQUIRE(received);
+    CHECK(received->rangeUpdates.empty());
+    CHECK(received->rangePositions.empty());
+    CHECK(received->coldUpdates == oldMessage.coldUpdates);
+    CHECK(received->limitUpdates == oldMessage.limitUpdates);
+}
+
 // Guards against a crash, or against wrong content, when a datagram is damaged, truncated or sent
 // by a later version with more fields. Such datagrams are dropped, and unknown fields are ignored.
 TEST_CASE("decodeGossip_damagedOrWithMoreFields_isDroppedOrReadInPart")
--- a/test/suspect-writer-test.cc
+++ b/test/suspect-writer-test.cc
@@ -69,6 +69,15 @@
         return found != m_keyEnds.end() && m_clock.now() < found->second;
     }
 
+    // Loses all keys and leases, and gives their ids out again: the first ones to others.
+    void goBack()
+    {
+        m_keyEnds.clear();
+        m_leaseEnds.clear();
+        for (int i = 0; i < 4; ++i)
+            m_leaseEnds[std::to_string(i)] = m_clock.now() + std::chrono::seconds(1);
+    }
+
     bool isDown = false;
     int calls = 0;
     std::size_t largestChange = 0; // puts and removals
@@ -197,3 +206,42 @@
     CHECK_FALSE(store.holds("p99/row"));
     CHECK(store.largestChange <= maxEntries);
 }
+
+// Guards against a block that ends because the store came back from a copy without it, and against
+// records that hang on another's lease, whose id was given out again.
+TEST_CASE_METHOD(WriterFixture, "suspectWriter_storeWentBack_writesAgainWithLeasesOfItsOwn")
+{
+    const SuspectPart block = suspectOf("a", PartSuspects::crashesToBlock);
+    record(block);
+    store.goBack();
+    writer.onStoreWentBack({block});
+    for (int i = 0; i < 30; ++i)
+        pass(100ms);
+    CHECK(store.holds("a/block"));
+    CHECK(store.holds("a/row"));
+}
+
+// Guards against a block that isn't written again because the copy has the part's row.
+TEST_CASE_METHOD(WriterFixture, "suspectWriter_copyHasTheRowOnly_writesTheBlockAgain")
+{
+    record(suspectOf("a", PartSuspects::crashesToBlock));
+    store.goBack();
+    writer.onStoreWentBack({suspectOf("a", PartSuspects::crashesToBlock)});
+    writer.onWritten(suspectOf("a", PartSuspects::crashesToBlock - 1));
+    for (int i = 0; i < 30; ++i)
+        pass(100ms);
+    CHECK(store.holds("a/block"));
+}
+
+// Guards against a write by every instance once one of them has written the record again.
+TEST_CASE_METHOD(WriterFixture, "suspectWriter_anotherInstanceWritesAgain_makesNoCall")
+{
+    const SuspectPart block = suspectOf("a", PartSuspects::crashesToBlock);
+    record(block);
+    const int before = store.calls;
+    writer.onStoreWentBack({block});
+    writer.onWritten(block);
+    for (int i = 0; i < 30; ++i)
+        pass(100ms);
+    CHECK(store.calls == before);
+}
