A record that was removed since the store went back is not written again

Found by reading the mend: a part that an answer or an operator declared sound within the second in which records are written again would have been blocked again. The new test fails without the erasure.

--- a/src/entry/suspect-writer.cc
+++ b/src/entry/suspect-writer.cc
@@ -72,6 +72,7 @@
 {
     for (const SuspectPart &suspect : suspects) {
         m_unwritten.erase(suspect.id);
+        m_restores.erase(suspect.id);
         const TimePoint dueAt = m_clock.now() + removalDelay(suspect);
         const auto added = m_removals.emplace(suspect.id, dueAt).first;
         added->second = std::min(added->second, dueAt);
--- a/test/suspect-writer-test.cc
+++ b/test/suspect-writer-test.cc
@@ -233,6 +233,17 @@
     CHECK(store.holds("a/block"));
 }
 
+// Guards against a block of a sound part that is written again after it was removed.
+TEST_CASE_METHOD(WriterFixture, "suspectWriter_removedSinceTheStoreWentBack_isNotWrittenAgain")
+{
+    const SuspectPart block = suspectOf("a", PartSuspects::crashesToBlock);
+    writer.onStoreWentBack({block});
+    writer.remove({block});
+    for (int i = 0; i < 30; ++i)
+        pass(100ms);
+    CHECK_FALSE(store.holds("a/block"));
+}
+
 // Guards against a write by every instance once one of them has written the record again.
 TEST_CASE_METHOD(WriterFixture, "suspectWriter_anotherInstanceWritesAgain_makesNoCall")
 {
