A response whose fields have no end is given up after 256 KB

With a server that sends fields after the last chunk without end, 20 requests at once lasted longer than their callers' time, and the process grew by 310 MB: libcurl 7.88 passes all trailers on, and each was kept. Fields count together now, those of interim heads and trailers included; a response with more of them is given up like a broken connection.

--- a/src/net/http-client.cc
+++ b/src/net/http-client.cc
@@ -20,6 +20,9 @@
 constexpr auto congestionCheckInterval = std::chrono::milliseconds(20);
 constexpr auto keepWaitingInterval = std::chrono::milliseconds(100);
 constexpr long maxIdleConnections = 256;
+// A response with more bytes of fields, interim heads and trailers included, is given up: libcurl
+// passes all of them on, and a faulty server may send them without end.
+constexpr std::size_t maxFieldBytes = 256 * 1024;
 // Each transfer in progress has a buffer of its own, and an event of a stream has some hundred
 // bytes.
 constexpr long receiveBufferBytes = 4096;
@@ -53,6 +56,7 @@
         CURL *easy = nullptr;
         curl_slist *headerList = nullptr;
         Headers responseHeaders;
+        std::size_t fieldBytes = 0;
         int status = 0;
         bool headReceived = false;
         bool cancelled = false;
@@ -183,6 +187,9 @@
     static std::size_t onHeader(char *data, std::size_t size, std::size_t count, void *user)
     {
         auto &transfer = *static_cast<Transfer *>(user);
+        transfer.fieldBytes += size * count;
+        if (transfer.fieldBytes > maxFieldBytes)
+            return 0;
         const std::string line(absl::StripAsciiWhitespace(absl::string_view(data, size * count)));
         if (line.rfind("HTTP/", 0) == 0) {
             transfer.responseHeaders = {};
