--- a/src/decide/server-table.cc
+++ b/src/decide/server-table.cc
@@ -38,39 +38,6 @@
     return load;
 }
 
-std::string_view serverStatusName(ServerStatus status)
-{
-    switch (status) {
-    case ServerStatus::usable:
-        return "usable";
-    case ServerStatus::trial:
-        return "trial";
-    case ServerStatus::ejected:
-        return "ejected";
-    case ServerStatus::leaving:
-        return "leaving";
-    case ServerStatus::unreachable:
-        return "unreachable";
-    }
-    return "usable";
-}
-
-bool isResting(const ServerCounters &counters, TimePoint now)
-{
-    return now.time_since_epoch().count() < counters.restsUntil;
-}
-
-double correctedLoad(const ServerView &view, double trafficFactor)
-{
-    // In a region of a hundred instances, one request of this instance says almost nothing about
-    // the others. With an unlimited factor, a full server looked empty after one request ended, and
-    // an empty one looked full after one was sent.
-    constexpr double maxTrafficFactor = 4;
-    const int own = view.counters->sentSinceReport - view.counters->endedSinceReport;
-    const double corrected = view.reportedLoad + own * std::min(trafficFactor, maxTrafficFactor);
-    return std::max(corrected, static_cast<double>(view.counters->inFlight));
-}
-
 void ServerTable::setConfig(std::shared_ptr<const FleetConfig> config)
 {
     const std::lock_guard lock(m_mutex);
