--- a/include/ibisnotch/process-settings.h
+++ b/include/ibisnotch/process-settings.h
@@ -28,6 +28,17 @@
 // Protocol and formats that an instance uses: those of this project, or those of the platform.
 enum class Interfaces { own, platform };
 
+// Decisions that an instance makes only where its settings ask for them.
+struct Features
+{
+    bool regionPlan = false; // requests are divided among regions by demand and capacity
+    bool serverSpeed = false; // servers on slow machines get less work
+    bool prefixWeighing = false; // the cached prefix of a prompt is weighed against the wait
+    bool customerShares = false; // over all instances, customers above their share give way first
+    bool bufferLimits = false; // callers and servers that read slowly are limited
+    bool operator==(const Features &) const = default;
+};
+
 struct ProcessSettings
 {
     std::string name;
@@ -63,6 +74,7 @@
     // Time for which a stopping instance waits for running requests.
     Duration drainTime = std::chrono::seconds(120);
     std::string logLevel = "info";
+    Features features;
     bool operator==(const ProcessSettings &) const = default;
 };
 
--- a/src/decide/process-settings.cc
+++ b/src/decide/process-settings.cc
@@ -112,6 +112,13 @@
     settings.idleTimeout = reader.duration("idleTimeout", settings.idleTimeout);
     settings.drainTime = reader.duration("drainTime", settings.drainTime);
     readPlatformSettings(reader, settings);
+    SettingReader features = reader.child("features");
+    settings.features.regionPlan = features.flag("regionPlan", false);
+    settings.features.serverSpeed = features.flag("serverSpeed", false);
+    settings.features.prefixWeighing = features.flag("prefixWeighing", false);
+    settings.features.customerShares = features.flag("customerShares", false);
+    settings.features.bufferLimits = features.flag("bufferLimits", false);
+    features.finish();
     settings.logLevel = reader.choice("logLevel", "info", {"debug", "info", "warn", "error"});
     reader.finish();
     if (!errors.empty())
