The regions divide prompts by a plan that all instances work out from the same demand (partial: no tests yet)

The choice of region looks at free slots and the read delay, which both look fine until a region is full. Now each instance tells what its callers ask for, by the set of regions that may run it, and all divide it by the same plan so that regions are equally busy, less the time on the way.

--- a/include/ibisnotch/peer-link.h
+++ b/include/ibisnotch/peer-link.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "ibisnotch/active-config.h"
+#include "ibisnotch/demand.h"
 #include "ibisnotch/membership.h"
 #include "ibisnotch/origin-message.h"
 #include "ibisnotch/process-settings.h"
@@ -25,7 +26,7 @@
 
 // Increased when fields are appended. A reader ignores bytes after the fields that it knows, so
 // instances of different versions can communicate during a rolling update.
-constexpr std::uint16_t peerProtocolVersion = 6;
+constexpr std::uint16_t peerProtocolVersion = 7;
 
 struct GossipMessage
 {
@@ -50,6 +51,10 @@
     std::vector<RegionUsage> regionUsage;
     // Since protocol 5.
     std::vector<LimitUpdate> limitUpdates;
+    // Since protocol 7. If hasDemand is true, `demands` is what callers ask of the sender.
+    bool hasDemand = false;
+    std::vector<Demand> demands;
+    std::vector<RegionDemand> regionDemands;
 
     bool operator==(const GossipMessage &) const = default;
 };
--- a/include/ibisnotch/stream-statistics.h
+++ b/include/ibisnotch/stream-statistics.h
@@ -34,6 +34,15 @@
     void onStreamEnded(const Service &service, int priority, const std::string &pool, int events,
                        TimePoint now);
 
+    // Called when a stream has ended completely, at any server: with its number of events, and the
+    // mean time between them, 0 if unknown.
+    void onStreamMeasured(const Service &service, const std::string &pool, int events,
+                          double intervalSeconds);
+    // Returns the event interval of streams at servers that read few prompts; 0 if unknown.
+    double usualEventInterval(const std::string &pool) const;
+    // Returns the mean number of events of a stream; 0 if unknown.
+    double meanEvents(const Service &service) const;
+
     // Returns the event interval in seconds up to which long answers of all services of the pool
     // end before their deadlines and don't exceed their maximum gap between events. 0 if unknown.
     double maxEventIntervalSeconds(const std::string &pool, TimePoint now) const;
@@ -55,6 +64,8 @@
     mutable std::mutex m_mutex;
     std::map<std::pair<std::string, int>, ServiceStatistics>
         m_statistics; // by service and priority
+    std::map<std::string, double> m_usualIntervals; // by pool
+    std::map<std::string, double> m_meanEvents; // by service
 };
 
 } // namespace ibisnotch
--- /dev/null
+++ b/src/decide/region-plan.cc
@@ -0,0 +1,286 @@
+#include "ibisnotch/region-plan.h"
+
+#include <algorithm>
+#include <limits>
+
+#include "ibisnotch/hash.h"
+
+namespace ibisnotch {
+
+namespace {
+
+constexpr double fullUtilization = 0.95; // above it the delay grows at a constant rate
+constexpr int steps = 40;
+constexpr double firstStep = 0.3; // part of a class that changes its region in the first step
+constexpr double stepsToHalve = 4; // steps after which that part has halved
+
+// Returns the derivative of the number of running requests by the work that arrives, relative to
+// that at idle servers: with utilization u each request takes 1 / (1 - u) times as long.
+double congestion(double utilization)
+{
+    const double free = 1 - std::min(utilization, fullUtilization);
+    const double slope = 2 / (free * free * free);
+    return 1 / (free * free) + slope * std::max(0.0, utilization - fullUtilization);
+}
+
+// The demand of one class in one region, or in all regions together if the class is placed.
+struct Flow
+{
+    DemandClass demandClass;
+    std::vector<std::size_t> from; // indexes of regions
+    std::vector<double> fromShare; // of each of these
+    double requests = 0;
+    double servers = 0;
+    std::vector<double> shares; // by region
+};
+
+// The planning of one pool.
+class PoolPlan
+{
+public:
+    PoolPlan(std::uint32_t pool, const RegionPlanInput &input, const RegionPlan &previous)
+        : m_pool(pool), m_input(input), m_capacity(input.regions.size()),
+          m_load(input.regions.size())
+    {
+        for (std::size_t i = 0; i < input.regions.size(); ++i) {
+            for (const PoolCapacity &capacity : input.regions[i].capacities)
+                m_capacity[i] += capacity.pool == pool ? capacity.servers : 0;
+            for (const Demand &demand : input.regions[i].demands) {
+                if (demand.demandClass.pool == pool)
+                    addDemand(i, demand);
+            }
+        }
+        for (Flow &flow : m_flows)
+            start(flow, previous);
+    }
+
+    void improve()
+    {
+        for (int step = 0; step < steps; ++step) {
+            const double part = firstStep / (1 + step / stepsToHalve);
+            for (Flow &flow : m_flows)
+                moveTowardsBest(flow, part);
+        }
+    }
+
+    void addTo(RegionPlan &plan) const
+    {
+        for (const Flow &flow : m_flows) {
+            for (const std::size_t from : flow.from)
+                plan.rows.push_back(
+                    {flow.demandClass, m_input.regions[from].region, namedShares(flow)});
+        }
+        for (std::size_t i = 0; i < m_load.size(); ++i)
+            plan.loads.push_back({m_pool, m_input.regions[i].region, utilization(i)});
+    }
+
+private:
+    void addDemand(std::size_t region, const Demand &demand)
+    {
+        m_running += demand.running;
+        m_servers += demand.servers;
+        const bool placed = demand.demandClass.placed;
+        const auto known = std::find_if(m_flows.begin(), m_flows.end(), [&](const Flow &flow) {
+            return placed && flow.demandClass == demand.demandClass;
+        });
+        Flow &flow = known == m_flows.end() ? m_flows.emplace_back() : *known;
+        flow.demandClass = demand.demandClass;
+        flow.from.push_back(region);
+        flow.fromShare.push_back(demand.requests);
+        flow.requests += demand.requests;
+        flow.servers += demand.servers;
+    }
+
+    bool isAllowed(const Flow &flow, std::size_t region) const
+    {
+        const auto &all = m_input.allRegions;
+        const auto at = std::find(all.begin(), all.end(), m_input.regions[region].region);
+        if (at == all.end() || m_capacity[region] <= 0)
+            return false;
+        return ((flow.demandClass.regions >> (at - all.begin())) & 1U) != 0;
+    }
+
+    void start(Flow &flow, const RegionPlan &previous)
+    {
+        for (double &share : flow.fromShare)
+            share /= std::max(flow.requests, std::numeric_limits<double>::min());
+        flow.shares.assign(m_capacity.size(), 0);
+        const PlanRow *row
+            = previous.find(flow.demandClass, m_input.regions[flow.from.front()].region);
+        double sum = 0;
+        for (std::size_t i = 0; i < flow.shares.size(); ++i) {
+            if (isAllowed(flow, i))
+                flow.shares[i] = row != nullptr ? shareOf(*row, i) : startShare(flow, i);
+            sum += flow.shares[i];
+        }
+        if (sum <= 0)
+            sum = startEvenly(flow);
+        for (std::size_t i = 0; i < flow.shares.size(); ++i) {
+            flow.shares[i] /= std::max(sum, std::numeric_limits<double>::min());
+            m_load[i] += flow.shares[i] * flow.servers;
+        }
+    }
+
+    double shareOf(const PlanRow &row, std::size_t region) const
+    {
+        for (const RegionShare &share : row.shares) {
+            if (share.region == m_input.regions[region].region)
+                return share.share;
+        }
+        return 0;
+    }
+
+    static double startShare(const Flow &flow, std::size_t region)
+    {
+        const auto at = std::find(flow.from.begin(), flow.from.end(), region);
+        return at == flow.from.end()
+            ? 0
+            : flow.fromShare[static_cast<std::size_t>(at - flow.from.begin())];
+    }
+
+    // Returns the sum of the shares.
+    double startEvenly(Flow &flow) const
+    {
+        double sum = 0;
+        for (std::size_t i = 0; i < flow.shares.size(); ++i) {
+            flow.shares[i] = isAllowed(flow, i) ? m_capacity[i] : 0;
+            sum += flow.shares[i];
+        }
+        return sum;
+    }
+
+    double utilization(std::size_t region) const
+    {
+        return m_capacity[region] > 0 ? m_load[region] / m_capacity[region] : 1;
+    }
+
+    // Returns the delay of all requests together that one more second of work brings in the region.
+    double costOf(const Flow &flow, std::size_t region) const
+    {
+        const double runningPerServer = m_running / std::max(m_servers, 0.001);
+        const double requestsPerWork = flow.requests / std::max(flow.servers, 0.001);
+        const double movedShare = 1 - startShare(flow, region);
+        return runningPerServer * congestion(utilization(region))
+            + movedShare * requestsPerWork * m_input.moveSeconds;
+    }
+
+    void moveTowardsBest(Flow &flow, double part)
+    {
+        std::optional<std::size_t> best;
+        double bestCost = 0;
+        for (std::size_t i = 0; i < flow.shares.size(); ++i) {
+            if (!isAllowed(flow, i))
+                continue;
+            const double cost = costOf(flow, i);
+            if (!best || cost < bestCost) {
+                best = i;
+                bestCost = cost;
+            }
+        }
+        if (!best)
+            return;
+        for (std::size_t i = 0; i < flow.shares.size(); ++i) {
+            const double wanted = i == *best ? 1 : 0;
+            const double change = part * (wanted - flow.shares[i]);
+            flow.shares[i] += change;
+            m_load[i] += change * flow.servers;
+        }
+    }
+
+    std::vector<RegionShare> namedShares(const Flow &flow) const
+    {
+        std::vector<RegionShare> shares;
+        for (std::size_t i = 0; i < flow.shares.size(); ++i) {
+            if (flow.shares[i] > 0)
+                shares.push_back({m_input.regions[i].region, flow.shares[i]});
+        }
+        std::sort(shares.begin(), shares.end(),
+                  [](const RegionShare &a, const RegionShare &b) { return a.region < b.region; });
+        return shares;
+    }
+
+    std::uint32_t m_pool;
+    const RegionPlanInput &m_input;
+    std::vector<double> m_capacity; // servers, by region
+    std::vector<double> m_load; // busy servers, by region
+    std::vector<Flow> m_flows;
+    double m_running = 0; // at idle servers, of all classes
+    double m_servers = 0;
+};
+
+std::vector<std::uint32_t> poolsOf(std::span<const RegionDemand> regions)
+{
+    std::vector<std::uint32_t> pools;
+    for (const RegionDemand &region : regions) {
+        for (const Demand &demand : region.demands)
+            pools.push_back(demand.demandClass.pool);
+    }
+    std::sort(pools.begin(), pools.end());
+    pools.erase(std::unique(pools.begin(), pools.end()), pools.end());
+    return pools;
+}
+
+} // namespace
+
+const PlanRow *RegionPlan::find(const DemandClass &demandClass, std::string_view from) const
+{
+    const auto found = std::find_if(rows.begin(), rows.end(), [&](const PlanRow &row) {
+        return row.demandClass == demandClass && row.from == from;
+    });
+    return found == rows.end() ? nullptr : &*found;
+}
+
+RegionPlan planRegions(const RegionPlanInput &input, const RegionPlan &previous)
+{
+    RegionPlan plan;
+    for (const std::uint32_t pool : poolsOf(input.regions)) {
+        PoolPlan poolPlan(pool, input, previous);
+        poolPlan.improve();
+        poolPlan.addTo(plan);
+    }
+    return plan;
+}
+
+std::string regionForDraw(const PlanRow &row, double draw)
+{
+    for (const RegionShare &share : row.shares) {
+        if (draw < share.share)
+            return share.region;
+        draw -= share.share;
+    }
+    return row.shares.empty() ? "" : row.shares.back().region;
+}
+
+double drawForPrefix(std::uint64_t prefixHash)
+{
+    constexpr int unusedBits = 11; // a double holds 53 bits
+    constexpr double scale = 1.0 / static_cast<double>(std::uint64_t(1) << 53);
+    const std::uint64_t mixed = rendezvousWeight("region", prefixHash);
+    return static_cast<double>(mixed >> unusedBits) * scale;
+}
+
+void RegionPlanner::update(const RegionPlanInput &input)
+{
+    const RegionPlan previous = plan();
+    RegionPlan next = planRegions(input, previous);
+    const std::lock_guard lock(m_mutex);
+    m_plan = std::move(next);
+}
+
+std::optional<std::string> RegionPlanner::choose(const DemandClass &demandClass,
+                                                 std::string_view from, double draw) const
+{
+    const std::lock_guard lock(m_mutex);
+    const PlanRow *row = m_plan.find(demandClass, from);
+    if (row == nullptr || row->shares.empty())
+        return std::nullopt;
+    return regionForDraw(*row, draw);
+}
+
+RegionPlan RegionPlanner::plan() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_plan;
+}
+
+} // namespace ibisnotch
--- a/src/entry/control-loads.cc
+++ b/src/entry/control-loads.cc
@@ -87,7 +87,9 @@
     const bool reports = isReporter();
     GossipMessage message = makeEmptyMessage();
     message.loads = m_state.servers.collectNewReports(now, maxLoadsPerMessage, reports);
-    if (message.loads.empty())
+    if (m_state.settings.features.regionPlan)
+        addDemand(message);
+    if (message.loads.empty() && message.demands.empty() && message.regionDemands.empty())
         return;
     if (reports)
         return sendToRegion(message);
@@ -138,6 +140,8 @@
     GossipMessage report = makeEmptyMessage();
     report.regionLoads = ownRegionLoads(*table);
     report.rangePositions = m_source->positions();
+    if (m_state.settings.features.regionPlan)
+        report.regionDemands = {ownRegionDemand(*table)};
     for (const auto &[region, reporter] : reportersByRegion(m_membership.aliveMembers())) {
         if (region != m_state.settings.region)
             m_link.sendGossip(reporter.gossipAddress, report);
--- a/src/entry/control.cc
+++ b/src/entry/control.cc
@@ -175,9 +175,12 @@
     if (now >= m_nextLoadReport) {
         m_nextLoadReport = now + loadReportPeriod;
         sendServerLoads();
+        if (m_state.settings.features.regionPlan)
+            updateRegionPlan();
     }
     if (now >= m_nextRegionReport) {
-        m_nextRegionReport = now + regionReportPeriod;
+        m_nextRegionReport
+            = now + (m_state.settings.features.regionPlan ? loadReportPeriod : regionReportPeriod);
         sendRegionLoads();
     }
     if (m_routingDirty || now - m_lastPublishAt > maxPublishInterval)
@@ -380,6 +383,8 @@
         if (message.hasCustomerUsage)
             m_state.usageCaps.onInstanceUsage(message.probe.sender.name, message.customerUsage,
                                               now);
+        if (message.hasDemand)
+            m_state.demand.onInstanceDemand(message.probe.sender.name, message.demands, now);
         bool limitsChanged = false;
         for (const LimitUpdate &update : message.limitUpdates)
             limitsChanged |= m_limitedServers.onUpdate(update, message.probe.sender.name);
@@ -388,6 +393,8 @@
     }
     for (const RegionLoad &load : message.regionLoads)
         m_state.regionLoads.onLoad(load, now);
+    for (const RegionDemand &demand : message.regionDemands)
+        m_state.demand.onRegionDemand(demand, now);
     for (const RegionUsage &use : message.regionUsage)
         m_state.usageCaps.onRegionUsage(use, now);
     {
--- a/src/entry/control.h
+++ b/src/entry/control.h
@@ -115,6 +115,10 @@
     void sendRegionLoads();
     std::vector<RegionLoad> ownRegionLoads(const RoutingTable &table) const;
     void sendServerLoads();
+    // Adds this instance's demand, or at the reporter that of all regions.
+    void addDemand(GossipMessage &message);
+    RegionDemand ownRegionDemand(const RoutingTable &table);
+    void updateRegionPlan();
     void sendCustomerUsage();
     void updateUsageScope();
     void updateRetryBurst(std::size_t members);
--- a/src/entry/dispatch-end.cc
+++ b/src/entry/dispatch-end.cc
@@ -175,6 +175,7 @@
 // - "home:LOAD/SLOTS+DELAY" of the local region; the same for the other region that was chosen,
 //   under its name, and for the chosen server, both with the age of the report, and "cold" with the
 //   time that the server was still cold and "senders" with the instances that share its rate;
+// - "region:planned" if the regions' plan chose the region;
 // - "pace:MEASURED/ACCEPTABLE", the interval between stream events where the request would run;
 // - "list:REVISION,age" of the list of servers, and "looks" with the number of times that the
 //   request waited for checks of possibly cold servers.
@@ -188,6 +189,8 @@
     if (const auto &remote = m_routeInputs.remoteLoad)
         text += fmt::format(";{}:{:.0f}/{:.0f}+{:.0f},age:{}", remote->region, remote->outstanding,
                             remote->slots, remote->readDelaySeconds * toMs, remote->ageMs);
+    if (m_routeInputs.byPlan)
+        text += ";region:planned";
     const double measured = m_routeInputs.remoteLoad
         ? m_routeInputs.remoteLoad->eventIntervalSeconds
         : local.eventIntervalSeconds;
--- a/src/entry/dispatch-plan.cc
+++ b/src/entry/dispatch-plan.cc
@@ -195,8 +195,15 @@
     input.localRejects = admit && !m_admitted
         && m_state.admission.decide(admissionInput(input.localLoad, false), m_state.random).code
             != ResultCode::served;
-    const RegionDecision decision
-        = m_state.regionChooser.choose(input, m_state.regionLoads, now, m_state.random);
+    std::optional<RegionDecision> planned;
+    if (const auto divided = demandClass(candidates)) {
+        countDemand(*divided, candidates);
+        planned = plannedRegion(input, *divided);
+    }
+    const RegionDecision decision = planned
+        ? *planned
+        : m_state.regionChooser.choose(input, m_state.regionLoads, now, m_state.random);
+    m_routeInputs.byPlan = planned.has_value();
     if (decision.residencyForbids)
         return Refusal{ResultCode::residencyForbids, "", {}};
     if (!decision.region)
--- /dev/null
+++ b/src/entry/dispatch-region.cc
@@ -0,0 +1,64 @@
+// Dispatch: division of requests among the regions by the plan that all instances share.
+#include <algorithm>
+
+#include "dispatch.h"
+#include "ibisnotch/read-delay.h"
+#include "region-demand.h"
+
+namespace ibisnotch {
+
+std::optional<DemandClass> Dispatch::demandClass(std::span<const Candidate> candidates) const
+{
+    const bool isDivided = m_state.settings.features.regionPlan && m_exchange->prompt.tokens > 0
+        && !m_exchange->fromPeer && m_exchange->streaming;
+    if (!isDivided)
+        return std::nullopt;
+    DemandClass result;
+    result.pool = poolId(loadKey(*m_exchange));
+    result.regions
+        = regionMask(m_exchange->allowedRegions, sortedRegions(m_exchange->config().regions));
+    // Where reading the shared part takes longer than the way to another region, one region keeps
+    // it for the callers of all.
+    result.placed = m_exchange->prefixHash != 0
+        && sharedReadSeconds(candidates) > seconds(m_exchange->config().regionOneWay);
+    return result;
+}
+
+void Dispatch::countDemand(const DemandClass &demandClass, std::span<const Candidate> candidates)
+{
+    if (std::exchange(m_demandCounted, true) || candidates.empty())
+        return;
+    const Candidate &server = candidates.front(); // all have the pool's reading rate
+    const double readSeconds = seconds(readTime(server.tokensPerMs, tokensToRead()));
+    const double answerSeconds = m_state.streamStatistics.meanEvents(*m_exchange->service)
+        * m_state.streamStatistics.usualEventInterval(loadKey(*m_exchange));
+    const DemandMeter::Work work{readSeconds + answerSeconds / std::max(1.0, server.slots),
+                                 readSeconds + answerSeconds};
+    m_state.demand.onRequest(demandClass, work, m_state.clock.now());
+}
+
+std::optional<RegionDecision> Dispatch::plannedRegion(const RegionChoiceInput &input,
+                                                      const DemandClass &demandClass) const
+{
+    if (!input.canForward || input.allowed.empty())
+        return std::nullopt;
+    const double draw = demandClass.placed ? drawForPrefix(m_exchange->prefixHash) : m_regionDraw;
+    const auto region = m_state.regionPlanner.choose(demandClass, input.localRegion, draw);
+    const auto contains = [&](const std::vector<std::string> &regions) {
+        return std::find(regions.begin(), regions.end(), *region) != regions.end();
+    };
+    if (!region || !contains(input.allowed))
+        return std::nullopt;
+    if (*region == input.localRegion) {
+        // The choice is left to the comparison of loads if the plan can't be followed.
+        if (input.localRejects || input.localLoad.slots <= 0)
+            return std::nullopt;
+        return RegionDecision{region, 0, false};
+    }
+    const auto load = m_state.regionLoads.find(*region, input.loadKey, m_state.clock.now());
+    if (!contains(input.reachable) || !load || load->slots <= 0)
+        return std::nullopt;
+    return RegionDecision{region, 2 * seconds(input.oneWayDelay), false};
+}
+
+} // namespace ibisnotch
--- a/src/entry/dispatch.cc
+++ b/src/entry/dispatch.cc
@@ -22,7 +22,8 @@
 Dispatch::Dispatch(DispatchServices services, ExchangePtr exchange, HttpClient &client)
     : m_state(services.state), m_control(services.control), m_protocol(services.protocol),
       m_claimService(services.claimService), m_exchange(std::move(exchange)), m_client(client),
-      m_admissionDraw(services.state.random.uniform())
+      m_admissionDraw(services.state.random.uniform()),
+      m_regionDraw(services.state.random.uniform())
 {
 }
 
@@ -380,6 +381,10 @@
     }
     const bool completeStream
         = outcome == AttemptOutcome::answered && attempt.reader().eventCount() > 0;
+    if (completeStream && m_attempts == 1 && m_exchange->prompt.tokens > 0)
+        m_state.streamStatistics.onStreamMeasured(*m_exchange->service, loadKey(*m_exchange),
+                                                  attempt.reader().eventCount(),
+                                                  attempt.meanEventInterval());
     if (completeStream && !target.isPeer && m_attempts == 1)
         m_state.streamStatistics.onStreamEnded(*m_exchange->service, m_exchange->priority,
                                                loadKey(*m_exchange), attempt.reader().eventCount(),
--- a/src/entry/dispatch.h
+++ b/src/entry/dispatch.h
@@ -29,6 +29,7 @@
 struct RouteInputs
 {
     RegionLoad localLoad;
+    bool byPlan = false; // the region was chosen by the regions' plan
     std::optional<RegionLoad> remoteLoad; // of the chosen region, if it is another one
     // Longest acceptable interval between stream events; 0 if unknown.
     double maxEventIntervalSeconds = 0;
@@ -108,6 +109,16 @@
     // Returns when a caller should come back whom no server can serve now.
     Duration retryAfterWithoutServer(const RoutingTable &table, double defaultSeconds) const;
     AdmissionInput admissionInput(const RegionLoad &load, bool isRemote) const;
+    // Division among regions (dispatch-region.cc).
+
+    // Returns the class of the request among those that the regions divide; empty if it is not
+    // divided.
+    std::optional<DemandClass> demandClass(std::span<const Candidate> candidates) const;
+    // Counts what the caller asks for, once for each request.
+    void countDemand(const DemandClass &demandClass, std::span<const Candidate> candidates);
+    // Returns the region in which the plan runs the request; empty if the choice is free.
+    std::optional<RegionDecision> plannedRegion(const RegionChoiceInput &input,
+                                                const DemandClass &demandClass) const;
     Plan planRemote(const std::string &region);
     Plan pickServer(const RoutingTable &table);
     static Target peerTarget(const Member &member);
@@ -242,6 +253,8 @@
     std::string m_claimId;
     double m_admissionDraw; // random number in [0, 1) for the admission of this request
     bool m_admitted = false;
+    double m_regionDraw; // random number in [0, 1) for the choice among the regions of the plan
+    bool m_demandCounted = false;
     bool m_forwardedToIssuer = false; // to the instance that issued the booking's key
     // True once an attempt may have run and ended without a response. From then on the caller must
     // not be told "not run".
--- a/src/entry/state.h
+++ b/src/entry/state.h
@@ -12,6 +12,7 @@
 #include "ibisnotch/booking.h"
 #include "ibisnotch/burn.h"
 #include "ibisnotch/clock.h"
+#include "ibisnotch/demand.h"
 #include "ibisnotch/forward-path.h"
 #include "ibisnotch/membership.h"
 #include "ibisnotch/metrics.h"
@@ -23,6 +24,7 @@
 #include "ibisnotch/rcu.h"
 #include "ibisnotch/read-delay.h"
 #include "ibisnotch/region-choice.h"
+#include "ibisnotch/region-plan.h"
 #include "ibisnotch/retry.h"
 #include "ibisnotch/server-table.h"
 #include "ibisnotch/stream-origin.h"
@@ -52,6 +54,8 @@
     RcuValue<RoutingTable> routing;
     RcuValue<std::vector<Member>> members; // this instance included
 
+    DemandMeter demand;
+    RegionPlanner regionPlanner;
     RegionChooser regionChooser;
     Admission admission;
     StreamStatistics streamStatistics;
