--- a/test/peer-link-test.cc
+++ b/test/peer-link-test.cc
@@ -21,6 +21,9 @@
     message.rangePositions.push_back({rangeId("servers/"), 5, 40});
     message.coldUpdates.push_back({9, 3000});
     message.limitUpdates.push_back({9, 1.2});
+    message.hasDemand = true;
+    message.demands.push_back({{1, 3, true}, 20, 2, 30});
+    message.regionDemands.push_back({"a", 40, message.demands, {{1, 12}}});
     return message;
 }
 
@@ -40,6 +43,9 @@
     oldMessage.rangePositions.clear();
     oldMessage.coldUpdates.clear();
     oldMessage.limitUpdates.clear();
+    oldMessage.hasDemand = false;
+    oldMessage.demands.clear();
+    oldMessage.regionDemands.clear();
     CHECK(*decodeGossip(encodeGossip(oldMessage)) == oldMessage);
 }
 
