--- a/src/decide/region-plan.cc
+++ b/src/decide/region-plan.cc
@@ -12,7 +12,10 @@
 
 constexpr double fullUtilization = 0.95; // above it the delay grows at a constant rate
 constexpr int steps = 40;
-constexpr double firstStep = 0.3; // part of a class that changes its region in the first step
+// Part of a class that changes its region in the first step. A placed class moves slowly, since a
+// prefix that changes its region has to be read again there.
+constexpr double firstStep = 0.1;
+constexpr double firstStepOfPlaced = 0.03;
 constexpr double stepsToHalve = 4; // steps after which that part has halved
 // Part by which the unexplained load follows a new measurement. Requests run for a second or more
 // after the plan has changed, so a faster change would be made twice.
@@ -67,9 +70,10 @@
     void improve()
     {
         for (int step = 0; step < steps; ++step) {
-            const double part = firstStep / (1 + step / stepsToHalve);
+            const double scale = 1 / (1 + step / stepsToHalve);
             for (Flow &flow : m_flows)
-                moveTowardsBest(flow, part);
+                moveTowardsBest(flow,
+                                scale * (flow.demandClass.placed ? firstStepOfPlaced : firstStep));
         }
     }
 
