Forecast of what a model engine does with one more request

Appends readingEventSeconds to EngineState: the interval of a stream's events while the engine reads prompts all the time, which can be learnt from streams.

--- a/include/ibisnotch/engine-forecast.h
+++ b/include/ibisnotch/engine-forecast.h
@@ -17,6 +17,8 @@
     double tokensPerMs = 0; // rate at which it reads prompts at its usual speed; 0 if unknown
     double eventSeconds = 0; // between two events of a stream while it reads no prompts; 0: unknown
     double slowdown = 1; // factor by which work takes longer on its machine now; 1 is usual
+    // Between two events of a stream while it reads prompts all the time; 0 if unknown.
+    double readingEventSeconds = 0;
     bool operator==(const EngineState &) const = default;
 };
 
@@ -40,6 +42,7 @@
     bool operator==(const EngineForecast &) const = default;
 };
 
+// Assumes that the engine goes on to receive prompts as it did.
 EngineForecast forecast(const EngineState &engine, const EngineWork &work);
 
 } // namespace ibisnotch
