Servers' stated speed is read, shared in the region and weighed where the settings ask for it

GossipMessage gains serverSpeeds (protocol 7), after the fields of protocol 6. Engines are compared by their forecast; slots of a region count less while its servers are slow.

--- a/include/ibisnotch/metrics.h
+++ b/include/ibisnotch/metrics.h
@@ -46,6 +46,8 @@
     void onServerSilent();
     // Counts a response in which a server asks for rest.
     void onServerRest();
+    // Counts a response in which a server states a slowdown that can't be used.
+    void onInvalidSlowdown();
     void setGauge(const std::string &name, double value);
 
     // Returns all metrics. Latencies are histograms in seconds.
--- a/include/ibisnotch/peer-link.h
+++ b/include/ibisnotch/peer-link.h
@@ -25,7 +25,7 @@
 
 // Increased when fields are appended. A reader ignores bytes after the fields that it knows, so
 // instances of different versions can communicate during a rolling update.
-constexpr std::uint16_t peerProtocolVersion = 6;
+constexpr std::uint16_t peerProtocolVersion = 7;
 
 struct GossipMessage
 {
@@ -50,6 +50,8 @@
     std::vector<RegionUsage> regionUsage;
     // Since protocol 5.
     std::vector<LimitUpdate> limitUpdates;
+    // Since protocol 7.
+    std::vector<CompactSpeed> serverSpeeds; // of backend servers in the sender's region
 
     bool operator==(const GossipMessage &) const = default;
 };
--- a/include/ibisnotch/pick.h
+++ b/include/ibisnotch/pick.h
@@ -9,6 +9,8 @@
 #include <string>
 #include <vector>
 
+#include "ibisnotch/engine-forecast.h"
+#include "ibisnotch/engine-statistics.h"
 #include "ibisnotch/random.h"
 #include "ibisnotch/server-table.h"
 
@@ -25,6 +27,10 @@
     double readDelaySeconds = 0; // time until the engine begins to read a prompt sent now
     double tokensPerMs = 0; // rate at which it reads prompts; 0 if unknown
     double eventIntervalSeconds = 0; // between two events of a stream; 0 if unknown
+
+    // Set by addSlowdowns() and addEngineStates().
+    double slowdown = 1; // factor by which work takes longer there now
+    std::optional<EngineState> engine = std::nullopt; // of a model engine
 };
 
 // Returns the servers that may run a request for the service, except those in `tried`. If `pool`
@@ -39,6 +45,14 @@
 // measured, each waiting request counts as a prompt of `meanTokens`.
 void addEngineEstimates(std::vector<Candidate> &candidates, double meanTokens, TimePoint now);
 
+// Sets the slowdown of each server.
+void addSlowdowns(std::vector<Candidate> &candidates, TimePoint now);
+
+// Sets the state of model engines, after addEngineEstimates() and addSlowdowns(). `cacheTokens` is
+// the memory of each engine of the pool.
+void addEngineStates(std::vector<Candidate> &candidates, const EngineFacts &facts,
+                     double meanTokens, double cacheTokens);
+
 // Removes cold servers. They handle only a few requests per second, whatever their number of slots.
 void removeCold(std::vector<Candidate> &candidates, TimePoint now);
 
@@ -58,6 +72,8 @@
     std::uint64_t prefixHash = 0;
     // Time in which a server reads the shared prefix if it isn't in its cache.
     double sharedReadSeconds = 0;
+    EngineWork work; // for model engines
+    bool comparesForecasts = false; // engines are compared by what they would do with the work
     Weights weights;
     double expectedSeconds = 0.1; // expected duration of the request
 };
--- a/include/ibisnotch/process-settings.h
+++ b/include/ibisnotch/process-settings.h
@@ -39,6 +39,12 @@
     bool operator==(const Features &) const = default;
 };
 
+// Returns whether decisions are made by forecasts of what engines do.
+inline bool usesForecasts(const Features &features)
+{
+    return features.serverSpeed || features.prefixWeighing;
+}
+
 struct ProcessSettings
 {
     std::string name;
--- a/include/ibisnotch/server-table.h
+++ b/include/ibisnotch/server-table.h
@@ -83,6 +83,19 @@
     std::atomic<double> eventIntervalSeconds = 0; // between two events, smoothed; 0 if unknown
     std::atomic<Duration::rep> lastEventAt = 0;
 
+    // How long work takes on the server's machine (see server-speed.h). The percentages are 100 for
+    // work that takes as long as usual, and 0 while unknown.
+    std::atomic<double> slowdownPercent = 0; // as last stated
+    std::atomic<double> meanSlowdown = 0; // the factor, smoothed over seconds; 0 if unknown
+    std::atomic<Duration::rep> slowdownStatedAt = 0;
+    std::atomic<bool> slowdownStatedHere = false; // in a response to this instance
+    std::atomic<double> slowdownSharedPercent = 0; // as last shared with the region
+    std::atomic<Duration::rep> slowdownSharedAt = 0;
+    std::atomic<Duration::rep> invalidSlowdownLoggedAt = 0;
+    // Event interval relative to that of the pool, smoothed.
+    std::atomic<double> relativePace = 1;
+    std::atomic<int> paceSamples = 0; // limited
+
     // Used to detect a silent server (see silence.h).
     std::atomic<int> awaitedRequests = 0; // unfinished requests sent in this recovery epoch
     std::atomic<int> awaitedStreams = 0; // of these, the ones whose stream has begun
@@ -144,6 +157,17 @@
     bool operator==(const ColdUpdate &) const = default;
 };
 
+// Message between instances: how long work takes on a server's machine.
+struct CompactSpeed
+{
+    std::uint32_t server = 0; // serverId() of its name
+    std::uint16_t percent = 0; // 100 if work takes as long as usual
+    std::uint16_t age = 0; // in units of 10 ms
+
+    template <typename Archive> void serialize(Archive &archive) { archive(server, percent, age); }
+    bool operator==(const CompactSpeed &) const = default;
+};
+
 // How current the list of servers is.
 struct ListState
 {
@@ -260,6 +284,14 @@
     // received through other instances are returned only if `includeRelayed` is set.
     std::vector<CompactLoad> collectNewReports(TimePoint now, std::size_t maxCount,
                                                bool includeRelayed);
+    // Returns up to `maxCount` slowdowns that are news for the other instances of the region, and
+    // marks them as shared. Those received through other instances are returned only if
+    // `includeRelayed` is set.
+    std::vector<CompactSpeed> collectNewSpeeds(TimePoint now, std::size_t maxCount,
+                                               bool includeRelayed);
+    // Records a slowdown that another instance heard. Unknown servers are ignored.
+    // `mustRelay` is set on the instance that sends the slowdowns on to the others.
+    void onSpeed(const CompactSpeed &speed, TimePoint now, bool mustRelay);
     // Records a report. Returns true if it changed the status of the server.
     bool onReport(const LoadReport &report, TimePoint now);
     // The same for a report from another instance. Reports of unknown servers are ignored.
--- a/src/decide/pick.cc
+++ b/src/decide/pick.cc
@@ -4,6 +4,7 @@
 
 #include "ibisnotch/hash.h"
 #include "ibisnotch/read-delay.h"
+#include "ibisnotch/server-speed.h"
 #include "ibisnotch/stream-statistics.h"
 
 namespace ibisnotch {
@@ -12,10 +13,11 @@
 
 constexpr std::size_t prefixBytes = 512;
 
-// Returns the part of the slots that would be taken with one more request.
+// Returns the part of the slots that would be taken with one more request. A slow server counts as
+// one with fewer slots.
 double utilization(const Candidate &candidate)
 {
-    return (candidate.load + 1) / candidate.slots;
+    return (candidate.load + 1) / candidate.slots * candidate.slowdown;
 }
 
 // Returns the read delay plus a penalty of a tenth of a second at full utilization, which decides
@@ -26,6 +28,13 @@
     return candidate.readDelaySeconds + secondsWhenFull * utilization(candidate);
 }
 
+// Returns the time that a request takes at an engine, and that it takes from those running there.
+double totalSeconds(const EngineState &engine, const EngineWork &work)
+{
+    const EngineForecast result = forecast(engine, work);
+    return result.endSeconds + result.harmSeconds;
+}
+
 bool isBetter(const Candidate &a, const Candidate &b, const PickInput &input)
 {
     const double costA = input.weights.cost * a.view->server.cost * input.expectedSeconds;
@@ -34,6 +43,8 @@
     const bool bothFree = utilization(a) <= 1 && utilization(b) <= 1;
     if (bothFree && costA != costB)
         return costA < costB;
+    if (input.comparesForecasts && a.engine && b.engine && a.engine->tokensPerMs > 0)
+        return totalSeconds(*a.engine, input.work) < totalSeconds(*b.engine, input.work);
     return expectedWaitSeconds(a) < expectedWaitSeconds(b);
 }
 
@@ -121,6 +132,38 @@
     }
 }
 
+void addSlowdowns(std::vector<Candidate> &candidates, TimePoint now)
+{
+    for (Candidate &candidate : candidates)
+        candidate.slowdown = slowdown(*candidate.view->counters, now);
+}
+
+void addEngineStates(std::vector<Candidate> &candidates, const EngineFacts &facts,
+                     double meanTokens, double cacheTokens)
+{
+    constexpr double msPerSecond = 1000;
+    for (Candidate &candidate : candidates) {
+        const ServerCounters &counters = *candidate.view->counters;
+        const int sentSince
+            = std::min(counters.sentSinceReport.load(), counters.awaitingFirstToken.load());
+        EngineState engine;
+        engine.slots = candidate.slots;
+        engine.waiting = candidate.view->waiting + std::max(0, sentSince);
+        engine.running = std::max(0.0, candidate.load - engine.waiting);
+        engine.tokensPerMs = candidate.tokensPerMs;
+        // Measured delays include the shared parts of prompts that are read again.
+        engine.unreadTokens
+            = std::max(engine.waiting * meanTokens,
+                       candidate.readDelaySeconds * msPerSecond * candidate.tokensPerMs);
+        engine.usedTokens = engine.running * facts.heldTokens;
+        engine.cacheTokens = cacheTokens;
+        engine.eventSeconds = facts.eventSeconds;
+        engine.readingEventSeconds = facts.readingEventSeconds;
+        engine.slowdown = candidate.slowdown;
+        candidate.engine = engine;
+    }
+}
+
 void removeCold(std::vector<Candidate> &candidates, TimePoint now)
 {
     std::erase_if(candidates,
--- a/src/decide/region-choice.cc
+++ b/src/decide/region-choice.cc
@@ -60,7 +60,7 @@
     RegionLoad load{region, loadKey, 0, 0, 0, 0, 0};
     int withInterval = 0;
     for (const Candidate &candidate : candidates) {
-        load.slots += candidate.slots;
+        load.slots += candidate.slots / candidate.slowdown;
         load.outstanding += candidate.load;
         load.readDelaySeconds
             += candidate.readDelaySeconds / static_cast<double>(candidates.size());
--- a/src/entry/control-loads.cc
+++ b/src/entry/control-loads.cc
@@ -18,6 +18,7 @@
 // The platform counts health checks, so only one instance checks a server. If that instance fails
 // for a time, a server that is silent for longer is tried with a request anyway.
 constexpr std::size_t checkersPerServer = 1;
+constexpr std::size_t maxSpeedsPerMessage = 128; // of 8 bytes
 constexpr std::size_t maxRegionLoadsPerMessage = 16; // of about 45 bytes
 // Bounds the polls of an instance however many servers it is responsible for; with more servers,
 // each is polled less often.
@@ -61,6 +62,8 @@
         removeLimited(candidates);
         removeResting(candidates, now);
         addEngineEstimates(candidates, m_state.promptLengths.mean(loadKey), now);
+        if (m_state.settings.features.serverSpeed)
+            addSlowdowns(candidates, now);
         if (loads.size() < maxRegionLoadsPerMessage)
             loads.push_back(summarizeLoad(m_state.settings.region, loadKey, candidates));
     };
@@ -87,7 +90,9 @@
     const bool reports = isReporter();
     GossipMessage message = makeEmptyMessage();
     message.loads = m_state.servers.collectNewReports(now, maxLoadsPerMessage, reports);
-    if (message.loads.empty())
+    if (m_state.settings.features.serverSpeed)
+        message.serverSpeeds = m_state.servers.collectNewSpeeds(now, maxSpeedsPerMessage, reports);
+    if (message.loads.empty() && message.serverSpeeds.empty())
         return;
     if (reports)
         return sendToRegion(message);
@@ -153,6 +158,8 @@
     target.name = view.server.name;
     target.address = view.server.address;
     target.incarnation = view.incarnation;
+    if (const auto load = m_protocol.reportedLoad(reply))
+        hearSlowdown(m_state, view.server.name, *view.counters, *load);
     if (m_protocol.saysServerLeaves(target, reply) && hearLeaving(m_state, target, sentAt, "check"))
         publishRoutingTable();
 }
--- a/src/entry/control.cc
+++ b/src/entry/control.cc
@@ -8,6 +8,7 @@
 #include "ibisnotch/hash.h"
 #include "ibisnotch/load-metrics.h"
 #include "ibisnotch/log.h"
+#include "ibisnotch/server-speed.h"
 
 namespace ibisnotch {
 
@@ -318,6 +319,9 @@
     m_state.metrics.setGauge(
         "ibisnotch_blocked_parts",
         static_cast<double>(m_state.suspects.blocked(m_state.clock.now()).size()));
+    if (m_state.settings.features.serverSpeed)
+        m_state.metrics.setGauge("ibisnotch_max_slowdown",
+                                 maxSlowdown(*table, m_state.clock.now()));
     m_state.metrics.setGauge("ibisnotch_config_version",
                              static_cast<double>(m_state.activeConfig.version()));
 }
@@ -371,6 +375,9 @@
     if (message.probe.sender.region == m_state.settings.region) {
         for (const CompactLoad &load : message.loads)
             m_routingDirty |= m_state.servers.onReport(load, now);
+        const bool mustRelay = !message.serverSpeeds.empty() && isReporter();
+        for (const CompactSpeed &speed : message.serverSpeeds)
+            m_state.servers.onSpeed(speed, now, mustRelay);
         for (const SilenceUpdate &update : message.silenceUpdates)
             m_silentServers.onUpdate(update);
         for (const RangeUpdate &update : message.rangeUpdates)
--- a/src/entry/dispatch-end.cc
+++ b/src/entry/dispatch-end.cc
@@ -175,6 +175,8 @@
 // - "home:LOAD/SLOTS+DELAY" of the local region; the same for the other region that was chosen,
 //   under its name, and for the chosen server, both with the age of the report, and "cold" with the
 //   time that the server was still cold and "senders" with the instances that share its rate;
+//   "slow" with the factor by which work takes longer there, "forecast:FIRST/GAP/END" with the
+//   forecast of the first event, longest gap and end, and "full" if its memory was too small;
 // - "pace:MEASURED/ACCEPTABLE", the interval between stream events where the request would run;
 // - "list:REVISION,age" of the list of servers, and "looks" with the number of times that the
 //   request waited for checks of possibly cold servers.
@@ -199,6 +201,12 @@
                             m_routeInputs.serverSlots, m_routeInputs.serverDelay * toMs,
                             m_routeInputs.reportAge ? millisecondsText(*m_routeInputs.reportAge)
                                                     : "never");
+    if (m_routeInputs.serverSlowdown != 1)
+        text += fmt::format(",slow:{:.2f}", m_routeInputs.serverSlowdown);
+    if (const auto &forecast = m_routeInputs.forecast)
+        text += fmt::format(",forecast:{:.0f}/{:.0f}/{:.0f}{}", forecast->firstEventSeconds * toMs,
+                            forecast->longestGapSeconds * toMs, forecast->endSeconds * toMs,
+                            forecast->fitsMemory ? "" : ",full");
     if (m_routeInputs.remainingColdTime)
         text += fmt::format(",cold:{},senders:{}",
                             millisecondsText(*m_routeInputs.remainingColdTime),
--- a/src/entry/dispatch-plan.cc
+++ b/src/entry/dispatch-plan.cc
@@ -49,9 +49,35 @@
     if (m_exchange->prompt.tokens > 0)
         addEngineEstimates(candidates, m_state.promptLengths.mean(loadKey(*m_exchange)),
                            m_state.clock.now());
+    addForecastInputs(table, candidates);
     return candidates;
 }
 
+void Dispatch::addForecastInputs(const RoutingTable &table,
+                                 std::vector<Candidate> &candidates) const
+{
+    const Features &features = m_state.settings.features;
+    if (features.serverSpeed)
+        addSlowdowns(candidates, m_state.clock.now());
+    if (!usesForecasts(features) || m_exchange->prompt.tokens == 0)
+        return;
+    const std::string &pool = loadKey(*m_exchange);
+    const auto found = table.config->pools.find(pool);
+    const bool isKnown = found != table.config->pools.end();
+    const double cacheTokens = isKnown ? static_cast<double>(found->second.cacheTokens) : 0;
+    addEngineStates(candidates, m_state.engineStatistics.facts(pool),
+                    m_state.promptLengths.mean(pool), cacheTokens);
+}
+
+EngineWork Dispatch::engineWork() const
+{
+    EngineWork work;
+    work.tokensToRead = static_cast<double>(tokensToRead());
+    work.totalTokens = static_cast<double>(m_exchange->prompt.tokens);
+    work.events = m_state.engineStatistics.meanEvents(m_exchange->service->name);
+    return work;
+}
+
 // Returns the time in seconds that a server in the region needs to read the prompt's shared part.
 double Dispatch::sharedReadSeconds(std::span<const Candidate> candidates) const
 {
@@ -325,6 +351,8 @@
     input.candidates = candidates;
     input.prefixHash = m_exchange->prefixHash;
     input.sharedReadSeconds = sharedReadSeconds(candidates);
+    input.work = engineWork();
+    input.comparesForecasts = m_state.settings.features.serverSpeed;
     input.weights = m_exchange->config().weights;
     input.expectedSeconds = seconds(m_exchange->service->expectedDuration);
     const Candidate &chosen = candidates[m_state.picker.pick(input, m_state.random)];
@@ -334,6 +362,9 @@
     m_routeInputs.serverSlots = chosen.slots;
     m_routeInputs.serverDelay = chosen.readDelaySeconds;
     m_routeInputs.tokensPerMs = chosen.tokensPerMs;
+    m_routeInputs.serverSlowdown = chosen.slowdown;
+    if (chosen.engine && chosen.engine->tokensPerMs > 0)
+        m_routeInputs.forecast = forecast(*chosen.engine, input.work);
     if (chosen.view->reportedAt != TimePoint{})
         m_routeInputs.reportAge = now - chosen.view->reportedAt;
     if (now < chosen.view->coldUntil)
--- a/src/entry/dispatch.cc
+++ b/src/entry/dispatch.cc
@@ -7,6 +7,7 @@
 #include "attempt.h"
 #include "ibisnotch/log.h"
 #include "ibisnotch/read-delay.h"
+#include "ibisnotch/server-speed.h"
 #include "ibisnotch/silence.h"
 #include "statements.h"
 
@@ -202,6 +203,8 @@
     if (reader.statement().leaving
         && hearLeaving(m_state, target, m_attemptStartedAt, m_exchange->id))
         m_control.scheduleRoutingUpdate();
+    if (m_responseLoad)
+        hearSlowdown(m_state, target.name, *target.counters, *m_responseLoad);
     if (const auto load = m_responseLoad)
         m_state.servers.onResponseLoad(target.name, load->running, load->waiting,
                                        m_state.clock.now());
@@ -384,11 +387,35 @@
         m_state.streamStatistics.onStreamEnded(*m_exchange->service, m_exchange->priority,
                                                loadKey(*m_exchange), attempt.reader().eventCount(),
                                                m_state.clock.now());
+    if (completeStream && !target.isPeer)
+        recordEndedStream(attempt);
     if (outcome == AttemptOutcome::answered)
         return deliver(attempt);
     retryOrEnd(target, outcome);
 }
 
+void Dispatch::recordPaceOf(ServerCounters &counters, int events, Duration elapsed)
+{
+    if (!usesForecasts(m_state.settings.features))
+        return;
+    const TimePoint now = m_state.clock.now();
+    const std::string &pool = loadKey(*m_exchange);
+    const double interval = seconds(elapsed) / events;
+    recordPace(counters, interval, m_state.engineStatistics.facts(pool).meanEventSeconds, now);
+    m_state.engineStatistics.onEvent(pool, interval, statedSlowdown(counters, now));
+}
+
+void Dispatch::recordEndedStream(const Attempt &attempt)
+{
+    if (!usesForecasts(m_state.settings.features) || m_exchange->prompt.tokens == 0)
+        return;
+    EndedStream stream;
+    stream.tokens = static_cast<double>(m_exchange->prompt.tokens);
+    stream.events = attempt.reader().eventCount();
+    stream.streaming = m_state.clock.now() - m_firstByteAt.value_or(m_attemptStartedAt);
+    m_state.engineStatistics.onStreamEnded(loadKey(*m_exchange), m_exchange->service->name, stream);
+}
+
 // A peer's attempts count as this instance's, as both together may make no more than the service
 // permits.
 void Dispatch::countRuns(const Target &target, AttemptOutcome outcome, const Attempt &attempt)
--- a/src/entry/dispatch.h
+++ b/src/entry/dispatch.h
@@ -40,6 +40,9 @@
     std::optional<Duration> reportAge; // of its last report; empty if it never reported
     std::optional<Duration> remainingColdTime; // of the chosen server; empty if it was not cold
     std::size_t senders = 0; // instances among which a cold server's rate is divided
+    // Of the chosen engine; empty if there is none or its reading rate is unknown.
+    std::optional<EngineForecast> forecast;
+    double serverSlowdown = 1; // of the chosen server
     std::uint64_t listRevision = 0; // of the list of servers
     std::optional<Duration> listAge; // empty if no list has been read
 };
@@ -93,6 +96,9 @@
     Plan plan(bool admit);
     std::vector<Candidate> candidatesIn(const RoutingTable &table) const;
     double sharedReadSeconds(std::span<const Candidate> candidates) const;
+    // Sets the slowdown of the candidates, and the state of engines, where the settings ask for it.
+    void addForecastInputs(const RoutingTable &table, std::vector<Candidate> &candidates) const;
+    EngineWork engineWork() const;
     // Removes the candidates that may not get a request now. Returns false if none is left but one
     // may become ready soon.
     bool keepReadyCandidates(const RoutingTable &table, std::vector<Candidate> &candidates) const;
@@ -181,6 +187,8 @@
     // Returns the prompt tokens that the server has to read if it has the shared ones cached.
     std::int64_t tokensToRead() const;
     void recordFirstByte(const Target &target);
+    void recordPaceOf(ServerCounters &counters, int events, Duration elapsed);
+    void recordEndedStream(const Attempt &attempt);
     // Returns true if an attempt that has received nothing since `lastReceivedAt` should continue,
     // false if it should end so that another server can be tried. Then the retry is acquired.
     bool shouldKeepWaiting(const Target &target, const ResponseReader &reader,
--- a/src/entry/protocol.h
+++ b/src/entry/protocol.h
@@ -36,6 +36,9 @@
 {
     std::uint32_t running = 0;
     std::uint32_t waiting = 0;
+    // How long work takes on the server's machine, in percent of the usual time.
+    std::optional<double> slowdownPercent;
+    std::string invalidSlowdown; // the same as sent, if it can't be used
     bool operator==(const ResponseLoad &) const = default;
 };
 
@@ -137,6 +140,11 @@
     // Returns true if the response to a health check comes from the server process that `target`
     // names, not from one that was started later.
     virtual bool isSameIncarnation(const Target &target, const BufferedResponse &reply) const = 0;
+    // Returns the load that the response to a health check or status check reports.
+    virtual std::optional<ResponseLoad> reportedLoad(const BufferedResponse &) const
+    {
+        return std::nullopt;
+    }
     // Returns whether the response to a health check or status check says that the server leaves.
     virtual bool saysServerLeaves(const Target &, const BufferedResponse &) const { return false; }
     // Returns how much longer the server is cold according to that response; empty if it is warm
--- a/src/entry/state.h
+++ b/src/entry/state.h
@@ -12,6 +12,7 @@
 #include "ibisnotch/booking.h"
 #include "ibisnotch/burn.h"
 #include "ibisnotch/clock.h"
+#include "ibisnotch/engine-statistics.h"
 #include "ibisnotch/forward-path.h"
 #include "ibisnotch/membership.h"
 #include "ibisnotch/metrics.h"
@@ -55,6 +56,7 @@
     RegionChooser regionChooser;
     Admission admission;
     StreamStatistics streamStatistics;
+    EngineStatistics engineStatistics;
     OriginHistory originHistory;
     OriginRecords originRecords;
     PromptLengths promptLengths;
--- a/src/entry/statements.cc
+++ b/src/entry/statements.cc
@@ -1,6 +1,7 @@
 #include "statements.h"
 
 #include "ibisnotch/log.h"
+#include "ibisnotch/server-speed.h"
 
 namespace ibisnotch {
 
@@ -18,6 +19,7 @@
 }
 
 constexpr std::size_t maxLoggedTextLength = 32;
+constexpr Duration invalidSlowdownLogPeriod = std::chrono::seconds(60); // for each server
 
 } // namespace
 
@@ -55,4 +57,25 @@
              {"inFlight", std::to_string(target.counters->inFlight)}});
 }
 
+void hearSlowdown(EntryState &state, const std::string &server, ServerCounters &counters,
+                  const ResponseLoad &load)
+{
+    if (!state.settings.features.serverSpeed)
+        return;
+    const TimePoint now = state.clock.now();
+    if (load.slowdownPercent)
+        recordSlowdown(counters, *load.slowdownPercent, now, true);
+    if (load.invalidSlowdown.empty())
+        return;
+    state.metrics.onInvalidSlowdown();
+    const Duration::rep at = now.time_since_epoch().count();
+    const Duration::rep last = counters.invalidSlowdownLoggedAt.exchange(at);
+    if (last != 0 && at - last < invalidSlowdownLogPeriod.count()) {
+        counters.invalidSlowdownLoggedAt = last;
+        return;
+    }
+    logLine(LogPart::load, LogLevel::warn, "Backend server stated an invalid speed.",
+            {{"server", server}, {"load", load.invalidSlowdown.substr(0, maxLoggedTextLength)}});
+}
+
 } // namespace ibisnotch
--- a/src/entry/statements.h
+++ b/src/entry/statements.h
@@ -21,4 +21,9 @@
 void hearRest(EntryState &state, const Target &target, TimePoint sentAt, const NamedRest &rest,
               std::string_view source);
 
+// Records how long work takes on the server's machine, if the settings ask for that. May be called
+// from any thread.
+void hearSlowdown(EntryState &state, const std::string &server, ServerCounters &counters,
+                  const ResponseLoad &load);
+
 } // namespace ibisnotch
--- a/src/net/metrics.cc
+++ b/src/net/metrics.cc
@@ -94,6 +94,7 @@
     std::atomic<std::uint64_t> m_retries = 0;
     std::atomic<std::uint64_t> m_serversSilent = 0;
     std::atomic<std::uint64_t> m_serverRests = 0;
+    std::atomic<std::uint64_t> m_invalidSlowdowns = 0;
 };
 
 Metrics::Metrics() : m_d(std::make_unique<Private>()) { }
@@ -133,6 +134,11 @@
     ++m_d->m_serverRests;
 }
 
+void Metrics::onInvalidSlowdown()
+{
+    ++m_d->m_invalidSlowdowns;
+}
+
 void Metrics::onServerSilent()
 {
     ++m_d->m_serversSilent;
@@ -170,6 +176,7 @@
     out += fmt::format("ibisnotch_retries_total {}\n", m_d->m_retries.load());
     out += fmt::format("ibisnotch_servers_silent_total {}\n", m_d->m_serversSilent.load());
     out += fmt::format("ibisnotch_server_rests_total {}\n", m_d->m_serverRests.load());
+    out += fmt::format("ibisnotch_invalid_slowdowns_total {}\n", m_d->m_invalidSlowdowns.load());
     for (const auto &[end, count] : m_d->m_attempts)
         out += fmt::format("ibisnotch_attempts_total{{end=\"{}\"}} {}\n", end, count);
     for (const auto &[knownBy, count] : m_d->m_continued)
--- a/test/peer-link-test.cc
+++ b/test/peer-link-test.cc
@@ -21,6 +21,7 @@
     message.rangePositions.push_back({rangeId("servers/"), 5, 40});
     message.coldUpdates.push_back({9, 3000});
     message.limitUpdates.push_back({9, 1.2});
+    message.serverSpeeds.push_back({9, 250, 3});
     return message;
 }
 
@@ -40,6 +41,7 @@
     oldMessage.rangePositions.clear();
     oldMessage.coldUpdates.clear();
     oldMessage.limitUpdates.clear();
+    oldMessage.serverSpeeds.clear();
     CHECK(*decodeGossip(encodeGossip(oldMessage)) == oldMessage);
 }
 
@@ -57,6 +59,15 @@
     CHECK(received->limitUpdates == oldMessage.limitUpdates);
 }
 
+// Guards against losing the rest of a message of an instance that doesn't know of speeds.
+TEST_CASE("decodeGossip_messageOfProtocol6_hasNoSpeeds")
+{
+    GossipMessage oldMessage = sampleMessage();
+    oldMessage.protocol = 6;
+    oldMessage.serverSpeeds.clear();
+    CHECK(*decodeGossip(encodeGossip(oldMessage)) == oldMessage);
+}
+
 // Guards against a crash, or against wrong content, when a datagram is damaged, truncated or sent
 // by a later version with more fields. Such datagrams are dropped, and unknown fields are ignored.
 TEST_CASE("decodeGossip_damagedOrWithMoreFields_isDroppedOrReadInPart")
--- /dev/null
+++ b/test/server-speed-test.cc
@@ -0,0 +1,217 @@
+#include "ibisnotch/server-speed.h"
+
+#include <limits>
+
+#include <catch2/catch.hpp>
+
+#include "ibisnotch/engine-statistics.h"
+#include "ibisnotch/pick.h"
+#include "ibisnotch/region-choice.h"
+#include "routing-fixture.h"
+
+using namespace ibisnotch;
+using namespace std::chrono_literals;
+
+namespace {
+
+struct ServerSpeedFixture
+{
+    ServerCounters counters;
+    TimePoint now{1h};
+
+    // Records the same statement every 50 ms.
+    void state(double percent, Duration time)
+    {
+        for (const TimePoint end = now + time; now < end; now += 50ms)
+            recordSlowdown(counters, percent, now, true);
+    }
+};
+
+} // namespace
+
+TEST_CASE_METHOD(ServerSpeedFixture, "slowdown_nothingStated_isUsual")
+{
+    CHECK(slowdown(counters, now) == 1);
+}
+
+TEST_CASE_METHOD(ServerSpeedFixture, "slowdown_freshStatement_countsInFull")
+{
+    recordSlowdown(counters, 250, now, true);
+    CHECK(slowdown(counters, now + 300ms) == Approx(2.5));
+}
+
+// Guards against avoiding a server long after its neighbour has left: most periods of slow work
+// last some tenths of a second.
+TEST_CASE_METHOD(ServerSpeedFixture, "slowdown_oldStatement_fadesToTheMean")
+{
+    state(100, 10s);
+    state(250, 100ms);
+    CHECK(slowdown(counters, now) == Approx(2.5));
+    CHECK(slowdown(counters, now + 1s) < 1.5);
+    CHECK(slowdown(counters, now + 3s) < 1.1);
+}
+
+TEST_CASE_METHOD(ServerSpeedFixture, "slowdown_slowForSeconds_isStillBelievedLater")
+{
+    state(250, 20s);
+    CHECK(slowdown(counters, now + 3s) > 2);
+    CHECK(slowdown(counters, now + 120s) < 1.1);
+}
+
+TEST_CASE_METHOD(ServerSpeedFixture, "recordSlowdown_invalidOrOlder_isIgnored")
+{
+    recordSlowdown(counters, 200, now, true);
+    for (const double percent : {0.0, -100.0, 1e9, std::numeric_limits<double>::quiet_NaN(),
+                                 std::numeric_limits<double>::infinity()}) {
+        CHECK_FALSE(isValidSlowdown(percent));
+        recordSlowdown(counters, percent, now + 10ms, true);
+    }
+    recordSlowdown(counters, 100, now - 10ms, true);
+    CHECK(slowdown(counters, now + 20ms) == Approx(2));
+}
+
+TEST_CASE_METHOD(ServerSpeedFixture, "slowdown_serverIsAlwaysSlowerThanItsPool_isLearnt")
+{
+    for (int i = 0; i < 300; ++i)
+        recordPace(counters, 0.039, 0.03, now);
+    CHECK(slowdown(counters, now) == Approx(1.3).margin(0.02));
+    // An interval in which the engine read a prompt says nothing of its speed.
+    for (int i = 0; i < 300; ++i)
+        recordPace(counters, 0.5, 0.03, now);
+    CHECK(slowdown(counters, now) == Approx(1.3).margin(0.02));
+}
+
+TEST_CASE_METHOD(ServerSpeedFixture, "recordPace_slowByStatement_isNotCountedTwice")
+{
+    for (int i = 0; i < 300; ++i, now += 50ms) {
+        recordSlowdown(counters, 200, now, true);
+        recordPace(counters, 0.06, 0.03, now);
+    }
+    CHECK(slowdown(counters, now) == Approx(2).margin(0.05));
+}
+
+TEST_CASE_METHOD(ServerSpeedFixture, "recordPace_anyInterval_staysBounded")
+{
+    for (int i = 0; i < 1000; ++i)
+        recordPace(counters, 0.0001, 0.03, now);
+    CHECK(slowdown(counters, now) >= 0.5);
+    for (int i = 0; i < 1000; ++i)
+        recordPace(counters, 0.08, 0.03, now);
+    CHECK(slowdown(counters, now) <= 2);
+}
+
+// Work moves to the usual servers as the load of the slow one counts for more, and returns.
+TEST_CASE_METHOD(RoutingFixture, "pick_slowServer_getsWorkInProportionToItsSpeed")
+{
+    add("slow", 2, 6);
+    add("usual", 3, 6);
+    makeCandidates();
+    PickInput input;
+    Random random(1);
+    TwoChoicesPicker picker;
+    input.candidates = candidates;
+    CHECK(picker.pick(input, random) == 0);
+    recordSlowdown(*views[0].counters, 250, TimePoint{1h}, true);
+    addSlowdowns(candidates, TimePoint{1h});
+    CHECK(candidates[0].slowdown == Approx(2.5));
+    CHECK(picker.pick(input, random) == 1);
+    addSlowdowns(candidates, TimePoint{1h} + 120s);
+    CHECK(picker.pick(input, random) == 0);
+}
+
+TEST_CASE_METHOD(RoutingFixture, "summarizeLoad_slowServers_countAsFewerSlots")
+{
+    add("a", 1, 30);
+    add("b", 1, 30);
+    makeCandidates();
+    CHECK(summarizeLoad("r", "m", candidates).slots == 60);
+    recordSlowdown(*views[1].counters, 200, TimePoint{1h}, true);
+    addSlowdowns(candidates, TimePoint{1h});
+    CHECK(summarizeLoad("r", "m", candidates).slots == Approx(45));
+}
+
+// Guards against choosing by slots alone: the slow engine has fewer requests, but ends later.
+TEST_CASE_METHOD(RoutingFixture, "pick_enginesWithStates_comparesForecasts")
+{
+    add("slow", 6, 32);
+    add("usual", 8, 32);
+    makeCandidates();
+    for (ServerView &view : views)
+        view.counters->tokensPerMs = 40;
+    recordSlowdown(*views[0].counters, 250, TimePoint{1h}, true);
+    addEngineEstimates(candidates, 1000, TimePoint{1h});
+    addSlowdowns(candidates, TimePoint{1h});
+    const EngineFacts facts{0.03, 0.03, 0.4, 5000};
+    addEngineStates(candidates, facts, 1000, 240'000);
+    REQUIRE(candidates[0].engine);
+    CHECK(candidates[0].engine->usedTokens == Approx(30'000));
+    CHECK(candidates[0].engine->slowdown == Approx(2.5));
+    PickInput input;
+    input.candidates = candidates;
+    input.work = {1000, 2000, 20};
+    input.comparesForecasts = true;
+    Random random(1);
+    TwoChoicesPicker picker;
+    CHECK(picker.pick(input, random) == 1);
+}
+
+TEST_CASE("facts_mixedIntervals_separatesReadingFromStreaming")
+{
+    EngineStatistics statistics;
+    CHECK(statistics.facts("pool") == EngineFacts{});
+    // An engine that reads prompts for two fifths of the events, on a machine that is twice as slow
+    // for a while.
+    for (int i = 0; i < 4000; ++i) {
+        const double machine = i % 100 < 20 ? 2 : 1;
+        statistics.onEvent("pool", (i % 5 < 3 ? 0.03 : 0.4) * machine, machine);
+    }
+    const EngineFacts facts = statistics.facts("pool");
+    CHECK(facts.eventSeconds == Approx(0.03).epsilon(0.2));
+    CHECK(facts.meanEventSeconds == Approx(0.03).epsilon(0.2));
+    CHECK(facts.readingEventSeconds == Approx(0.4).epsilon(0.2));
+}
+
+TEST_CASE("facts_shortAndLongStreams_weighsMemoryByTime")
+{
+    EngineStatistics statistics;
+    for (int i = 0; i < 500; ++i) {
+        statistics.onStreamEnded("pool", "short", {9000, 6, 100ms});
+        statistics.onStreamEnded("pool", "long", {1000, 30, 900ms});
+    }
+    CHECK(statistics.facts("pool").heldTokens == Approx(1800).epsilon(0.1));
+    CHECK(statistics.meanEvents("short") == Approx(6));
+    CHECK(statistics.meanEvents("long") == Approx(30));
+}
+
+TEST_CASE_METHOD(ServerSpeedFixture, "isSlowdownNews_usualAndUnchanged_isNone")
+{
+    recordSlowdown(counters, 105, now, true);
+    CHECK_FALSE(isSlowdownNews(counters, now));
+    recordSlowdown(counters, 250, now + 10ms, true);
+    CHECK(isSlowdownNews(counters, now + 10ms));
+    counters.slowdownSharedPercent = 250;
+    counters.slowdownSharedAt = (now + 10ms).time_since_epoch().count();
+    recordSlowdown(counters, 250, now + 100ms, true);
+    CHECK_FALSE(isSlowdownNews(counters, now + 100ms));
+    recordSlowdown(counters, 250, now + 500ms, true);
+    CHECK(isSlowdownNews(counters, now + 500ms));
+    recordSlowdown(counters, 100, now + 510ms, true);
+    CHECK(isSlowdownNews(counters, now + 510ms));
+}
+
+TEST_CASE_METHOD(RoutingFixture, "addEngineStates_memoryAndWaiting_areEstimated")
+{
+    add("a", 10, 32);
+    makeCandidates();
+    views[0].waiting = 4;
+    views[0].counters->tokensPerMs = 40;
+    addEngineEstimates(candidates, 2000, TimePoint{1h});
+    addEngineStates(candidates, {0.03, 0.03, 0.4, 5000}, 2000, 240'000);
+    const EngineState &engine = *candidates[0].engine;
+    CHECK(engine.waiting == 4);
+    CHECK(engine.running == 6);
+    CHECK(engine.unreadTokens == Approx(8000));
+    CHECK(engine.usedTokens == Approx(30'000));
+    CHECK(engine.cacheTokens == 240'000);
+    CHECK(engine.slowdown == 1);
+}
