--- a/include/ibisnotch/metrics.h
+++ b/include/ibisnotch/metrics.h
@@ -48,6 +48,9 @@
     void onServerRest();
     // Counts a response in which a server states a slowdown that can't be used.
     void onInvalidSlowdown();
+    // Counts the tokens of the shared parts of a prompt that is sent to an engine, and how many of
+    // them the engine is expected to keep.
+    void onSharedTokens(double sent, double expectedKept);
     void setGauge(const std::string &name, double value);
 
     // Returns all metrics. Latencies are histograms in seconds.
