--- a/src/entry/dispatch-end.cc
+++ b/src/entry/dispatch-end.cc
@@ -176,7 +176,9 @@
 //   under its name, and for the chosen server, both with the age of the report, and "cold" with the
 //   time that the server was still cold and "senders" with the instances that share its rate;
 //   "slow" with the factor by which work takes longer there, "forecast:FIRST/GAP/END" with the
-//   forecast of the first event, longest gap and end, and "full" if its memory was too small;
+//   forecast of the first event, longest gap and end, and "full" if its memory was too small,
+//   "kept:TOKENS/SURENESS" with the shared tokens that it was expected to keep, and the probability
+//   that it keeps all of them;
 // - "pace:MEASURED/ACCEPTABLE", the interval between stream events where the request would run;
 // - "list:REVISION,age" of the list of servers, and "looks" with the number of times that the
 //   request waited for checks of possibly cold servers.
@@ -207,6 +209,8 @@
         text += fmt::format(",forecast:{:.0f}/{:.0f}/{:.0f}{}", forecast->firstEventSeconds * toMs,
                             forecast->longestGapSeconds * toMs, forecast->endSeconds * toMs,
                             forecast->fitsMemory ? "" : ",full");
+    if (const auto &prefix = m_routeInputs.prefix)
+        text += fmt::format(",kept:{:.0f}/{:.2f}", prefix->keptTokens, prefix->sureness);
     if (m_routeInputs.remainingColdTime)
         text += fmt::format(",cold:{},senders:{}",
                             millisecondsText(*m_routeInputs.remainingColdTime),
--- a/src/entry/dispatch-plan.cc
+++ b/src/entry/dispatch-plan.cc
@@ -355,7 +355,7 @@
     input.comparesForecasts = m_state.settings.features.serverSpeed;
     input.weights = m_exchange->config().weights;
     input.expectedSeconds = seconds(m_exchange->service->expectedDuration);
-    const Candidate &chosen = candidates[m_state.picker.pick(input, m_state.random)];
+    const Candidate &chosen = candidates[chooseServer(table, input)];
     trace(fmt::format("picked {} of {}, load {:.1f} of {:.1f} slots", chosen.view->server.name,
                       candidates.size(), chosen.load, chosen.slots));
     m_routeInputs.serverLoad = chosen.load;
--- a/src/entry/dispatch.cc
+++ b/src/entry/dispatch.cc
@@ -182,6 +182,7 @@
                       m_routeInputs.tokensPerMs});
     m_state.promptLengths.onPrompt(loadKey(*m_exchange), tokensToRead());
     removeAwaitedFirstToken(target);
+    recordKeptParts(target);
 }
 
 void Dispatch::onServerResponse(const Target &target, const ResponseReader &reader)
--- a/src/entry/dispatch.h
+++ b/src/entry/dispatch.h
@@ -12,6 +12,7 @@
 #include "exchange.h"
 #include "ibisnotch/http-client.h"
 #include "ibisnotch/warmup.h"
+#include "ibisnotch/weighing-picker.h"
 #include "protocol.h"
 #include "state.h"
 
@@ -43,6 +44,8 @@
     // Of the chosen engine; empty if there is none or its reading rate is unknown.
     std::optional<EngineForecast> forecast;
     double serverSlowdown = 1; // of the chosen server
+    // Of the chosen engine; empty if cached parts weren't weighed.
+    std::optional<WeighedChoice> prefix;
     std::uint64_t listRevision = 0; // of the list of servers
     std::optional<Duration> listAge; // empty if no list has been read
 };
@@ -116,6 +119,8 @@
     AdmissionInput admissionInput(const RegionLoad &load, bool isRemote) const;
     Plan planRemote(const std::string &region);
     Plan pickServer(const RoutingTable &table);
+    // Returns the index of a candidate.
+    std::size_t chooseServer(const RoutingTable &table, const PickInput &input);
     static Target peerTarget(const Member &member);
     Target serverTarget(const ServerView &view) const;
 
@@ -187,6 +192,7 @@
     // Returns the prompt tokens that the server has to read if it has the shared ones cached.
     std::int64_t tokensToRead() const;
     void recordFirstByte(const Target &target);
+    void recordKeptParts(const Target &target);
     void recordPaceOf(ServerCounters &counters, int events, Duration elapsed);
     void recordEndedStream(const Attempt &attempt);
     // Returns true if an attempt that has received nothing since `lastReceivedAt` should continue,
--- a/src/entry/state.h
+++ b/src/entry/state.h
@@ -19,6 +19,7 @@
 #include "ibisnotch/origin-history.h"
 #include "ibisnotch/part-suspects.h"
 #include "ibisnotch/pick.h"
+#include "ibisnotch/prefix-cache.h"
 #include "ibisnotch/process-settings.h"
 #include "ibisnotch/quarantine.h"
 #include "ibisnotch/rcu.h"
@@ -63,6 +64,7 @@
     RetryBudget retryBudget;
     UsageCaps usageCaps;
     AffinityPicker picker;
+    PrefixCache prefixCache{PrefixCache::Limits{}, startedAt};
 
     PartSuspects suspects;
     std::mutex quarantineMutex;
--- a/src/net/metrics.cc
+++ b/src/net/metrics.cc
@@ -95,6 +95,8 @@
     std::atomic<std::uint64_t> m_serversSilent = 0;
     std::atomic<std::uint64_t> m_serverRests = 0;
     std::atomic<std::uint64_t> m_invalidSlowdowns = 0;
+    std::atomic<std::uint64_t> m_sharedTokens = 0;
+    std::atomic<std::uint64_t> m_sharedTokensKept = 0;
 };
 
 Metrics::Metrics() : m_d(std::make_unique<Private>()) { }
@@ -139,6 +141,12 @@
     ++m_d->m_invalidSlowdowns;
 }
 
+void Metrics::onSharedTokens(double sent, double expectedKept)
+{
+    m_d->m_sharedTokens += static_cast<std::uint64_t>(sent);
+    m_d->m_sharedTokensKept += static_cast<std::uint64_t>(expectedKept);
+}
+
 void Metrics::onServerSilent()
 {
     ++m_d->m_serversSilent;
@@ -177,6 +185,9 @@
     out += fmt::format("ibisnotch_servers_silent_total {}\n", m_d->m_serversSilent.load());
     out += fmt::format("ibisnotch_server_rests_total {}\n", m_d->m_serverRests.load());
     out += fmt::format("ibisnotch_invalid_slowdowns_total {}\n", m_d->m_invalidSlowdowns.load());
+    out += fmt::format("ibisnotch_shared_tokens_sent_total {}\n", m_d->m_sharedTokens.load());
+    out += fmt::format("ibisnotch_shared_tokens_expected_kept_total {}\n",
+                       m_d->m_sharedTokensKept.load());
     for (const auto &[end, count] : m_d->m_attempts)
         out += fmt::format("ibisnotch_attempts_total{{end=\"{}\"}} {}\n", end, count);
     for (const auto &[knownBy, count] : m_d->m_continued)
