--- a/src/decide/prefix-cache.cc
+++ b/src/decide/prefix-cache.cc
@@ -20,10 +20,11 @@
 {
     // The tokens are estimated from this instance's part of the requests, so the end of the room is
     // not sharp.
-    constexpr double steepness = 4;
     if (room <= 0)
         return 0;
-    return 1 / (1 + std::pow(tokensSince / room, steepness));
+    const double filled = tokensSince / room;
+    const double squared = filled * filled;
+    return 1 / (1 + squared * squared);
 }
 
 double roomCorrection(const FirstPromptEvent &event)
--- a/src/decide/weighing-picker.cc
+++ b/src/decide/weighing-picker.cc
@@ -62,21 +62,29 @@
 
 PartOrder orderFor(const WeighingInput &input, std::size_t part, double meanTurnover)
 {
+    using Weight = std::pair<std::uint64_t, std::size_t>;
     const std::size_t count = input.servers.size();
     PartOrder order;
     order.holders = holderCount(input.beliefs->parts[part].requestsPerSecond, meanTurnover, count);
-    std::vector<std::pair<std::uint64_t, std::size_t>> weights;
+    std::vector<Weight> weights;
     weights.reserve(count);
     const std::uint64_t key = mixed(input.sharedParts[part].hash);
     for (std::size_t i = 0; i < count; ++i)
         weights.emplace_back(mixed(key ^ input.servers[i].server), i);
     const std::size_t taken = std::min(count, order.holders + followerCount);
-    std::partial_sort(weights.begin(), weights.begin() + static_cast<std::ptrdiff_t>(taken),
-                      weights.end(), std::greater<>());
+    const auto holdersEnd = weights.begin() + static_cast<std::ptrdiff_t>(order.holders);
+    const auto takenEnd = weights.begin() + static_cast<std::ptrdiff_t>(taken);
+    // Many holders need no order among themselves, as only some of them are compared.
+    const bool areSorted = order.holders <= maxHoldersCompared;
+    if (!areSorted && order.holders < count)
+        std::nth_element(weights.begin(), holdersEnd, weights.end(), std::greater<>());
+    std::partial_sort(areSorted ? weights.begin() : holdersEnd, takenEnd, weights.end(),
+                      std::greater<>());
     order.ranks.assign(count, noRank);
+    order.servers.reserve(taken);
     for (std::size_t rank = 0; rank < taken; ++rank) {
         order.servers.push_back(weights[rank].second);
-        order.ranks[weights[rank].second] = rank;
+        order.ranks[weights[rank].second] = areSorted || rank >= order.holders ? rank : 0;
     }
     return order;
 }
@@ -219,7 +227,11 @@
 {
     const Weighing weighing(input);
     std::optional<std::pair<double, WeighedChoice>> best;
+    std::vector<bool> isWeighed(input.servers.size());
     for (const std::size_t index : weighing.compared(random)) {
+        if (isWeighed[index])
+            continue;
+        isWeighed[index] = true;
         const auto weighed = weighing.weigh(index);
         if (!best || weighed.first < best->first)
             best = weighed;
