--- a/test/prefix-replay.h
+++ b/test/prefix-replay.h
@@ -259,13 +259,11 @@
         ReplayEngine &engine = m_engines[index];
         engine.advance(m_now);
         double missing = 0;
-        double total = 0;
         bool isKept = true;
         for (const PromptPart &part : prompt.shared()) {
             isKept = isKept && engine.memory.has(part.hash);
             const double tokens = static_cast<double>(part.tokens);
             const bool isNew = m_everRead.insert(part.hash).second;
-            total += tokens;
             missing += isKept ? 0 : tokens;
             (isKept      ? m_result.sharedKept
                  : isNew ? m_result.sharedReadFirst
