--- a/src/decide/weighing-picker.cc
+++ b/src/decide/weighing-picker.cc
@@ -15,6 +15,9 @@
 constexpr std::size_t followerCount = 4;
 // Probability that such a server keeps the part, in relation to the one before it.
 constexpr double followShare = 0.35;
+// Least probability that a holder keeps the part, if it has as much room as the others. Where all
+// engines are short of memory, a copy elsewhere would last no longer, and make another part yield.
+constexpr double holderShare = 0.9;
 constexpr double secondsPerRank = 0.002;
 // Of more holders only this many are compared: if all instances compared all, they would send to
 // the same one until its next report.
@@ -105,9 +108,9 @@
             m_turnovers.push_back(turnoverSeconds(input, i));
             sum += m_turnovers.back();
         }
-        const double meanTurnover = sum / static_cast<double>(count);
+        m_meanTurnover = sum / static_cast<double>(count);
         for (std::size_t part = 0; part < input.sharedParts.size(); ++part)
-            m_orders.push_back(orderFor(input, part, meanTurnover));
+            m_orders.push_back(orderFor(input, part, m_meanTurnover));
     }
 
     // Returns the probability that the server keeps a part, whatever of those before it.
@@ -120,7 +123,10 @@
         const double turnover = m_turnovers[index];
         if (const std::size_t rank = order.ranks[index]; rank != noRank) {
             const double holders = static_cast<double>(order.holders);
-            double ranked = usedWithin(rate / holders, turnover);
+            const double relativeRoom
+                = m_meanTurnover > 0 ? std::min(1.0, turnover / m_meanTurnover) : 0;
+            double ranked
+                = std::max(usedWithin(rate / holders, turnover), holderShare * relativeRoom);
             if (rank >= order.holders)
                 ranked *= std::pow(followShare, static_cast<double>(rank - order.holders + 1));
             result = std::max(result, ranked);
@@ -200,6 +206,7 @@
 
     const WeighingInput &m_input;
     std::vector<double> m_turnovers;
+    double m_meanTurnover = 0;
     std::vector<PartOrder> m_orders;
 };
 
--- a/test/weighing-picker-test.cc
+++ b/test/weighing-picker-test.cc
@@ -165,6 +165,17 @@
     CHECK(pick().index != holder);
 }
 
+// Guards against prompts that are spread over all engines, and make each other's parts yield, as
+// soon as none of the engines keeps parts for long.
+TEST_CASE_METHOD(PickFixture, "pickWeighed_allEnginesShortOfMemory_staysWithTheHolder")
+{
+    const std::size_t holder = pick().index;
+    for (WeighedServer &server : servers)
+        server.engine.usedTokens = 225000;
+    servers[holder].engine.unreadTokens = 8000;
+    CHECK(picks() == std::set<std::size_t>{holder});
+}
+
 TEST_CASE_METHOD(PickFixture, "pickWeighed_holderRestarted_startsAsOneThatKeepsNothing")
 {
     const std::size_t holder = pick().index;
@@ -244,6 +255,20 @@
     CHECK(result.slowFirstSeconds < before.slowFirstSeconds);
 }
 
+// Running requests of 4 s leave engines with 170,000 tokens little room for parts.
+TEST_CASE("replay_littleMemory_readsLessThanTwoThirdsOfBefore")
+{
+    ReplayLoad load;
+    load.answerSeconds = 4;
+    load.capacity = 170000;
+    load.slots = 64;
+    const ReplayResult result = Replay(load).play(chooseByWeighing);
+    const ReplayResult before = Replay(load).play(chooseByAffinity);
+    CAPTURE(result.sharedReadAgain, before.sharedReadAgain);
+    CHECK(result.sharedReadAgain < before.sharedReadAgain * 2 / 3);
+    CHECK(result.meanFirstSeconds < before.meanFirstSeconds / 2);
+}
+
 TEST_CASE("replay_usualLoad_readsNoMoreThanBefore")
 {
     ReplayLoad load;
