--- a/src/entry/attempt.cc
+++ b/src/entry/attempt.cc
@@ -82,8 +82,9 @@
         m_firstEvents = events;
         m_firstEventAt = m_lastReceivedAt;
     } else if (m_target.counters) {
-        recordEvents(*m_target.counters, events, m_lastReceivedAt - m_lastEventAt,
-                     m_lastReceivedAt);
+        const Duration elapsed = m_lastReceivedAt - m_lastEventAt;
+        recordEvents(*m_target.counters, events, elapsed, m_lastReceivedAt);
+        m_dispatch->recordPaceOf(*m_target.counters, events, elapsed);
     }
     m_eventsRecorded += events;
     m_lastEventAt = m_lastReceivedAt;
--- a/src/entry/dispatch.h
+++ b/src/entry/dispatch.h
@@ -12,6 +12,7 @@
 #include "exchange.h"
 #include "ibisnotch/http-client.h"
 #include "ibisnotch/warmup.h"
+#include "ibisnotch/weighing-picker.h"
 #include "protocol.h"
 #include "state.h"
 
@@ -41,6 +42,11 @@
     std::optional<Duration> reportAge; // of its last report; empty if it never reported
     std::optional<Duration> remainingColdTime; // of the chosen server; empty if it was not cold
     std::size_t senders = 0; // instances among which a cold server's rate is divided
+    // Of the chosen engine; empty if there is none or its reading rate is unknown.
+    std::optional<EngineForecast> forecast;
+    double serverSlowdown = 1; // of the chosen server
+    // Of the chosen engine; empty if cached parts weren't weighed.
+    std::optional<WeighedChoice> prefix;
     std::uint64_t listRevision = 0; // of the list of servers
     std::optional<Duration> listAge; // empty if no list has been read
 };
@@ -94,6 +100,9 @@
     Plan plan(bool admit);
     std::vector<Candidate> candidatesIn(const RoutingTable &table) const;
     double sharedReadSeconds(std::span<const Candidate> candidates) const;
+    // Sets the slowdown of the candidates, and the state of engines, where the settings ask for it.
+    void addForecastInputs(const RoutingTable &table, std::vector<Candidate> &candidates) const;
+    EngineWork engineWork() const;
     // Removes the candidates that may not get a request now. Returns false if none is left but one
     // may become ready soon.
     bool keepReadyCandidates(const RoutingTable &table, std::vector<Candidate> &candidates) const;
@@ -121,6 +130,8 @@
                                                 const DemandClass &demandClass) const;
     Plan planRemote(const std::string &region);
     Plan pickServer(const RoutingTable &table);
+    // Returns the index of a candidate.
+    std::size_t chooseServer(const RoutingTable &table, const PickInput &input);
     static Target peerTarget(const Member &member);
     Target serverTarget(const ServerView &view) const;
 
@@ -192,6 +203,9 @@
     // Returns the prompt tokens that the server has to read if it has the shared ones cached.
     std::int64_t tokensToRead() const;
     void recordFirstByte(const Target &target);
+    void recordKeptParts(const Target &target);
+    void recordPaceOf(ServerCounters &counters, int events, Duration elapsed);
+    void recordEndedStream(const Attempt &attempt);
     // Returns true if an attempt that has received nothing since `lastReceivedAt` should continue,
     // false if it should end so that another server can be tried. Then the retry is acquired.
     bool shouldKeepWaiting(const Target &target, const ResponseReader &reader,
--- a/src/entry/state.h
+++ b/src/entry/state.h
@@ -13,12 +13,14 @@
 #include "ibisnotch/burn.h"
 #include "ibisnotch/clock.h"
 #include "ibisnotch/demand.h"
+#include "ibisnotch/engine-statistics.h"
 #include "ibisnotch/forward-path.h"
 #include "ibisnotch/membership.h"
 #include "ibisnotch/metrics.h"
 #include "ibisnotch/origin-history.h"
 #include "ibisnotch/part-suspects.h"
 #include "ibisnotch/pick.h"
+#include "ibisnotch/prefix-cache.h"
 #include "ibisnotch/process-settings.h"
 #include "ibisnotch/quarantine.h"
 #include "ibisnotch/rcu.h"
@@ -59,12 +61,14 @@
     RegionChooser regionChooser;
     Admission admission;
     StreamStatistics streamStatistics;
+    EngineStatistics engineStatistics;
     OriginHistory originHistory;
     OriginRecords originRecords;
     PromptLengths promptLengths;
     RetryBudget retryBudget;
     UsageCaps usageCaps;
     AffinityPicker picker;
+    PrefixCache prefixCache{PrefixCache::Limits{}, startedAt};
 
     PartSuspects suspects;
     std::mutex quarantineMutex;
