--- a/include/ibisnotch/peer-link.h
+++ b/include/ibisnotch/peer-link.h
@@ -55,6 +55,7 @@
     bool hasDemand = false;
     std::vector<Demand> demands;
     std::vector<RegionDemand> regionDemands;
+    std::vector<CompactSpeed> serverSpeeds; // of backend servers in the sender's region
 
     bool operator==(const GossipMessage &) const = default;
 };
--- a/src/net/peer-link.cc
+++ b/src/net/peer-link.cc
@@ -67,7 +67,7 @@
     if (message.protocol >= protocolWithEras)
         archive(message.rangeUpdates, message.rangePositions);
     if (message.protocol >= protocolWithDemand)
-        archive(message.hasDemand, message.demands, message.regionDemands);
+        archive(message.hasDemand, message.demands, message.regionDemands, message.serverSpeeds);
 }
 
 template <typename Archive> void serializeFields(Archive &archive, PeerRequest &request)
--- a/test/peer-link-test.cc
+++ b/test/peer-link-test.cc
@@ -24,6 +24,7 @@
     message.hasDemand = true;
     message.demands.push_back({{1, 3, true}, 20, 2, 30});
     message.regionDemands.push_back({"a", 40, message.demands, {{1, 12, 50}}});
+    message.serverSpeeds.push_back({9, 250, 3});
     return message;
 }
 
@@ -46,6 +47,7 @@
     oldMessage.hasDemand = false;
     oldMessage.demands.clear();
     oldMessage.regionDemands.clear();
+    oldMessage.serverSpeeds.clear();
     CHECK(*decodeGossip(encodeGossip(oldMessage)) == oldMessage);
 }
 
@@ -63,6 +65,15 @@
     CHECK(received->limitUpdates == oldMessage.limitUpdates);
 }
 
+// Guards against losing the rest of a message of an instance that doesn't know of speeds.
+TEST_CASE("decodeGossip_messageOfProtocol6_hasNoSpeeds")
+{
+    GossipMessage oldMessage = sampleMessage();
+    oldMessage.protocol = 6;
+    oldMessage.serverSpeeds.clear();
+    CHECK(*decodeGossip(encodeGossip(oldMessage)) == oldMessage);
+}
+
 // Guards against a crash, or against wrong content, when a datagram is damaged, truncated or sent
 // by a later version with more fields. Such datagrams are dropped, and unknown fields are ignored.
 TEST_CASE("decodeGossip_damagedOrWithMoreFields_isDroppedOrReadInPart")
