--- a/test/weighing-picker-test.cc
+++ b/test/weighing-picker-test.cc
@@ -290,7 +290,13 @@
     for (std::uint32_t i = 0; i < 64; ++i) {
         WeighedServer server;
         server.server = serverId("server" + std::to_string(i));
-        server.engine = {32, 10, 2, 5000, 40000, 240000, 40, 0.03, 1, 0.1};
+        server.engine.slots = 32;
+        server.engine.running = 10;
+        server.engine.unreadTokens = 5000;
+        server.engine.usedTokens = 40000;
+        server.engine.cacheTokens = 240000;
+        server.engine.tokensPerMs = 40;
+        server.engine.eventSeconds = 0.03;
         servers.push_back(server);
         processes.push_back({server.server, 1, {}});
     }
