--- a/include/ibisnotch/engine-forecast.h
+++ b/include/ibisnotch/engine-forecast.h
@@ -19,6 +19,8 @@
     double slowdown = 1; // factor by which work takes longer on its machine now; 1 is usual
     // Between two events of a stream while it reads prompts all the time; 0 if unknown.
     double readingEventSeconds = 0;
+    // Between two events lately, with the reading of prompts that arrived meanwhile; 0 if unknown.
+    double recentEventSeconds = 0;
     bool operator==(const EngineState &) const = default;
 };
 
--- a/include/ibisnotch/pick.h
+++ b/include/ibisnotch/pick.h
@@ -31,6 +31,7 @@
     // Set by addSlowdowns() and addEngineStates().
     double slowdown = 1; // factor by which work takes longer there now
     std::optional<EngineState> engine = std::nullopt; // of a model engine
+    double aheadSeconds = 0; // in which the engine reads the prompts that were sent to it before
 };
 
 // Returns the servers that may run a request for the service, except those in `tried`. If `pool`
--- a/include/ibisnotch/server-speed.h
+++ b/include/ibisnotch/server-speed.h
@@ -19,11 +19,10 @@
 // ignored. Not atomic: of two concurrent calls one may be lost.
 void recordSlowdown(ServerCounters &counters, double percent, TimePoint at, bool statedHere);
 
-// Records an interval between two events of a stream of a model engine. `usualInterval` is that of
-// the streams of its pool (see engine-statistics.h), in seconds; 0 if unknown. Shows servers that
-// are always slower or faster than the others of their pool, which they don't state.
-void recordPace(ServerCounters &counters, double intervalSeconds, double usualInterval,
-                TimePoint now);
+// Records the mean interval between the events of a stream of a model engine. `usualInterval` is
+// that of the streams of its pool (see engine-statistics.h), in seconds; 0 if unknown. Shows the
+// speed of servers that state none.
+void recordPace(ServerCounters &counters, double intervalSeconds, double usualInterval);
 
 // Returns the factor by which work now takes longer than usually at the server, by its statements.
 double statedSlowdown(const ServerCounters &counters, TimePoint now);
--- a/src/decide/engine-forecast.cc
+++ b/src/decide/engine-forecast.cc
@@ -23,15 +23,22 @@
                                        : engine.eventSeconds + readSeconds(engine, chunkTokens);
 }
 
-// Returns the time in which a stream gets this many events while the engine reads prompts for the
-// first `reading` seconds.
+// Returns the interval of events while as many prompts arrive as lately.
+double currentEventSeconds(const EngineState &engine)
+{
+    return std::clamp(engine.recentEventSeconds, engine.eventSeconds,
+                      std::max(engine.eventSeconds, readingEventSeconds(engine)));
+}
+
+// Returns the time in which a stream gets this many events while the engine reads prompts all the
+// time for the first `reading` seconds, and then reads as many as lately.
 double streamSeconds(const EngineState &engine, double events, double reading)
 {
     const double slowInterval = readingEventSeconds(engine);
     if (slowInterval <= 0)
         return 0;
     const double slowEvents = std::min(events, reading / slowInterval);
-    return slowEvents * slowInterval + (events - slowEvents) * engine.eventSeconds;
+    return slowEvents * slowInterval + (events - slowEvents) * currentEventSeconds(engine);
 }
 
 // Returns the time until the engine has a slot for one more request. Slots become free evenly while
@@ -73,7 +80,7 @@
     result.firstEventSeconds = engine.slowdown * (start + ownRead + firstInterval);
     result.endSeconds = engine.slowdown * (start + ownRead + answer);
     result.longestGapSeconds = engine.slowdown
-        * std::max({engine.eventSeconds, readSeconds(engine, chunkTokens),
+        * std::max({currentEventSeconds(engine), readSeconds(engine, chunkTokens),
                     std::min(readingEventSeconds(engine), engine.eventSeconds + readLater)});
     // An evicted request is delayed by reading it again, and so are the others.
     result.harmSeconds = engine.slowdown
--- a/src/decide/engine-statistics.cc
+++ b/src/decide/engine-statistics.cc
@@ -6,17 +6,20 @@
 
 namespace {
 
-// Intervals up to this quantile are those of engines that read no prompts; those from the other one
-// up are those of engines that read prompts all the time.
-constexpr double lowQuantile = 0.2;
+// Streams with intervals up to this quantile ran while their engine read no prompts; those from the
+// other one up ran while it read prompts all the time. Intervals of whole streams are used because
+// several events may arrive at the same moment.
+constexpr double lowQuantile = 0.1;
 constexpr double highQuantile = 0.95;
-// Part by which a quantile moves with each event.
-constexpr double quantileStep = 0.02;
+// Part by which a quantile moves with each stream.
+constexpr double quantileStep = 0.05;
 constexpr double firstQuantileStep = 0.2;
-constexpr int firstEvents = 50;
-// Longer intervals than this many times the low ones include the reading of prompts.
-constexpr double maxUndisturbedFactor = 3;
-constexpr double intervalSmoothing = 0.99;
+constexpr int firstStreams = 30;
+constexpr double minEvents = 3; // of a stream that shows an interval
+constexpr double intervalSmoothing = 0.97;
+constexpr double minAheadPart = 0.05;
+constexpr double maxAheadPart = 5;
+constexpr double minKnownAheadSeconds = 0.5; // sum of what was ahead, from which a part is known
 constexpr double eventsSmoothing = 0.98; // over about fifty streams
 constexpr double sumSmoothing = 0.99;
 
@@ -32,22 +35,30 @@
 
 } // namespace
 
-void EngineStatistics::onEvent(const std::string &pool, double intervalSeconds, double slowdown)
+double usualInterval(const EndedStream &stream)
+{
+    return stream.events < minEvents || stream.slowdown <= 0
+        ? 0
+        : seconds(stream.streaming) / (stream.events - 1) / stream.slowdown;
+}
+
+void EngineStatistics::onFirstEvent(const std::string &service, double waitSeconds,
+                                    double aheadSeconds)
 {
-    if (intervalSeconds <= 0 || slowdown <= 0)
-        return;
-    const double usual = intervalSeconds / slowdown;
     const std::lock_guard lock(m_mutex);
-    Pool &known = m_pools[pool];
-    const double step = known.events < firstEvents ? firstQuantileStep : quantileStep;
-    known.events = std::min(known.events + 1, firstEvents);
-    moveQuantile(known.lowInterval, usual, lowQuantile, step);
-    moveQuantile(known.highInterval, usual, highQuantile, step);
-    if (usual > known.lowInterval * maxUndisturbedFactor)
-        return;
-    known.meanLowInterval = known.meanLowInterval > 0
-        ? intervalSmoothing * known.meanLowInterval + (1 - intervalSmoothing) * usual
-        : usual;
+    Wait &wait = m_waits[service];
+    wait.seconds = sumSmoothing * wait.seconds + std::max(0.0, waitSeconds);
+    wait.aheadSeconds = sumSmoothing * wait.aheadSeconds + std::max(0.0, aheadSeconds);
+}
+
+double EngineStatistics::aheadPart(const std::string &service) const
+{
+    const std::lock_guard lock(m_mutex);
+    const auto found = m_waits.find(service);
+    if (found == m_waits.end() || found->second.aheadSeconds < minKnownAheadSeconds)
+        return 1;
+    return std::clamp(found->second.seconds / found->second.aheadSeconds, minAheadPart,
+                      maxAheadPart);
 }
 
 void EngineStatistics::onStreamEnded(const std::string &pool, const std::string &service,
@@ -58,6 +69,15 @@
     const double streaming = seconds(stream.streaming);
     known.tokenSeconds = sumSmoothing * known.tokenSeconds + stream.tokens * streaming;
     known.streamSeconds = sumSmoothing * known.streamSeconds + streaming;
+    if (const double interval = usualInterval(stream); interval > 0) {
+        const double step = known.streams < firstStreams ? firstQuantileStep : quantileStep;
+        known.streams = std::min(known.streams + 1, firstStreams);
+        moveQuantile(known.lowInterval, interval, lowQuantile, step);
+        moveQuantile(known.highInterval, interval, highQuantile, step);
+        known.meanInterval = known.meanInterval > 0
+            ? intervalSmoothing * known.meanInterval + (1 - intervalSmoothing) * interval
+            : interval;
+    }
     const auto [found, added] = m_meanEvents.try_emplace(service, stream.events);
     if (!added)
         found->second = eventsSmoothing * found->second + (1 - eventsSmoothing) * stream.events;
@@ -71,8 +91,8 @@
         return {};
     const Pool &known = found->second;
     const double held = known.streamSeconds > 0 ? known.tokenSeconds / known.streamSeconds : 0;
-    return {known.lowInterval, known.meanLowInterval,
-            std::max(known.highInterval, known.lowInterval), held};
+    return {known.lowInterval, known.meanInterval, std::max(known.highInterval, known.lowInterval),
+            held};
 }
 
 double EngineStatistics::meanEvents(const std::string &service) const
--- a/src/decide/pick.cc
+++ b/src/decide/pick.cc
@@ -13,19 +13,19 @@
 
 constexpr std::size_t prefixBytes = 512;
 
-// Returns the part of the slots that would be taken with one more request. A slow server counts as
-// one with fewer slots.
+// Returns the part of the slots that would be taken with one more request.
 double utilization(const Candidate &candidate)
 {
-    return (candidate.load + 1) / candidate.slots * candidate.slowdown;
+    return (candidate.load + 1) / candidate.slots;
 }
 
 // Returns the read delay plus a penalty of a tenth of a second at full utilization, which decides
-// by load between servers with the same delay.
+// by load between servers with the same delay. A slow server counts as one with fewer slots.
 double expectedWaitSeconds(const Candidate &candidate)
 {
     constexpr double secondsWhenFull = 0.1;
-    return candidate.readDelaySeconds + secondsWhenFull * utilization(candidate);
+    return candidate.readDelaySeconds
+        + secondsWhenFull * utilization(candidate) * candidate.slowdown;
 }
 
 // Returns the time that a request takes at an engine, and that it takes from those running there.
@@ -158,9 +158,15 @@
         engine.usedTokens = engine.running * facts.heldTokens;
         engine.cacheTokens = cacheTokens;
         engine.eventSeconds = facts.eventSeconds;
+        // The interval was measured on the machine as it is.
+        const double recent = candidate.eventIntervalSeconds / candidate.slowdown;
+        engine.recentEventSeconds = recent > 0 ? recent : facts.meanEventSeconds;
         engine.readingEventSeconds = facts.readingEventSeconds;
         engine.slowdown = candidate.slowdown;
         candidate.engine = engine;
+        candidate.aheadSeconds = candidate.tokensPerMs > 0
+            ? engine.unreadTokens / candidate.tokensPerMs / msPerSecond
+            : 0;
     }
 }
 
--- a/src/decide/server-speed.cc
+++ b/src/decide/server-speed.cc
@@ -22,10 +22,8 @@
 // Servers that differ by more than this are slow for another reason than their machine's kind.
 constexpr double minRelativePace = 0.5;
 constexpr double maxRelativePace = 2;
-constexpr double paceSmoothing = 0.98;
-constexpr int minPaceSamples = 100;
-// Intervals of this many times the usual one include the reading of prompts.
-constexpr double maxUndisturbedFactor = 3;
+constexpr double paceSmoothing = 0.95;
+constexpr int minPaceSamples = 30;
 // Changes by less than this part are no news.
 constexpr double newsPart = 0.15;
 // A value other than the usual one is repeated, since the others believe it only while it is fresh.
@@ -73,16 +71,13 @@
     counters.slowdownStatedHere = statedHere;
 }
 
-void recordPace(ServerCounters &counters, double intervalSeconds, double usualInterval,
-                TimePoint now)
+void recordPace(ServerCounters &counters, double intervalSeconds, double usualInterval)
 {
-    if (usualInterval <= 0)
+    if (usualInterval <= 0 || intervalSeconds <= 0)
         return;
-    const double pace = intervalSeconds / usualInterval / statedSlowdown(counters, now);
-    if (pace > maxUndisturbedFactor)
-        return;
-    const double bounded = std::clamp(pace, minRelativePace, maxRelativePace);
-    counters.relativePace = paceSmoothing * counters.relativePace + (1 - paceSmoothing) * bounded;
+    const double pace
+        = std::clamp(intervalSeconds / usualInterval, minRelativePace, maxRelativePace);
+    counters.relativePace = paceSmoothing * counters.relativePace + (1 - paceSmoothing) * pace;
     counters.paceSamples = std::min(counters.paceSamples + 1, minPaceSamples);
 }
 
@@ -99,8 +94,9 @@
 
 double slowdown(const ServerCounters &counters, TimePoint now)
 {
-    const bool paceKnown = counters.paceSamples >= minPaceSamples;
-    return statedSlowdown(counters, now) * (paceKnown ? counters.relativePace.load() : 1);
+    if (counters.slowdownPercent > 0)
+        return statedSlowdown(counters, now);
+    return counters.paceSamples >= minPaceSamples ? counters.relativePace.load() : 1;
 }
 
 double maxSlowdown(const RoutingTable &table, TimePoint now)
--- a/src/entry/attempt.cc
+++ b/src/entry/attempt.cc
@@ -78,11 +78,9 @@
     const int events = m_reader->eventCount() - m_eventsRecorded;
     if (events <= 0 || !m_target.counters)
         return;
-    if (m_eventsRecorded > 0) {
-        const Duration elapsed = m_lastReceivedAt - m_lastEventAt;
-        recordEvents(*m_target.counters, events, elapsed, m_lastReceivedAt);
-        m_dispatch->recordPaceOf(*m_target.counters, events, elapsed);
-    }
+    if (m_eventsRecorded > 0)
+        recordEvents(*m_target.counters, events, m_lastReceivedAt - m_lastEventAt,
+                     m_lastReceivedAt);
     m_eventsRecorded += events;
     m_lastEventAt = m_lastReceivedAt;
 }
--- a/src/entry/dispatch-plan.cc
+++ b/src/entry/dispatch-plan.cc
@@ -67,6 +67,10 @@
     const double cacheTokens = isKnown ? static_cast<double>(found->second.cacheTokens) : 0;
     addEngineStates(candidates, m_state.engineStatistics.facts(pool),
                     m_state.promptLengths.mean(pool), cacheTokens);
+    // Urgent requests don't wait for all that is ahead.
+    const double aheadPart = m_state.engineStatistics.aheadPart(m_exchange->service->name);
+    for (Candidate &candidate : candidates)
+        candidate.engine->unreadTokens *= aheadPart;
 }
 
 EngineWork Dispatch::engineWork() const
@@ -365,6 +369,7 @@
     m_routeInputs.serverSlowdown = chosen.slowdown;
     if (chosen.engine && chosen.engine->tokensPerMs > 0)
         m_routeInputs.forecast = forecast(*chosen.engine, input.work);
+    m_routeInputs.aheadSeconds = chosen.aheadSeconds;
     if (chosen.view->reportedAt != TimePoint{})
         m_routeInputs.reportAge = now - chosen.view->reportedAt;
     if (now < chosen.view->coldUntil)
--- a/src/entry/dispatch.cc
+++ b/src/entry/dispatch.cc
@@ -181,6 +181,14 @@
                      {tokensToRead(), waiting, m_state.clock.now() - m_attemptStartedAt,
                       m_routeInputs.tokensPerMs});
     m_state.promptLengths.onPrompt(loadKey(*m_exchange), tokensToRead());
+    if (m_routeInputs.forecast) {
+        const double ownSeconds = seconds(readTime(m_routeInputs.tokensPerMs, tokensToRead()));
+        m_state.engineStatistics.onFirstEvent(m_exchange->service->name,
+                                              seconds(m_state.clock.now() - m_attemptStartedAt)
+                                                      / m_routeInputs.serverSlowdown
+                                                  - ownSeconds,
+                                              m_routeInputs.aheadSeconds);
+    }
     removeAwaitedFirstToken(target);
 }
 
@@ -388,32 +396,26 @@
                                                loadKey(*m_exchange), attempt.reader().eventCount(),
                                                m_state.clock.now());
     if (completeStream && !target.isPeer)
-        recordEndedStream(attempt);
+        recordEndedStream(target, attempt);
     if (outcome == AttemptOutcome::answered)
         return deliver(attempt);
     retryOrEnd(target, outcome);
 }
 
-void Dispatch::recordPaceOf(ServerCounters &counters, int events, Duration elapsed)
+void Dispatch::recordEndedStream(const Target &target, const Attempt &attempt)
 {
-    if (!usesForecasts(m_state.settings.features))
+    if (!usesForecasts(m_state.settings.features) || m_exchange->prompt.tokens == 0)
         return;
     const TimePoint now = m_state.clock.now();
     const std::string &pool = loadKey(*m_exchange);
-    const double interval = seconds(elapsed) / events;
-    recordPace(counters, interval, m_state.engineStatistics.facts(pool).meanEventSeconds, now);
-    m_state.engineStatistics.onEvent(pool, interval, statedSlowdown(counters, now));
-}
-
-void Dispatch::recordEndedStream(const Attempt &attempt)
-{
-    if (!usesForecasts(m_state.settings.features) || m_exchange->prompt.tokens == 0)
-        return;
     EndedStream stream;
     stream.tokens = static_cast<double>(m_exchange->prompt.tokens);
     stream.events = attempt.reader().eventCount();
-    stream.streaming = m_state.clock.now() - m_firstByteAt.value_or(m_attemptStartedAt);
-    m_state.engineStatistics.onStreamEnded(loadKey(*m_exchange), m_exchange->service->name, stream);
+    stream.streaming = now - m_firstByteAt.value_or(m_attemptStartedAt);
+    stream.slowdown = statedSlowdown(*target.counters, now);
+    recordPace(*target.counters, usualInterval(stream),
+               m_state.engineStatistics.facts(pool).meanEventSeconds);
+    m_state.engineStatistics.onStreamEnded(pool, m_exchange->service->name, stream);
 }
 
 // A peer's attempts count as this instance's, as both together may make no more than the service
--- a/src/entry/dispatch.h
+++ b/src/entry/dispatch.h
@@ -42,6 +42,7 @@
     std::size_t senders = 0; // instances among which a cold server's rate is divided
     // Of the chosen engine; empty if there is none or its reading rate is unknown.
     std::optional<EngineForecast> forecast;
+    double aheadSeconds = 0; // in which the chosen engine reads what it was estimated to have left
     double serverSlowdown = 1; // of the chosen server
     std::uint64_t listRevision = 0; // of the list of servers
     std::optional<Duration> listAge; // empty if no list has been read
@@ -187,8 +188,7 @@
     // Returns the prompt tokens that the server has to read if it has the shared ones cached.
     std::int64_t tokensToRead() const;
     void recordFirstByte(const Target &target);
-    void recordPaceOf(ServerCounters &counters, int events, Duration elapsed);
-    void recordEndedStream(const Attempt &attempt);
+    void recordEndedStream(const Target &target, const Attempt &attempt);
     // Returns true if an attempt that has received nothing since `lastReceivedAt` should continue,
     // false if it should end so that another server can be tried. Then the retry is acquired.
     bool shouldKeepWaiting(const Target &target, const ResponseReader &reader,
--- a/test/engine-forecast-test.cc
+++ b/test/engine-forecast-test.cc
@@ -68,6 +68,16 @@
     CHECK(end < idleEnd + 0.4);
 }
 
+// Guards against forecasts by what waits now only: a stream lasts longer than that, and meets the
+// prompts that arrive in the meantime.
+TEST_CASE_METHOD(EngineForecastFixture, "forecast_streamsWereSlowLately_endsAtThatInterval")
+{
+    engine.recentEventSeconds = 0.1;
+    CHECK(forecast(engine, work).endSeconds == Approx(0.1 + 10 * 0.1));
+    engine.recentEventSeconds = 5;
+    CHECK(forecast(engine, work).endSeconds == Approx(0.1 + 10 * 0.43));
+}
+
 TEST_CASE_METHOD(EngineForecastFixture, "forecast_anyEngine_expectsAGapOfAChunk")
 {
     CHECK(forecast(engine, work).longestGapSeconds == Approx(2048 / 40.0 / 1000));
