--- a/src/entry/dispatch.h
+++ b/src/entry/dispatch.h
@@ -194,8 +194,6 @@
     std::int64_t tokensToRead() const;
     void recordFirstByte(const Target &target);
     void recordKeptParts(const Target &target);
-    void recordPaceOf(ServerCounters &counters, int events, Duration elapsed);
-    void recordEndedStream(const Attempt &attempt);
     void recordEndedStream(const Target &target, const Attempt &attempt);
     // Returns true if an attempt that has received nothing since `lastReceivedAt` should continue,
     // false if it should end so that another server can be tried. Then the retry is acquired.
