--- a/src/entry/attempt.cc
+++ b/src/entry/attempt.cc
@@ -82,9 +82,8 @@
         m_firstEvents = events;
         m_firstEventAt = m_lastReceivedAt;
     } else if (m_target.counters) {
-        const Duration elapsed = m_lastReceivedAt - m_lastEventAt;
-        recordEvents(*m_target.counters, events, elapsed, m_lastReceivedAt);
-        m_dispatch->recordPaceOf(*m_target.counters, events, elapsed);
+        recordEvents(*m_target.counters, events, m_lastReceivedAt - m_lastEventAt,
+                     m_lastReceivedAt);
     }
     m_eventsRecorded += events;
     m_lastEventAt = m_lastReceivedAt;
--- a/src/entry/dispatch.h
+++ b/src/entry/dispatch.h
@@ -44,6 +44,7 @@
     std::size_t senders = 0; // instances among which a cold server's rate is divided
     // Of the chosen engine; empty if there is none or its reading rate is unknown.
     std::optional<EngineForecast> forecast;
+    double aheadSeconds = 0; // in which the chosen engine reads what it was estimated to have left
     double serverSlowdown = 1; // of the chosen server
     // Of the chosen engine; empty if cached parts weren't weighed.
     std::optional<WeighedChoice> prefix;
@@ -204,8 +205,7 @@
     std::int64_t tokensToRead() const;
     void recordFirstByte(const Target &target);
     void recordKeptParts(const Target &target);
-    void recordPaceOf(ServerCounters &counters, int events, Duration elapsed);
-    void recordEndedStream(const Attempt &attempt);
+    void recordEndedStream(const Target &target, const Attempt &attempt);
     // Returns true if an attempt that has received nothing since `lastReceivedAt` should continue,
     // false if it should end so that another server can be tried. Then the retry is acquired.
     bool shouldKeepWaiting(const Target &target, const ResponseReader &reader,
