--- a/include/ibisnotch/engine-statistics.h
+++ b/include/ibisnotch/engine-statistics.h
@@ -2,6 +2,7 @@
 // service.
 #pragma once
 
+#include <cstdint>
 #include <map>
 #include <mutex>
 #include <string>
@@ -44,6 +45,12 @@
     // own prompt, and the time in which the engine reads what was ahead of it.
     void onFirstEvent(const std::string &service, double waitSeconds, double aheadSeconds);
 
+    // Called with the first event of a prompt of which an engine read this many tokens.
+    void onPromptRead(const std::string &pool, std::int64_t tokens, Duration elapsed);
+    // Returns the highest rate in tokens a millisecond at which a prompt was read lately, waiting
+    // included, so a lower bound that is known under any load; 0 if there was none.
+    double readRate(const std::string &pool) const;
+
     EngineFacts facts(const std::string &pool) const;
     // Returns the part of the prompts ahead for which requests of the service wait. It is low for
     // urgent ones, and above 1 where engines read more than was estimated.
@@ -59,6 +66,7 @@
         double meanInterval = 0;
         double tokenSeconds = 0; // both sums fade at the same rate
         double streamSeconds = 0;
+        double readRate = 0; // tokens a millisecond
     };
     mutable std::mutex m_mutex;
     std::map<std::string, Pool> m_pools;
--- a/include/ibisnotch/stream-statistics.h
+++ b/include/ibisnotch/stream-statistics.h
@@ -2,7 +2,6 @@
 // still end in time.
 #pragma once
 
-#include <cstdint>
 #include <map>
 #include <mutex>
 #include <string>
@@ -35,20 +34,6 @@
     void onStreamEnded(const Service &service, int priority, const std::string &pool, int events,
                        TimePoint now);
 
-    // Called when a stream has ended completely, at any server: with its number of events, and the
-    // mean time between them, 0 if unknown.
-    void onStreamMeasured(const Service &service, const std::string &pool, int events,
-                          double intervalSeconds);
-    // Returns the event interval of streams at servers that read few prompts; 0 if unknown.
-    double usualEventInterval(const std::string &pool) const;
-    // Called with the first event of a prompt of which a server read this many tokens.
-    void onPromptRead(const std::string &pool, std::int64_t tokens, Duration elapsed);
-    // Returns the highest rate in tokens a millisecond at which a prompt was read lately, waiting
-    // included, so a lower bound; 0 if unknown.
-    double readRate(const std::string &pool) const;
-    // Returns the mean number of events of a stream; 0 if unknown.
-    double meanEvents(const Service &service) const;
-
     // Returns the event interval in seconds up to which long answers of all services of the pool
     // end before their deadlines and don't exceed their maximum gap between events. 0 if unknown.
     double maxEventIntervalSeconds(const std::string &pool, TimePoint now) const;
@@ -70,9 +55,6 @@
     mutable std::mutex m_mutex;
     std::map<std::pair<std::string, int>, ServiceStatistics>
         m_statistics; // by service and priority
-    std::map<std::string, double> m_usualIntervals; // by pool
-    std::map<std::string, double> m_meanEvents; // by service
-    std::map<std::string, double> m_readRates; // by pool
 };
 
 } // namespace ibisnotch
--- a/src/decide/engine-statistics.cc
+++ b/src/decide/engine-statistics.cc
@@ -83,6 +83,27 @@
         found->second = eventsSmoothing * found->second + (1 - eventsSmoothing) * stream.events;
 }
 
+void EngineStatistics::onPromptRead(const std::string &pool, std::int64_t tokens, Duration elapsed)
+{
+    // Shorter prompts take a step each, whatever their length.
+    constexpr std::int64_t minTokens = 500;
+    constexpr double decay = 0.999; // by prompt, so that the rate follows engines that become slow
+    if (tokens < minTokens || elapsed <= Duration(0))
+        return;
+    const double rate
+        = static_cast<double>(tokens) / std::chrono::duration<double, std::milli>(elapsed).count();
+    const std::lock_guard lock(m_mutex);
+    double &highest = m_pools[pool].readRate;
+    highest = std::max(decay * highest, rate);
+}
+
+double EngineStatistics::readRate(const std::string &pool) const
+{
+    const std::lock_guard lock(m_mutex);
+    const auto found = m_pools.find(pool);
+    return found == m_pools.end() ? 0 : found->second.readRate;
+}
+
 EngineFacts EngineStatistics::facts(const std::string &pool) const
 {
     const std::lock_guard lock(m_mutex);
--- a/src/decide/stream-statistics.cc
+++ b/src/decide/stream-statistics.cc
@@ -68,62 +68,6 @@
     statistics.updatedAt = now;
 }
 
-// The usual interval follows the lowest decile of the intervals: each sample moves it by a small
-// factor, and those below it by nine times as much as those above.
-void StreamStatistics::onStreamMeasured(const Service &service, const std::string &pool, int events,
-                                        double intervalSeconds)
-{
-    constexpr double quantile = 0.1;
-    constexpr double stepFactor = 0.05;
-    constexpr double eventsSmoothing = 0.02; // over about fifty streams
-    const std::lock_guard lock(m_mutex);
-    const auto [mean, isFirst] = m_meanEvents.try_emplace(service.name, events);
-    if (!isFirst)
-        mean->second += eventsSmoothing * (events - mean->second);
-    if (intervalSeconds <= 0)
-        return;
-    const auto [usual, added] = m_usualIntervals.try_emplace(pool, intervalSeconds);
-    if (added)
-        return;
-    const bool isBelow = intervalSeconds < usual->second;
-    usual->second *= isBelow ? 1 - stepFactor * (1 - quantile) : 1 + stepFactor * quantile;
-}
-
-void StreamStatistics::onPromptRead(const std::string &pool, std::int64_t tokens, Duration elapsed)
-{
-    constexpr std::int64_t minTokens
-        = 500; // shorter prompts take a step each, whatever their length
-    constexpr double decay = 0.999; // by prompt, so that the rate follows servers that become slow
-    if (tokens < minTokens || elapsed <= Duration(0))
-        return;
-    const double rate
-        = static_cast<double>(tokens) / std::chrono::duration<double, std::milli>(elapsed).count();
-    const std::lock_guard lock(m_mutex);
-    double &highest = m_readRates[pool];
-    highest = std::max(decay * highest, rate);
-}
-
-double StreamStatistics::readRate(const std::string &pool) const
-{
-    const std::lock_guard lock(m_mutex);
-    const auto found = m_readRates.find(pool);
-    return found == m_readRates.end() ? 0 : found->second;
-}
-
-double StreamStatistics::usualEventInterval(const std::string &pool) const
-{
-    const std::lock_guard lock(m_mutex);
-    const auto found = m_usualIntervals.find(pool);
-    return found == m_usualIntervals.end() ? 0 : found->second;
-}
-
-double StreamStatistics::meanEvents(const Service &service) const
-{
-    const std::lock_guard lock(m_mutex);
-    const auto found = m_meanEvents.find(service.name);
-    return found == m_meanEvents.end() ? 0 : found->second;
-}
-
 double StreamStatistics::maxEventIntervalSeconds(const std::string &pool, TimePoint now) const
 {
     const std::lock_guard lock(m_mutex);
--- a/src/entry/attempt.cc
+++ b/src/entry/attempt.cc
@@ -76,26 +76,15 @@
 void Dispatch::Attempt::recordEventInterval()
 {
     const int events = m_reader->eventCount() - m_eventsRecorded;
-    if (events <= 0)
+    if (events <= 0 || !m_target.counters)
         return;
-    if (m_eventsRecorded == 0) {
-        m_firstEvents = events;
-        m_firstEventAt = m_lastReceivedAt;
-    } else if (m_target.counters) {
+    if (m_eventsRecorded > 0)
         recordEvents(*m_target.counters, events, m_lastReceivedAt - m_lastEventAt,
                      m_lastReceivedAt);
-    }
     m_eventsRecorded += events;
     m_lastEventAt = m_lastReceivedAt;
 }
 
-double Dispatch::Attempt::meanEventInterval() const
-{
-    constexpr int minEvents = 4;
-    const int events = m_eventsRecorded - m_firstEvents;
-    return events < minEvents ? 0 : seconds(m_lastEventAt - m_firstEventAt) / events;
-}
-
 bool Dispatch::Attempt::keepsWaiting()
 {
     return m_dispatch->shouldKeepWaiting(m_target, *m_reader, m_lastReceivedAt);
--- a/src/entry/attempt.h
+++ b/src/entry/attempt.h
@@ -31,8 +31,6 @@
     // Returns whether the server has sent part of an answer: an event of a stream, or any byte of
     // another answer with a status of success.
     bool hasBegun() const { return m_hasBegun; }
-    // Returns the mean time between two events in seconds; 0 if too few arrived to tell.
-    double meanEventInterval() const;
 
 private:
     void recordEventInterval();
@@ -49,8 +47,6 @@
     std::optional<AttemptOutcome> m_earlyOutcome;
     TimePoint m_lastReceivedAt; // time of the last data, or of the start of the attempt
     int m_eventsRecorded = 0;
-    int m_firstEvents = 0; // events that arrived together with the first
-    TimePoint m_firstEventAt{};
     TimePoint m_lastEventAt{};
 };
 
--- a/src/entry/dispatch-region.cc
+++ b/src/entry/dispatch-region.cc
@@ -19,7 +19,7 @@
         = regionMask(m_exchange->allowedRegions, sortedRegions(m_exchange->config().regions));
     // Where reading the shared part takes longer than the way to another region, one region keeps
     // it for the callers of all.
-    const double rate = m_state.streamStatistics.readRate(loadKey(*m_exchange));
+    const double rate = m_state.engineStatistics.readRate(loadKey(*m_exchange));
     result.placed = m_exchange->prefixHash != 0
         && readTime(rate, m_exchange->prompt.sharedTokens()) > m_exchange->config().regionOneWay;
     return result;
@@ -31,9 +31,9 @@
         return;
     const std::string &pool = loadKey(*m_exchange);
     const double readSeconds
-        = seconds(readTime(m_state.streamStatistics.readRate(pool), tokensToRead()));
-    const double answerSeconds = m_state.streamStatistics.meanEvents(*m_exchange->service)
-        * m_state.streamStatistics.usualEventInterval(pool);
+        = seconds(readTime(m_state.engineStatistics.readRate(pool), tokensToRead()));
+    const double answerSeconds = m_state.engineStatistics.meanEvents(m_exchange->service->name)
+        * m_state.engineStatistics.facts(pool).eventSeconds;
     const double slots = std::max(1.0, candidates.front().slots);
     const DemandMeter::Work work{readSeconds + answerSeconds / slots, readSeconds + answerSeconds};
     m_state.demand.onRequest(demandClass, work, m_state.clock.now());
--- a/src/entry/dispatch.cc
+++ b/src/entry/dispatch.cc
@@ -182,7 +182,7 @@
                      {tokensToRead(), waiting, m_state.clock.now() - m_attemptStartedAt,
                       m_routeInputs.tokensPerMs});
     m_state.promptLengths.onPrompt(loadKey(*m_exchange), tokensToRead());
-    m_state.streamStatistics.onPromptRead(loadKey(*m_exchange), tokensToRead(),
+    m_state.engineStatistics.onPromptRead(loadKey(*m_exchange), tokensToRead(),
                                           m_state.clock.now() - m_attemptStartedAt);
     if (m_routeInputs.forecast) {
         const double ownSeconds = seconds(readTime(m_routeInputs.tokensPerMs, tokensToRead()));
@@ -395,15 +395,11 @@
     }
     const bool completeStream
         = outcome == AttemptOutcome::answered && attempt.reader().eventCount() > 0;
-    if (completeStream && m_attempts == 1 && m_exchange->prompt.tokens > 0)
-        m_state.streamStatistics.onStreamMeasured(*m_exchange->service, loadKey(*m_exchange),
-                                                  attempt.reader().eventCount(),
-                                                  attempt.meanEventInterval());
     if (completeStream && !target.isPeer && m_attempts == 1)
         m_state.streamStatistics.onStreamEnded(*m_exchange->service, m_exchange->priority,
                                                loadKey(*m_exchange), attempt.reader().eventCount(),
                                                m_state.clock.now());
-    if (completeStream && !target.isPeer)
+    if (completeStream)
         recordEndedStream(target, attempt);
     if (outcome == AttemptOutcome::answered)
         return deliver(attempt);
@@ -412,7 +408,9 @@
 
 void Dispatch::recordEndedStream(const Target &target, const Attempt &attempt)
 {
-    if (!usesForecasts(m_state.settings.features) || m_exchange->prompt.tokens == 0)
+    const Features &features = m_state.settings.features;
+    const bool isNeeded = usesForecasts(features) || features.regionPlan;
+    if (!isNeeded || m_exchange->prompt.tokens == 0)
         return;
     const TimePoint now = m_state.clock.now();
     const std::string &pool = loadKey(*m_exchange);
@@ -420,9 +418,11 @@
     stream.tokens = static_cast<double>(m_exchange->prompt.tokens);
     stream.events = attempt.reader().eventCount();
     stream.streaming = now - m_firstByteAt.value_or(m_attemptStartedAt);
-    stream.slowdown = statedSlowdown(*target.counters, now);
-    recordPace(*target.counters, usualInterval(stream),
-               m_state.engineStatistics.facts(pool).meanEventSeconds);
+    if (!target.isPeer) {
+        stream.slowdown = statedSlowdown(*target.counters, now);
+        recordPace(*target.counters, usualInterval(stream),
+                   m_state.engineStatistics.facts(pool).meanEventSeconds);
+    }
     m_state.engineStatistics.onStreamEnded(pool, m_exchange->service->name, stream);
 }
 
--- a/test/engine-forecast-test.cc
+++ b/test/engine-forecast-test.cc
@@ -180,3 +180,14 @@
     WARN("us for a choice: " << elapsed.count() / rounds << ", least end: " << sum / rounds);
     CHECK(elapsed.count() / rounds < 20);
 }
+
+// Load: while all answers come from engines with a queue, no prompt shows the reading rate alone.
+TEST_CASE("engineStatistics_promptsReadBehindOthers_giveALowerBoundOfTheRate")
+{
+    EngineStatistics statistics;
+    CHECK(statistics.readRate("p") == 0);
+    statistics.onPromptRead("p", 3000, std::chrono::milliseconds(600));
+    statistics.onPromptRead("p", 3000, std::chrono::milliseconds(100));
+    statistics.onPromptRead("p", 100, std::chrono::milliseconds(1));
+    CHECK(statistics.readRate("p") == Approx(30));
+}
