--- a/test/metrics-test.cc
+++ b/test/metrics-test.cc
@@ -65,3 +65,13 @@
     const std::string text = metrics.prometheusText();
     CHECK(text.find("customer=\"others\",code=\"1000\"} 952") != std::string::npos);
 }
+
+TEST_CASE("metrics_sharedTokens_areSummedUp")
+{
+    Metrics metrics;
+    metrics.onSharedTokens(6300, 2520.4);
+    metrics.onSharedTokens(198, 198);
+    const std::string text = metrics.prometheusText();
+    CHECK(text.find("ibisnotch_shared_tokens_sent_total 6498\n") != std::string::npos);
+    CHECK(text.find("ibisnotch_shared_tokens_expected_kept_total 2718\n") != std::string::npos);
+}
