--- a/include/ibisnotch/metrics.h
+++ b/include/ibisnotch/metrics.h
@@ -46,6 +46,8 @@
     void onServerSilent();
     // Counts a response in which a server asks for rest.
     void onServerRest();
+    // Counts a request that was refused because a region has too little room.
+    void onRoomRefusal(std::string_view cause, int priority);
     void setGauge(const std::string &name, double value);
 
     // Returns all metrics. Latencies are histograms in seconds.
--- a/include/ibisnotch/peer-link.h
+++ b/include/ibisnotch/peer-link.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "ibisnotch/active-config.h"
+#include "ibisnotch/demand-totals.h"
 #include "ibisnotch/membership.h"
 #include "ibisnotch/origin-message.h"
 #include "ibisnotch/process-settings.h"
@@ -25,7 +26,7 @@
 
 // Increased when fields are appended. A reader ignores bytes after the fields that it knows, so
 // instances of different versions can communicate during a rolling update.
-constexpr std::uint16_t peerProtocolVersion = 6;
+constexpr std::uint16_t peerProtocolVersion = 7;
 
 struct GossipMessage
 {
@@ -50,6 +51,11 @@
     std::vector<RegionUsage> regionUsage;
     // Since protocol 5.
     std::vector<LimitUpdate> limitUpdates;
+    // Since protocol 7. If hasCustomerDemand is true, customerDemand is the whole demand at the
+    // sender.
+    bool hasCustomerDemand = false;
+    std::vector<CustomerDemand> customerDemand;
+    std::vector<RegionDemand> regionDemand;
 
     bool operator==(const GossipMessage &) const = default;
 };
--- a/src/entry/control-loads.cc
+++ b/src/entry/control-loads.cc
@@ -97,12 +97,13 @@
         m_link.sendGossip(own->second.gossipAddress, message);
 }
 
-// Sends this instance's usage by customer to the region's reporter. The reporter sends the region's
-// sums to the reporters of the other regions, and the sums of all regions to the instances of its
-// own region.
+// Sends this instance's usage and demand by customer to the region's reporter. The reporter sends
+// the region's sums to the reporters of the other regions, and the sums of all regions to the
+// instances of its own region.
 void Control::sendCustomerUsage()
 {
-    if (!m_state.usageCaps.hasCaps())
+    const bool sharesRoom = m_state.settings.features.customerShares;
+    if (!m_state.usageCaps.hasCaps() && !sharesRoom)
         return;
     const TimePoint now = m_state.clock.now();
     const auto reporters = reportersByRegion(m_membership.aliveMembers());
@@ -113,16 +114,29 @@
             return;
         message.hasCustomerUsage = true;
         message.customerUsage = m_state.usageCaps.localUsage(now);
+        message.hasCustomerDemand = sharesRoom;
+        if (sharesRoom)
+            message.customerDemand = m_state.demand.localDemand(now);
         return m_link.sendGossip(own->second.gossipAddress, message);
     }
     const RegionUsage sum = m_state.usageCaps.aggregateRegion(now);
     m_state.usageCaps.onRegionUsage(sum, now);
     message.regionUsage = {sum};
+    if (sharesRoom) {
+        const RegionDemand demand = m_state.demand.aggregateRegion(m_state.settings.region, now);
+        m_state.demand.onRegionDemand(demand, now);
+        message.regionDemand = {demand};
+    }
     for (const auto &[region, reporter] : reporters) {
         if (region != m_state.settings.region)
             m_link.sendGossip(reporter.gossipAddress, message);
     }
     message.regionUsage = m_state.usageCaps.regionUsages(now);
+    if (sharesRoom) {
+        const RegionDemand all = m_state.demand.aggregateAll(now);
+        m_state.demand.onRegionDemand(all, now);
+        message.regionDemand = {all};
+    }
     sendToRegion(message);
 }
 
--- a/src/entry/dispatch-plan.cc
+++ b/src/entry/dispatch-plan.cc
@@ -192,9 +192,8 @@
             = input.localLoad.outstanding / static_cast<double>(candidates.size());
     // A request that resumes a stream is not rejected, because its caller has part of the response.
     admit = admit && m_exchange->lastEventId.empty();
-    input.localRejects = admit && !m_admitted
-        && m_state.admission.decide(admissionInput(input.localLoad, false), m_state.random).code
-            != ResultCode::served;
+    input.localRejects
+        = admit && !m_admitted && admissionRefusal(input.localLoad, false, false).has_value();
     const RegionDecision decision
         = m_state.regionChooser.choose(input, m_state.regionLoads, now, m_state.random);
     if (decision.residencyForbids)
@@ -218,10 +217,9 @@
     if (admit && !m_admitted) {
         const RegionLoad load
             = isRemote ? m_routeInputs.remoteLoad.value_or(RegionLoad{}) : input.localLoad;
-        const AdmissionDecision admission
-            = m_state.admission.decide(admissionInput(load, isRemote), m_state.random);
-        if (admission.code != ResultCode::served)
-            return Refusal{admission.code, "", admission.retryAfter};
+        countDemand(*decision.region);
+        if (const auto refusal = admissionRefusal(load, isRemote, true))
+            return *refusal;
         m_admitted = true;
         m_state.admission.onAdmitted(m_exchange->customer->name, service.name,
                                      m_exchange->customer->share);
--- a/src/entry/state.h
+++ b/src/entry/state.h
@@ -12,6 +12,7 @@
 #include "ibisnotch/booking.h"
 #include "ibisnotch/burn.h"
 #include "ibisnotch/clock.h"
+#include "ibisnotch/demand-totals.h"
 #include "ibisnotch/forward-path.h"
 #include "ibisnotch/membership.h"
 #include "ibisnotch/metrics.h"
@@ -24,6 +25,7 @@
 #include "ibisnotch/read-delay.h"
 #include "ibisnotch/region-choice.h"
 #include "ibisnotch/retry.h"
+#include "ibisnotch/room-order.h"
 #include "ibisnotch/server-table.h"
 #include "ibisnotch/stream-origin.h"
 #include "ibisnotch/stream-statistics.h"
@@ -54,6 +56,8 @@
 
     RegionChooser regionChooser;
     Admission admission;
+    DemandTotals demand;
+    RoomHistory roomHistory;
     StreamStatistics streamStatistics;
     OriginHistory originHistory;
     OriginRecords originRecords;
--- a/src/net/metrics.cc
+++ b/src/net/metrics.cc
@@ -90,6 +90,8 @@
     std::map<std::pair<std::string, std::string>, Series> m_series;
     std::map<std::string, std::uint64_t> m_attempts; // counts by outcome
     std::map<std::string, std::uint64_t> m_continued; // counts by how the origin is known
+    // Counts of requests refused for lack of room, by cause and priority.
+    std::map<std::pair<std::string, int>, std::uint64_t> m_roomRefusals;
     std::map<std::string, double> m_gauges;
     std::atomic<std::uint64_t> m_retries = 0;
     std::atomic<std::uint64_t> m_serversSilent = 0;
@@ -143,6 +145,12 @@
     ++m_d->m_retries;
 }
 
+void Metrics::onRoomRefusal(std::string_view cause, int priority)
+{
+    const std::lock_guard lock(m_d->m_mutex);
+    ++m_d->m_roomRefusals[{std::string(cause), priority}];
+}
+
 void Metrics::setGauge(const std::string &name, double value)
 {
     const std::lock_guard lock(m_d->m_mutex);
@@ -175,6 +183,9 @@
     for (const auto &[knownBy, count] : m_d->m_continued)
         out += fmt::format("ibisnotch_streams_continued_total{{knownBy=\"{}\"}} {}\n", knownBy,
                            count);
+    for (const auto &[key, count] : m_d->m_roomRefusals)
+        out += fmt::format("ibisnotch_room_refusals_total{{cause=\"{}\",priority=\"{}\"}} {}\n",
+                           key.first, key.second, count);
     for (const auto &[name, value] : m_d->m_gauges)
         out += fmt::format("{} {}\n", name, value);
     return out;
--- a/src/net/peer-link.cc
+++ b/src/net/peer-link.cc
@@ -38,6 +38,7 @@
 constexpr std::uint16_t protocolWithCustomerUsage = 4;
 constexpr std::uint16_t protocolWithRequestLimits = 5;
 constexpr std::uint16_t protocolWithEras = 6;
+constexpr std::uint16_t protocolWithDemand = 7;
 
 // Reads or writes a list of revisions without eras. Earlier instances have it at this place, and
 // must not get revisions that they can't compare with their own.
@@ -65,6 +66,8 @@
         archive(message.limitUpdates);
     if (message.protocol >= protocolWithEras)
         archive(message.rangeUpdates, message.rangePositions);
+    if (message.protocol >= protocolWithDemand)
+        archive(message.hasCustomerDemand, message.customerDemand, message.regionDemand);
 }
 
 template <typename Archive> void serializeFields(Archive &archive, PeerRequest &request)
