--- a/include/ibisnotch/room-order.h
+++ b/include/ibisnotch/room-order.h
@@ -117,10 +117,10 @@
                    double work, TimePoint now);
     std::vector<CompetingClass> classes(const std::string &region, const std::string &pool,
                                         TimePoint now) const;
-    // Records the shortage of a region, and returns the time until it ends at the present trend; 0
-    // if it doesn't decrease.
-    double secondsUntilRoom(const std::string &region, const std::string &pool, double pressure,
-                            TimePoint now);
+    // Records the shortage of a region for requests of a priority, and returns the time until it
+    // ends at the present trend; 0 if it doesn't decrease.
+    double secondsUntilRoom(const std::string &region, const std::string &pool, int priority,
+                            double pressure, TimePoint now);
 
 private:
     struct ClassRate
@@ -139,7 +139,7 @@
     struct Place
     {
         std::map<int, ClassRate> classes; // by priority
-        Trend trend;
+        std::map<int, Trend> trends; // by priority
     };
 
     mutable std::mutex m_mutex;
--- a/src/decide/room-order.cc
+++ b/src/decide/room-order.cc
@@ -19,8 +19,11 @@
 // Part of the target for first tokens at which refusal starts, and at which nearly all is refused.
 constexpr double readingStart = 0.6;
 constexpr double readingFull = 1.4;
-// The same at which customers above their share give way.
+// The same for customers above their share. They give way before others notice.
 constexpr double readingShareStart = 0.3;
+constexpr double readingShareFull = 0.8;
+// Part of the target of more urgent requests up to which less urgent ones may use it up.
+constexpr double usableByLessUrgent = 0.5;
 // Part of the highest acceptable event interval. The interval is a mean over servers of which some
 // are slower, so refusal starts below it.
 constexpr double streamsStart = 0.85;
@@ -52,7 +55,8 @@
         return 0;
     for (const CompetingClass &one : input.classes) {
         const bool shortens = one.priority < input.request.priority && one.targetSeconds > 0;
-        const double target = shortens ? std::min(one.targetSeconds, own) : own;
+        const double target
+            = shortens ? std::min(usableByLessUrgent * one.targetSeconds, own) : own;
         requests += one.requestsPerSecond;
         inverse += one.requestsPerSecond / target;
     }
@@ -95,14 +99,15 @@
 double shortageForShares(const RoomInput &input)
 {
     const double shortage
-        = std::max({between(readingPressure(input), readingShareStart, readingFull),
+        = std::max({between(readingPressure(input), readingShareStart, readingShareFull),
                     between(streamsPressure(input), streamsStart, streamsFull),
                     between(outstandingPerSlot(input.room), 1, input.room.queueFactor)});
     return std::min(shortage, maxRefusedPart);
 }
 
-// Returns the part of a customer's work beyond its share of what all ask for.
-double excessPart(std::span<const CustomerClaim> customers, const CustomerClaim &own)
+// Returns the part of a customer's work beyond its share of the work that is not refused.
+double excessPart(std::span<const CustomerClaim> customers, const CustomerClaim &own,
+                  double missing)
 {
     double work = 0;
     double shares = 0;
@@ -112,7 +117,7 @@
     }
     if (shares <= 0 || own.workPerSecond <= 0)
         return 0;
-    const double fair = shareTolerance * work * own.share / shares;
+    const double fair = shareTolerance * (1 - missing) * work * own.share / shares;
     return std::max(0.0, 1 - fair / own.workPerSecond);
 }
 
@@ -137,13 +142,13 @@
         <= input.request.remainingSeconds;
 }
 
-// Returns the weight of a refusal for a request by the time that its caller has waited: 1 for a new
-// one, 0 for one that has half of its time left. So a caller that was refused before goes first.
+// Returns the weight of a refusal for a request by the time that its caller has waited, 1 for a new
+// one. So a caller that was refused before goes first.
 double weightOfWaiting(const RoomRequest &request)
 {
     if (request.deadlineSeconds <= 0)
         return 1;
-    return std::clamp(2 * request.remainingSeconds / request.deadlineSeconds - 1, 0.0, 1.0);
+    return std::clamp(request.remainingSeconds / request.deadlineSeconds, 0.0, 1.0);
 }
 
 Duration retryAfter(const RoomInput &input, Random &random)
@@ -275,13 +280,16 @@
     if (hasFreeRoom(input))
         return decision;
     const double missing = refusedPartOfCustomer(input.customers, input.own, decision.pressure);
+    const double missingForShares = shortageForShares(input);
     const double excess
-        = std::min(refusedPartOfCustomer(input.customers, input.own, shortageForShares(input)),
-                   excessPart(input.customers, input.own));
+        = std::min(refusedPartOfCustomer(input.customers, input.own, missingForShares),
+                   excessPart(input.customers, input.own, missingForShares));
     const double forOrder = refusedPartOfClass(input.classes, request.priority, missing);
     const double guaranteed = guaranteedPart * (1 - decision.pressure);
-    const double longest = std::min(maxRefusedPart, 1 - guaranteed);
-    double refused = std::min(std::max(forOrder, excess), longest) * weightOfWaiting(request);
+    // A caller that has waited goes first within its class, but not above its customer's share.
+    double refused
+        = std::min(std::max(std::min(forOrder, maxRefusedPart) * weightOfWaiting(request), excess),
+                   1 - guaranteed);
     // The request has passed such a draw already.
     if (request.admittedElsewhere)
         refused *= refused;
@@ -328,10 +336,10 @@
 }
 
 double RoomHistory::secondsUntilRoom(const std::string &region, const std::string &pool,
-                                     double pressure, TimePoint now)
+                                     int priority, double pressure, TimePoint now)
 {
     const std::lock_guard lock(m_mutex);
-    Trend &trend = m_places[{region, pool}].trend;
+    Trend &trend = m_places[{region, pool}].trends[priority];
     const double elapsed = seconds(std::max(now - trend.at, Duration(0)));
     const auto follow = [&](double &average, double timeConstant) {
         average = pressure + (average - pressure) * std::exp(-elapsed / timeConstant);
--- a/src/entry/dispatch-room.cc
+++ b/src/entry/dispatch-room.cc
@@ -111,8 +111,8 @@
     const auto own = demand.customers.find(customerId(m_exchange->customer->name));
     input.own = {own == demand.customers.end() ? 0 : own->second, m_exchange->customer->share};
     if (isFinal)
-        input.secondsUntilRoom
-            = m_state.roomHistory.secondsUntilRoom(load.region, pool, roomShortage(input), now);
+        input.secondsUntilRoom = m_state.roomHistory.secondsUntilRoom(
+            load.region, pool, m_exchange->priority, roomShortage(input), now);
     const RoomDecision decision = decideRoom(input, m_state.random);
     if (decision.cause == RoomCause::none)
         return std::nullopt;
