--- a/src/decide/room-order.cc
+++ b/src/decide/room-order.cc
@@ -105,7 +105,8 @@
     return std::min(shortage, maxRefusedPart);
 }
 
-// Returns the part of a customer's work beyond its share of the work that is not refused.
+// Returns the part of a customer's work beyond its share of the work that is not refused; 0 if it
+// asks for no more than its share of what all ask for.
 double excessPart(std::span<const CustomerClaim> customers, const CustomerClaim &own,
                   double missing)
 {
@@ -117,8 +118,10 @@
     }
     if (shares <= 0 || own.workPerSecond <= 0)
         return 0;
-    const double fair = shareTolerance * (1 - missing) * work * own.share / shares;
-    return std::max(0.0, 1 - fair / own.workPerSecond);
+    const double fair = shareTolerance * work * own.share / shares;
+    if (own.workPerSecond <= fair)
+        return 0;
+    return 1 - (1 - missing) * fair / own.workPerSecond;
 }
 
 RoomCause largestCause(const RoomInput &input)
@@ -148,7 +151,8 @@
 {
     if (request.deadlineSeconds <= 0)
         return 1;
-    return std::clamp(request.remainingSeconds / request.deadlineSeconds, 0.0, 1.0);
+    const double left = std::clamp(request.remainingSeconds / request.deadlineSeconds, 0.0, 1.0);
+    return left * left;
 }
 
 Duration retryAfter(const RoomInput &input, Random &random)
