--- a/src/decide/room-order.cc
+++ b/src/decide/room-order.cc
@@ -23,7 +23,7 @@
 constexpr double readingShareStart = 0.3;
 constexpr double readingShareFull = 0.8;
 // Part of the target of more urgent requests up to which less urgent ones may use it up.
-constexpr double usableByLessUrgent = 0.5;
+constexpr double usableByLessUrgent = 0.35;
 // Part of the highest acceptable event interval. The interval is a mean over servers of which some
 // are slower, so refusal starts below it.
 constexpr double streamsStart = 0.85;
@@ -145,14 +145,15 @@
         <= input.request.remainingSeconds;
 }
 
-// Returns the weight of a refusal for a request by the time that its caller has waited, 1 for a new
-// one. So a caller that was refused before goes first.
-double weightOfWaiting(const RoomRequest &request)
+// Returns the probability of refusal for a request by the time that its caller has waited, so that
+// one that was refused before goes first. Waiting counts for less the more must be refused: if
+// most callers come back, they would otherwise fill the room again.
+double refusedAfterWaiting(const RoomRequest &request, double refused)
 {
     if (request.deadlineSeconds <= 0)
-        return 1;
-    const double left = std::clamp(request.remainingSeconds / request.deadlineSeconds, 0.0, 1.0);
-    return left * left;
+        return refused;
+    const double left = std::clamp(request.remainingSeconds / request.deadlineSeconds, 0.1, 1.0);
+    return std::pow(refused, 1 / (left * left));
 }
 
 Duration retryAfter(const RoomInput &input, Random &random)
@@ -291,9 +292,9 @@
     const double forOrder = refusedPartOfClass(input.classes, request.priority, missing);
     const double guaranteed = guaranteedPart * (1 - decision.pressure);
     // A caller that has waited goes first within its class, but not above its customer's share.
-    double refused
-        = std::min(std::max(std::min(forOrder, maxRefusedPart) * weightOfWaiting(request), excess),
-                   1 - guaranteed);
+    double refused = std::min(
+        std::max(refusedAfterWaiting(request, std::min(forOrder, maxRefusedPart)), excess),
+        1 - guaranteed);
     // The request has passed such a draw already.
     if (request.admittedElsewhere)
         refused *= refused;
