--- a/include/ibisnotch/demand-totals.h
+++ b/include/ibisnotch/demand-totals.h
@@ -29,7 +29,7 @@
 };
 
 // Demand of the callers of one region, or of all regions if `region` is empty.
-struct RegionDemand
+struct CustomerTotals
 {
     std::string region;
     std::uint32_t ageMs = 0; // age of the data when the message is sent
@@ -39,7 +39,7 @@
     {
         archive(region, ageMs, customers);
     }
-    bool operator==(const RegionDemand &) const = default;
+    bool operator==(const CustomerTotals &) const = default;
 };
 
 // Returns the hash that identifies a pool or service in demand reports.
@@ -80,10 +80,10 @@
                           TimePoint now);
     // Returns the totals of the region, and of all regions that are not outdated. Called at the
     // reporter.
-    RegionDemand aggregateRegion(const std::string &region, TimePoint now);
-    RegionDemand aggregateAll(TimePoint now);
+    CustomerTotals aggregateRegion(const std::string &region, TimePoint now);
+    CustomerTotals aggregateAll(TimePoint now);
     // Called with the totals of a region, or of all regions.
-    void onRegionDemand(const RegionDemand &demand, TimePoint now);
+    void onCustomerTotals(const CustomerTotals &demand, TimePoint now);
 
     PoolDemand demandFor(std::string_view pool, TimePoint now);
 
--- a/include/ibisnotch/peer-link.h
+++ b/include/ibisnotch/peer-link.h
@@ -55,7 +55,7 @@
     // sender.
     bool hasCustomerDemand = false;
     std::vector<CustomerDemand> customerDemand;
-    std::vector<RegionDemand> regionDemand;
+    std::vector<CustomerTotals> customerTotals;
 
     bool operator==(const GossipMessage &) const = default;
 };
--- a/src/decide/demand-totals.cc
+++ b/src/decide/demand-totals.cc
@@ -66,7 +66,7 @@
                   [&](const auto &entry) { return now - entry.second.at > m_limits.totalsMaxAge; });
 }
 
-RegionDemand DemandTotals::aggregateRegion(const std::string &region, TimePoint now)
+CustomerTotals DemandTotals::aggregateRegion(const std::string &region, TimePoint now)
 {
     const std::lock_guard lock(m_mutex);
     removeOutdated(m_instances, now);
@@ -78,18 +78,18 @@
     add(ownDemand(now));
     for (const auto &[instance, report] : m_instances)
         add(report.customers);
-    RegionDemand result{region, 0, {}};
+    CustomerTotals result{region, 0, {}};
     for (const auto &[key, sum] : sums)
         result.customers.push_back({key.customer, key.pool, static_cast<float>(sum)});
     return result;
 }
 
-RegionDemand DemandTotals::aggregateAll(TimePoint now)
+CustomerTotals DemandTotals::aggregateAll(TimePoint now)
 {
     const std::lock_guard lock(m_mutex);
     removeOutdated(m_regions, now);
     std::map<Key, double> sums;
-    RegionDemand result{std::string(allRegions), 0, {}};
+    CustomerTotals result{std::string(allRegions), 0, {}};
     TimePoint youngest{};
     for (const auto &[region, report] : m_regions) {
         if (region == allRegions)
@@ -104,7 +104,7 @@
     return result;
 }
 
-void DemandTotals::onRegionDemand(const RegionDemand &demand, TimePoint now)
+void DemandTotals::onCustomerTotals(const CustomerTotals &demand, TimePoint now)
 {
     const std::lock_guard lock(m_mutex);
     const TimePoint at = now - std::chrono::milliseconds(demand.ageMs);
--- a/src/entry/control-loads.cc
+++ b/src/entry/control-loads.cc
@@ -116,16 +116,17 @@
         message.customerUsage = m_state.usageCaps.localUsage(now);
         message.hasCustomerDemand = sharesRoom;
         if (sharesRoom)
-            message.customerDemand = m_state.demand.localDemand(now);
+            message.customerDemand = m_state.customerDemand.localDemand(now);
         return m_link.sendGossip(own->second.gossipAddress, message);
     }
     const RegionUsage sum = m_state.usageCaps.aggregateRegion(now);
     m_state.usageCaps.onRegionUsage(sum, now);
     message.regionUsage = {sum};
     if (sharesRoom) {
-        const RegionDemand demand = m_state.demand.aggregateRegion(m_state.settings.region, now);
-        m_state.demand.onRegionDemand(demand, now);
-        message.regionDemand = {demand};
+        const CustomerTotals demand
+            = m_state.customerDemand.aggregateRegion(m_state.settings.region, now);
+        m_state.customerDemand.onCustomerTotals(demand, now);
+        message.customerTotals = {demand};
     }
     for (const auto &[region, reporter] : reporters) {
         if (region != m_state.settings.region)
@@ -133,9 +134,9 @@
     }
     message.regionUsage = m_state.usageCaps.regionUsages(now);
     if (sharesRoom) {
-        const RegionDemand all = m_state.demand.aggregateAll(now);
-        m_state.demand.onRegionDemand(all, now);
-        message.regionDemand = {all};
+        const CustomerTotals all = m_state.customerDemand.aggregateAll(now);
+        m_state.customerDemand.onCustomerTotals(all, now);
+        message.customerTotals = {all};
     }
     sendToRegion(message);
 }
--- a/src/entry/control.cc
+++ b/src/entry/control.cc
@@ -381,7 +381,8 @@
             m_state.usageCaps.onInstanceUsage(message.probe.sender.name, message.customerUsage,
                                               now);
         if (message.hasCustomerDemand)
-            m_state.demand.onInstanceDemand(message.probe.sender.name, message.customerDemand, now);
+            m_state.customerDemand.onInstanceDemand(message.probe.sender.name,
+                                                    message.customerDemand, now);
         bool limitsChanged = false;
         for (const LimitUpdate &update : message.limitUpdates)
             limitsChanged |= m_limitedServers.onUpdate(update, message.probe.sender.name);
@@ -390,8 +391,8 @@
     }
     for (const RegionLoad &load : message.regionLoads)
         m_state.regionLoads.onLoad(load, now);
-    for (const RegionDemand &demand : message.regionDemand)
-        m_state.demand.onRegionDemand(demand, now);
+    for (const CustomerTotals &demand : message.customerTotals)
+        m_state.customerDemand.onCustomerTotals(demand, now);
     for (const RegionUsage &use : message.regionUsage)
         m_state.usageCaps.onRegionUsage(use, now);
     {
--- a/src/entry/dispatch-plan.cc
+++ b/src/entry/dispatch-plan.cc
@@ -217,7 +217,7 @@
     if (admit && !m_admitted) {
         const RegionLoad load
             = isRemote ? m_routeInputs.remoteLoad.value_or(RegionLoad{}) : input.localLoad;
-        countDemand(*decision.region);
+        countCustomerDemand(*decision.region);
         if (const auto refusal = admissionRefusal(load, isRemote, true))
             return *refusal;
         m_admitted = true;
--- a/src/entry/dispatch-room.cc
+++ b/src/entry/dispatch-room.cc
@@ -69,16 +69,16 @@
 
 // Counts a request once for its customer, where its caller is connected, and once in each region
 // where it may run.
-void Dispatch::countDemand(const std::string &region)
+void Dispatch::countCustomerDemand(const std::string &region)
 {
-    if (!sharesRoom() || m_demandCounted)
+    if (!sharesRoom() || m_customerDemandCounted)
         return;
-    m_demandCounted = true;
+    m_customerDemandCounted = true;
     const TimePoint now = m_state.clock.now();
     const std::string &pool = loadKey(*m_exchange);
     const double work = workOf(m_exchange->prompt);
     if (!m_exchange->fromPeer)
-        m_state.demand.onRequest(m_exchange->customer->name, pool, work, now);
+        m_state.customerDemand.onRequest(m_exchange->customer->name, pool, work, now);
     m_state.roomHistory.onRequest(region, pool, roomRequest(false), work, now);
 }
 
@@ -87,7 +87,8 @@
 {
     const TimePoint now = m_state.clock.now();
     const std::string &pool = loadKey(*m_exchange);
-    const PoolDemand demand = sharesRoom() ? m_state.demand.demandFor(pool, now) : PoolDemand{};
+    const PoolDemand demand
+        = sharesRoom() ? m_state.customerDemand.demandFor(pool, now) : PoolDemand{};
     if (!demand.age) {
         const AdmissionDecision decision
             = m_state.admission.decide(admissionInput(load, isRemote), m_state.random);
--- a/src/entry/dispatch.h
+++ b/src/entry/dispatch.h
@@ -111,7 +111,7 @@
     // Returns whether customers have shares of the room in a region.
     bool sharesRoom() const;
     RoomRequest roomRequest(bool isRemote) const;
-    void countDemand(const std::string &region);
+    void countCustomerDemand(const std::string &region);
     // Returns the refusal of a request that would run under this load; empty if it is admitted.
     // Only the `isFinal` decision about a request is counted.
     std::optional<Refusal> admissionRefusal(const RegionLoad &load, bool isRemote, bool isFinal);
@@ -249,7 +249,7 @@
     std::string m_claimId;
     double m_admissionDraw; // random number in [0, 1) for the admission of this request
     bool m_admitted = false;
-    bool m_demandCounted = false;
+    bool m_customerDemandCounted = false;
     bool m_forwardedToIssuer = false; // to the instance that issued the booking's key
     // True once an attempt may have run and ended without a response. From then on the caller must
     // not be told "not run".
--- a/src/entry/state.h
+++ b/src/entry/state.h
@@ -56,7 +56,7 @@
 
     RegionChooser regionChooser;
     Admission admission;
-    DemandTotals demand;
+    DemandTotals customerDemand;
     RoomHistory roomHistory;
     StreamStatistics streamStatistics;
     OriginHistory originHistory;
--- a/src/net/peer-link.cc
+++ b/src/net/peer-link.cc
@@ -67,7 +67,7 @@
     if (message.protocol >= protocolWithEras)
         archive(message.rangeUpdates, message.rangePositions);
     if (message.protocol >= protocolWithDemand)
-        archive(message.hasCustomerDemand, message.customerDemand, message.regionDemand);
+        archive(message.hasCustomerDemand, message.customerDemand, message.customerTotals);
 }
 
 template <typename Archive> void serializeFields(Archive &archive, PeerRequest &request)
--- a/test/demand-totals-test.cc
+++ b/test/demand-totals-test.cc
@@ -28,18 +28,18 @@
     {
         if (instanceConnected)
             firstReporter.onInstanceDemand("instance", instance.localDemand(now), now);
-        const RegionDemand first = firstReporter.aggregateRegion("first", now);
-        const RegionDemand second = secondReporter.aggregateRegion("second", now);
-        firstReporter.onRegionDemand(first, now);
-        secondReporter.onRegionDemand(second, now);
+        const CustomerTotals first = firstReporter.aggregateRegion("first", now);
+        const CustomerTotals second = secondReporter.aggregateRegion("second", now);
+        firstReporter.onCustomerTotals(first, now);
+        secondReporter.onCustomerTotals(second, now);
         if (regionsConnected) {
-            firstReporter.onRegionDemand(second, now);
-            secondReporter.onRegionDemand(first, now);
+            firstReporter.onCustomerTotals(second, now);
+            secondReporter.onCustomerTotals(first, now);
         }
-        const RegionDemand all = firstReporter.aggregateAll(now);
-        firstReporter.onRegionDemand(all, now);
+        const CustomerTotals all = firstReporter.aggregateAll(now);
+        firstReporter.onCustomerTotals(all, now);
         if (instanceConnected)
-            instance.onRegionDemand(all, now);
+            instance.onCustomerTotals(all, now);
     }
 
     // A customer asks for 40 a second at each instance.
@@ -99,8 +99,8 @@
 // Failure: messages are delayed and arrive in another order.
 TEST_CASE_METHOD(DemandTotalsFixture, "demandTotals_olderTotalsArriveLater_areIgnored")
 {
-    instance.onRegionDemand({"", 100, {{customerId("c"), poolId("pool"), 7}}}, now);
-    instance.onRegionDemand({"", 300, {{customerId("c"), poolId("pool"), 9}}}, now);
+    instance.onCustomerTotals({"", 100, {{customerId("c"), poolId("pool"), 7}}}, now);
+    instance.onCustomerTotals({"", 300, {{customerId("c"), poolId("pool"), 9}}}, now);
     CHECK(knownAt(instance) == 7);
     CHECK(instance.demandFor("pool", now).age == 100ms);
     now += 901ms;
@@ -113,7 +113,7 @@
     run(5s);
     DemandTotals restarted;
     CHECK(restarted.demandFor("pool", now) == PoolDemand{});
-    restarted.onRegionDemand(firstReporter.aggregateAll(now), now);
+    restarted.onCustomerTotals(firstReporter.aggregateAll(now), now);
     CHECK(knownAt(restarted) == Approx(120).epsilon(0.2));
 }
 
--- a/test/room-order-test.cc
+++ b/test/room-order-test.cc
@@ -94,7 +94,7 @@
 private:
     struct Instance
     {
-        DemandTotals demand;
+        DemandTotals customerDemand;
         RoomHistory history;
         Admission admission;
     };
@@ -131,12 +131,12 @@
         for (int i = 0; i + 1 < instanceCount; ++i)
             reporter.onInstanceDemand(std::to_string(i), m_instances[i]->demand.localDemand(now),
                                       now);
-        reporter.onRegionDemand(reporter.aggregateRegion("region", now), now);
-        const RegionDemand all = reporter.aggregateAll(now);
+        reporter.onCustomerTotals(reporter.aggregateRegion("region", now), now);
+        const CustomerTotals all = reporter.aggregateAll(now);
         if (time >= m_totalsLostAt)
             return;
         for (int i = m_cutOff; i < instanceCount; ++i)
-            m_instances[i]->demand.onRegionDemand(all, now);
+            m_instances[i]->demand.onCustomerTotals(all, now);
     }
 
     double knownReadDelay(double now)
