--- a/src/decide/room-order.cc
+++ b/src/decide/room-order.cc
@@ -44,30 +44,25 @@
     return full > start ? std::clamp((value - start) / (full - start), 0.0, 1.0) : 0;
 }
 
-// Returns the target for first tokens by which the wait is judged: that of the request, shortened
-// by those of the more urgent requests that wait for the same engines, as far as there are such.
-double effectiveTargetSeconds(const RoomInput &input)
+// Returns the wait for first tokens as a part of the target of the request, or of those of the more
+// urgent requests that wait for the same engines, as far as there are such.
+double readingPressure(const RoomInput &input)
 {
-    double requests = 0;
-    double inverse = 0;
-    const double own = input.request.targetSeconds;
-    if (own <= 0)
+    const RoomRequest &request = input.request;
+    const double wait = input.room.firstTokenSeconds;
+    if (wait <= 0 || request.targetSeconds <= 0)
         return 0;
+    const double own = (wait + request.roundTripSeconds) / request.targetSeconds;
+    double requests = 0;
+    double sum = 0;
     for (const CompetingClass &one : input.classes) {
-        const bool shortens = one.priority < input.request.priority && one.targetSeconds > 0;
-        const double target
-            = shortens ? std::min(usableByLessUrgent * one.targetSeconds, own) : own;
+        const bool counts = one.priority < request.priority && one.targetSeconds > 0;
+        const double pressure
+            = counts ? std::max(own, wait / (usableByLessUrgent * one.targetSeconds)) : own;
         requests += one.requestsPerSecond;
-        inverse += one.requestsPerSecond / target;
+        sum += one.requestsPerSecond * pressure;
     }
-    return requests > 0 && inverse > 0 ? requests / inverse : own;
-}
-
-double readingPressure(const RoomInput &input)
-{
-    const double target = effectiveTargetSeconds(input);
-    const double wait = input.room.firstTokenSeconds;
-    return target > 0 && wait > 0 ? (wait + input.request.roundTripSeconds) / target : 0;
+    return requests > 0 ? sum / requests : own;
 }
 
 double streamsPressure(const RoomInput &input)
--- a/src/entry/dispatch-end.cc
+++ b/src/entry/dispatch-end.cc
@@ -206,6 +206,8 @@
     if (m_routeInputs.listAge)
         text += fmt::format(";list:{},age:{}", revisionText(m_routeInputs.listRevision),
                             millisecondsText(*m_routeInputs.listAge));
+    if (!m_routeInputs.refusal.empty())
+        text += ";" + m_routeInputs.refusal;
     if (m_coldCheckWaits > 0)
         text += fmt::format(",looks:{}", m_coldCheckWaits);
     return text;
--- a/src/entry/dispatch-room.cc
+++ b/src/entry/dispatch-room.cc
@@ -118,10 +118,11 @@
         return std::nullopt;
     if (isFinal)
         m_state.metrics.onRoomRefusal(roomCauseName(decision.cause), m_exchange->priority);
-    return Refusal{
-        codeOf(decision.cause),
-        detailOf(decision, input, *m_exchange->customer, m_exchange->priority, *demand.age),
-        decision.retryAfter};
+    if (isFinal)
+        m_routeInputs.refusal
+            = detailOf(decision, input, *m_exchange->customer, m_exchange->priority, *demand.age);
+    return Refusal{codeOf(decision.cause), isFinal ? m_routeInputs.refusal : "",
+                   decision.retryAfter};
 }
 
 } // namespace ibisnotch
--- a/src/entry/dispatch.h
+++ b/src/entry/dispatch.h
@@ -42,6 +42,7 @@
     std::size_t senders = 0; // instances among which a cold server's rate is divided
     std::uint64_t listRevision = 0; // of the list of servers
     std::optional<Duration> listAge; // empty if no list has been read
+    std::string refusal; // why there was too little room; empty if there was enough
 };
 
 // Handles one request until it is finished, on the event loop of one HTTP client.
