--- a/include/ibisnotch/demand-totals.h
+++ b/include/ibisnotch/demand-totals.h
@@ -7,6 +7,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 #include "ibisnotch/clock.h"
@@ -88,12 +89,7 @@
     PoolDemand demandFor(std::string_view pool, TimePoint now);
 
 private:
-    struct Key
-    {
-        std::uint32_t customer = 0;
-        std::uint32_t pool = 0;
-        auto operator<=>(const Key &) const = default;
-    };
+    using Key = std::pair<std::uint32_t, std::uint32_t>; // customerId and poolId
     // An exponentially weighted moving average, in units per second.
     struct Rate
     {
--- a/src/decide/demand-totals.cc
+++ b/src/decide/demand-totals.cc
@@ -41,7 +41,7 @@
 {
     std::vector<CustomerDemand> customers;
     for (const auto &[key, rate] : m_own)
-        customers.push_back({key.customer, key.pool, static_cast<float>(valueOf(rate, now))});
+        customers.push_back({key.first, key.second, static_cast<float>(valueOf(rate, now))});
     return customers;
 }
 
@@ -80,7 +80,7 @@
         add(report.customers);
     RegionDemand result{region, 0, {}};
     for (const auto &[key, sum] : sums)
-        result.customers.push_back({key.customer, key.pool, static_cast<float>(sum)});
+        result.customers.push_back({key.first, key.second, static_cast<float>(sum)});
     return result;
 }
 
@@ -100,7 +100,7 @@
     }
     result.ageMs = ageInMs(youngest, now);
     for (const auto &[key, sum] : sums)
-        result.customers.push_back({key.customer, key.pool, static_cast<float>(sum)});
+        result.customers.push_back({key.first, key.second, static_cast<float>(sum)});
     return result;
 }
 
--- a/test/peer-link-test.cc
+++ b/test/peer-link-test.cc
@@ -43,6 +43,32 @@
     CHECK(*decodeGossip(encodeGossip(oldMessage)) == oldMessage);
 }
 
+TEST_CASE("decodeGossip_customerDemand_isRestored")
+{
+    GossipMessage message = sampleMessage();
+    message.hasCustomerDemand = true;
+    message.customerDemand.push_back({7, 8, 120.5F});
+    message.regionDemand.push_back({"a", 30, {{7, 8, 1200}, {9, 8, 1}}});
+    message.regionDemand.push_back({"", 0, {}});
+    CHECK(*decodeGossip(encodeGossip(message)) == message);
+}
+
+// Failure: during a rolling update an instance of an earlier version sends no demand.
+TEST_CASE("decodeGossip_messageOfProtocol6_hasNoDemand")
+{
+    GossipMessage oldMessage = sampleMessage();
+    oldMessage.protocol = 6;
+    oldMessage.hasCustomerDemand = true;
+    oldMessage.customerDemand.push_back({7, 8, 120.5F});
+    oldMessage.regionDemand.push_back({"a", 30, {{7, 8, 1200}}});
+    const auto received = decodeGossip(encodeGossip(oldMessage));
+    REQUIRE(received);
+    CHECK_FALSE(received->hasCustomerDemand);
+    CHECK(received->customerDemand.empty());
+    CHECK(received->regionDemand.empty());
+    CHECK(received->limitUpdates == oldMessage.limitUpdates);
+}
+
 // Guards against revisions of an earlier version of the program, which has no eras and can't
 // compare them: neither side uses those of the other.
 TEST_CASE("decodeGossip_messageOfProtocol5_hasNoRanges")
