--- a/include/ibisnotch/metrics.h
+++ b/include/ibisnotch/metrics.h
@@ -51,6 +51,8 @@
     // Counts the tokens of the shared parts of a prompt that is sent to an engine, and how many of
     // them the engine is expected to keep.
     void onSharedTokens(double sent, double expectedKept);
+    // Counts a request that was refused because a region has too little room.
+    void onRoomRefusal(std::string_view cause, int priority);
     void setGauge(const std::string &name, double value);
 
     // Returns all metrics. Latencies are histograms in seconds.
--- a/include/ibisnotch/peer-link.h
+++ b/include/ibisnotch/peer-link.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "ibisnotch/active-config.h"
+#include "ibisnotch/demand-totals.h"
 #include "ibisnotch/demand.h"
 #include "ibisnotch/membership.h"
 #include "ibisnotch/origin-message.h"
@@ -56,6 +57,11 @@
     std::vector<Demand> demands;
     std::vector<RegionDemand> regionDemands;
     std::vector<CompactSpeed> serverSpeeds; // of backend servers in the sender's region
+    // If hasCustomerDemand is true, customerDemand is the whole demand at the
+    // sender.
+    bool hasCustomerDemand = false;
+    std::vector<CustomerDemand> customerDemand;
+    std::vector<CustomerTotals> customerTotals;
 
     bool operator==(const GossipMessage &) const = default;
 };
--- a/src/entry/control-loads.cc
+++ b/src/entry/control-loads.cc
@@ -106,12 +106,13 @@
         m_link.sendGossip(own->second.gossipAddress, message);
 }
 
-// Sends this instance's usage by customer to the region's reporter. The reporter sends the region's
-// sums to the reporters of the other regions, and the sums of all regions to the instances of its
-// own region.
+// Sends this instance's usage and demand by customer to the region's reporter. The reporter sends
+// the region's sums to the reporters of the other regions, and the sums of all regions to the
+// instances of its own region.
 void Control::sendCustomerUsage()
 {
-    if (!m_state.usageCaps.hasCaps())
+    const bool sharesRoom = m_state.settings.features.customerShares;
+    if (!m_state.usageCaps.hasCaps() && !sharesRoom)
         return;
     const TimePoint now = m_state.clock.now();
     const auto reporters = reportersByRegion(m_membership.aliveMembers());
@@ -122,16 +123,30 @@
             return;
         message.hasCustomerUsage = true;
         message.customerUsage = m_state.usageCaps.localUsage(now);
+        message.hasCustomerDemand = sharesRoom;
+        if (sharesRoom)
+            message.customerDemand = m_state.customerDemand.localDemand(now);
         return m_link.sendGossip(own->second.gossipAddress, message);
     }
     const RegionUsage sum = m_state.usageCaps.aggregateRegion(now);
     m_state.usageCaps.onRegionUsage(sum, now);
     message.regionUsage = {sum};
+    if (sharesRoom) {
+        const CustomerTotals demand
+            = m_state.customerDemand.aggregateRegion(m_state.settings.region, now);
+        m_state.customerDemand.onCustomerTotals(demand, now);
+        message.customerTotals = {demand};
+    }
     for (const auto &[region, reporter] : reporters) {
         if (region != m_state.settings.region)
             m_link.sendGossip(reporter.gossipAddress, message);
     }
     message.regionUsage = m_state.usageCaps.regionUsages(now);
+    if (sharesRoom) {
+        const CustomerTotals all = m_state.customerDemand.aggregateAll(now);
+        m_state.customerDemand.onCustomerTotals(all, now);
+        message.customerTotals = {all};
+    }
     sendToRegion(message);
 }
 
--- a/src/entry/dispatch.h
+++ b/src/entry/dispatch.h
@@ -50,6 +50,7 @@
     std::optional<WeighedChoice> prefix;
     std::uint64_t listRevision = 0; // of the list of servers
     std::optional<Duration> listAge; // empty if no list has been read
+    std::string refusal; // why there was too little room; empty if there was enough
 };
 
 // Handles one request until it is finished, on the event loop of one HTTP client.
@@ -119,6 +120,20 @@
     // Returns when a caller should come back whom no server can serve now.
     Duration retryAfterWithoutServer(const RoutingTable &table, double defaultSeconds) const;
     AdmissionInput admissionInput(const RegionLoad &load, bool isRemote) const;
+    // Returns whether customers have shares of the room in a region.
+    bool sharesRoom() const;
+    RoomRequest roomRequest(bool isRemote) const;
+    void countCustomerDemand(const std::string &region);
+    // Returns the refusal of a request that would run under this load; empty if it is admitted.
+    // Only the `isFinal` decision about a request is counted.
+    std::optional<Refusal> admissionRefusal(const RegionLoad &load, bool isRemote, bool isFinal);
+    Plan planRemote(const std::string &region);
+    Plan pickServer(const RoutingTable &table);
+    // Returns the index of a candidate.
+    std::size_t chooseServer(const RoutingTable &table, const PickInput &input);
+    static Target peerTarget(const Member &member);
+    Target serverTarget(const ServerView &view) const;
+
     // Division among regions (dispatch-region.cc).
 
     // Returns the class of the request among those that the regions divide; empty if it is not
@@ -129,12 +144,6 @@
     // Returns the region in which the plan runs the request; empty if the choice is free.
     std::optional<RegionDecision> plannedRegion(const RegionChoiceInput &input,
                                                 const DemandClass &demandClass) const;
-    Plan planRemote(const std::string &region);
-    Plan pickServer(const RoutingTable &table);
-    // Returns the index of a candidate.
-    std::size_t chooseServer(const RoutingTable &table, const PickInput &input);
-    static Target peerTarget(const Member &member);
-    Target serverTarget(const ServerView &view) const;
 
     // Attempts.
     void route();
@@ -269,6 +278,7 @@
     bool m_admitted = false;
     double m_regionDraw; // random number in [0, 1) for the choice among the regions of the plan
     bool m_demandCounted = false;
+    bool m_customerDemandCounted = false;
     bool m_forwardedToIssuer = false; // to the instance that issued the booking's key
     // True once an attempt may have run and ended without a response. From then on the caller must
     // not be told "not run".
--- a/src/entry/state.h
+++ b/src/entry/state.h
@@ -12,6 +12,7 @@
 #include "ibisnotch/booking.h"
 #include "ibisnotch/burn.h"
 #include "ibisnotch/clock.h"
+#include "ibisnotch/demand-totals.h"
 #include "ibisnotch/demand.h"
 #include "ibisnotch/engine-statistics.h"
 #include "ibisnotch/forward-path.h"
@@ -28,6 +29,7 @@
 #include "ibisnotch/region-choice.h"
 #include "ibisnotch/region-plan.h"
 #include "ibisnotch/retry.h"
+#include "ibisnotch/room-order.h"
 #include "ibisnotch/server-table.h"
 #include "ibisnotch/stream-origin.h"
 #include "ibisnotch/stream-statistics.h"
@@ -60,6 +62,8 @@
     RegionPlanner regionPlanner;
     RegionChooser regionChooser;
     Admission admission;
+    DemandTotals customerDemand;
+    RoomHistory roomHistory;
     StreamStatistics streamStatistics;
     EngineStatistics engineStatistics;
     OriginHistory originHistory;
--- a/src/net/peer-link.cc
+++ b/src/net/peer-link.cc
@@ -67,7 +67,8 @@
     if (message.protocol >= protocolWithEras)
         archive(message.rangeUpdates, message.rangePositions);
     if (message.protocol >= protocolWithDemand)
-        archive(message.hasDemand, message.demands, message.regionDemands, message.serverSpeeds);
+        archive(message.hasDemand, message.demands, message.regionDemands, message.serverSpeeds,
+                message.hasCustomerDemand, message.customerDemand, message.customerTotals);
 }
 
 template <typename Archive> void serializeFields(Archive &archive, PeerRequest &request)
