--- a/test/engine-forecast-test.cc
+++ b/test/engine-forecast-test.cc
@@ -1,4 +1,5 @@
 #include "ibisnotch/engine-forecast.h"
+#include "ibisnotch/engine-statistics.h"
 
 #include <algorithm>
 #include <chrono>
