--- a/include/ibisnotch/prefix-cache.h
+++ b/include/ibisnotch/prefix-cache.h
@@ -47,7 +47,7 @@
 
 struct PrefixBeliefs
 {
-    // Added to the memory of one server by all instances, on average; 0 if unknown.
+    // Added to the memory of one of the servers by all instances, on average; 0 if unknown.
     double tokensPerSecond = 0;
     std::vector<ServerMemory> servers;
     std::vector<PartBeliefs> parts;
@@ -111,10 +111,7 @@
         Duration tokenWindow = std::chrono::seconds(5);
     };
 
-    PrefixCache(Limits limits, TimePoint now)
-        : m_limits(limits), m_startedAt(now), m_tokens(limits.tokenWindow, now)
-    {
-    }
+    PrefixCache(Limits limits, TimePoint now) : m_limits(limits), m_startedAt(now) { }
 
     // Called for each request after its server has been chosen.
     void onRequest(std::span<const PromptPart> sharedParts, TimePoint now);
@@ -131,10 +128,12 @@
 private:
     struct Server
     {
+        explicit Server(const FadingSum &none) : tokens(none) { }
         ServerMemory memory;
         std::uint64_t incarnation = 0;
         TimePoint coldSince{};
         double addedTokens = 0; // by this instance
+        FadingSum tokens; // the same
         // Position in the last query, and the number of that query.
         std::size_t position = 0;
         std::uint64_t query = 0;
@@ -166,7 +165,6 @@
     std::list<std::uint64_t> m_order; // of m_parts, least recently requested first
     std::size_t m_entryCount = 0;
     std::uint64_t m_query = 0;
-    FadingSum m_tokens; // added by this instance to the memory of all servers
 };
 
 } // namespace ibisnotch
--- a/src/decide/prefix-cache.cc
+++ b/src/decide/prefix-cache.cc
@@ -82,7 +82,7 @@
     double &factor = server.memory.roomFactor;
     factor = std::clamp(factor * roomCorrection(event), minRoomFactor, 1.0);
     server.addedTokens += event.addedTokens;
-    m_tokens.add(event.addedTokens, now);
+    server.tokens.add(event.addedTokens, now);
     for (const PromptPart &part : event.sharedParts) {
         std::vector<Entry> &entries = use(part.hash).entries;
         const Entry entry{&server, server.addedTokens, now};
@@ -107,14 +107,16 @@
     PrefixBeliefs result;
     result.servers.reserve(servers.size());
     ++m_query;
+    double tokensPerSecond = 0;
     for (const ServerProcess &process : servers) {
         Server &server = update(process, now);
         server.position = result.servers.size();
         server.query = m_query;
+        tokensPerSecond += server.tokens.perSecond(now);
         result.servers.push_back(server.memory);
     }
     const double count = std::max<double>(1, static_cast<double>(servers.size()));
-    result.tokensPerSecond = m_tokens.perSecond(now) * trafficFactor / count;
+    result.tokensPerSecond = tokensPerSecond * trafficFactor / count;
     result.parts.reserve(sharedParts.size());
     for (const PromptPart &part : sharedParts) {
         PartBeliefs &beliefs = result.parts.emplace_back();
@@ -142,7 +144,8 @@
 
 PrefixCache::Server &PrefixCache::update(const ServerProcess &process, TimePoint now)
 {
-    const auto [found, added] = m_servers.try_emplace(process.server);
+    const auto [found, added]
+        = m_servers.try_emplace(process.server, FadingSum(m_limits.tokenWindow, m_startedAt));
     Server &server = found->second;
     const bool isOtherProcess = process.incarnation != 0 && server.incarnation != 0
         && process.incarnation != server.incarnation;
--- a/test/prefix-cache-test.cc
+++ b/test/prefix-cache-test.cc
@@ -143,6 +143,17 @@
     CHECK(beliefs().tokensPerSecond == Approx(10000 * trafficFactor / 2).epsilon(0.1));
 }
 
+TEST_CASE_METHOD(CacheFixture, "prefixCache_serversOfAnotherPool_doNotCountForTheRate")
+{
+    for (int i = 0; i < 100; ++i) {
+        answerOther(0, 1000);
+        answerOther(1, 100);
+        now += 100ms;
+    }
+    servers.erase(servers.begin());
+    CHECK(beliefs().tokensPerSecond == Approx(1000 * trafficFactor).epsilon(0.1));
+}
+
 TEST_CASE_METHOD(CacheFixture, "prefixCache_manyParts_staysBoundedAndKeepsTheNewest")
 {
     answer(0, 10);
