--- a/src/entry/dispatch-plan.cc
+++ b/src/entry/dispatch-plan.cc
@@ -69,8 +69,10 @@
                     m_state.promptLengths.mean(pool), cacheTokens);
     // Urgent requests don't wait for all that is ahead.
     const double aheadPart = m_state.engineStatistics.aheadPart(m_exchange->service->name);
-    for (Candidate &candidate : candidates)
+    for (Candidate &candidate : candidates) {
+        candidate.engine->waiting *= std::min(1.0, aheadPart);
         candidate.engine->unreadTokens *= aheadPart;
+    }
 }
 
 EngineWork Dispatch::engineWork() const
--- a/test/server-speed-test.cc
+++ b/test/server-speed-test.cc
@@ -1,8 +1,12 @@
 #include "ibisnotch/server-speed.h"
 
+#include <algorithm>
 #include <limits>
+#include <memory>
+#include <vector>
 
 #include <catch2/catch.hpp>
+#include <fmt/format.h>
 
 #include "ibisnotch/engine-statistics.h"
 #include "ibisnotch/pick.h"
@@ -235,3 +239,150 @@
     CHECK(engine.cacheTokens == 240'000);
     CHECK(engine.slowdown == 1);
 }
+
+namespace {
+
+// A region's table with two servers, as one instance has it.
+struct SpeedTable
+{
+    ServerTable table{ServerTable::Limits{}};
+
+    SpeedTable()
+    {
+        FleetConfig config;
+        for (const std::string name : {"a", "b"}) {
+            BackendServer server;
+            server.name = name;
+            server.address = name + ":1";
+            config.servers[name] = server;
+        }
+        table.setConfig(std::make_shared<const FleetConfig>(config));
+    }
+
+    ServerCounters &counters(std::size_t server, TimePoint now)
+    {
+        return *table.routingTable(now).servers.at(server).counters;
+    }
+};
+
+} // namespace
+
+TEST_CASE("collectNewSpeeds_heardOrReceived_reachesTheOthersOnce")
+{
+    const TimePoint now{1h};
+    SpeedTable first;
+    SpeedTable reporter;
+    SpeedTable other;
+    recordSlowdown(first.counters(1, now), 250, now, true);
+    const auto told = first.table.collectNewSpeeds(now + 50ms, 10, false);
+    REQUIRE(told == std::vector{CompactSpeed{serverId("b"), 250, 5}});
+    CHECK(first.table.collectNewSpeeds(now + 60ms, 10, false).empty());
+    reporter.table.onSpeed(told[0], now + 60ms, true);
+    const auto relayed = reporter.table.collectNewSpeeds(now + 100ms, 10, true);
+    REQUIRE(relayed.size() == 1);
+    other.table.onSpeed(relayed[0], now + 100ms, false);
+    CHECK(slowdown(other.counters(1, now), now + 100ms) == Approx(2.5));
+    CHECK(slowdown(other.counters(0, now), now + 100ms) == 1);
+    CHECK(other.table.collectNewSpeeds(now + 200ms, 10, false).empty());
+}
+
+// A failure: the message is lost, so the other instances learn of the slow server by the next one.
+TEST_CASE("collectNewSpeeds_messageIsLost_repeatsWhileTheServerIsSlow")
+{
+    TimePoint now{1h};
+    SpeedTable first;
+    recordSlowdown(first.counters(0, now), 250, now, true);
+    CHECK(first.table.collectNewSpeeds(now, 10, false).size() == 1);
+    recordSlowdown(first.counters(0, now), 250, now + 500ms, true);
+    CHECK(first.table.collectNewSpeeds(now + 500ms, 10, false).size() == 1);
+}
+
+// A failure: a peer sends what no server may state, or names a server that isn't known here.
+TEST_CASE("onSpeed_invalidOrUnknown_isIgnored")
+{
+    const TimePoint now{1h};
+    SpeedTable table;
+    table.table.onSpeed({serverId("a"), 0, 0}, now, false);
+    table.table.onSpeed({serverId("a"), 0xffff, 0}, now, false);
+    table.table.onSpeed({serverId("c"), 250, 0}, now, false);
+    CHECK(slowdown(table.counters(0, now), now) == 1);
+}
+
+namespace {
+
+// Replays requests of 30 ms to servers on shared machines: at each moment, neighbours make about
+// one server of seven 2.5 times as slow for 600 ms. Servers state that with each response.
+struct SharedMachines : RoutingFixture
+{
+    static constexpr int serverCount = 12;
+    static constexpr int slotCount = 6;
+    std::vector<std::vector<TimePoint>> ends{serverCount}; // of the requests of each server
+    Random random{7};
+
+    static double trueSlowdown(int server, TimePoint now)
+    {
+        const auto period = now.time_since_epoch() / 600ms;
+        const std::uint64_t draw = static_cast<std::uint64_t>(period) * 2654435761U
+            + static_cast<unsigned>(server) * 40503U;
+        return (draw >> 7) % 7 == 0 ? 2.5 : 1;
+    }
+
+    // Returns the time that the request takes.
+    Duration send(std::size_t server, TimePoint now)
+    {
+        std::vector<TimePoint> &own = ends[server];
+        std::sort(own.begin(), own.end());
+        TimePoint start = now;
+        if (own.size() >= slotCount)
+            start = own[own.size() - slotCount];
+        const double factor = trueSlowdown(static_cast<int>(server), start);
+        own.push_back(start + std::chrono::duration_cast<Duration>(factor * 30ms));
+        return own.back() - now;
+    }
+
+    void finish(TimePoint now)
+    {
+        for (std::size_t i = 0; i < ends.size(); ++i) {
+            const auto count
+                = std::erase_if(ends[i], [now](const TimePoint end) { return end <= now; });
+            if (count > 0)
+                recordSlowdown(*views[i].counters, 100 * trueSlowdown(static_cast<int>(i), now),
+                               now, true);
+        }
+    }
+
+    // Returns the part of the requests that take longer than `limit`.
+    double lateShare(bool weighsSpeed, Duration limit)
+    {
+        for (int i = 0; i < serverCount; ++i)
+            add(fmt::format("s{}", i), 0, slotCount);
+        makeCandidates();
+        TwoChoicesPicker picker;
+        int late = 0;
+        constexpr int requests = 40'000;
+        TimePoint now{1h};
+        for (int i = 0; i < requests; ++i) {
+            now += std::chrono::microseconds(1 + random.below(1600));
+            finish(now);
+            for (std::size_t k = 0; k < candidates.size(); ++k)
+                candidates[k].load = static_cast<double>(ends[k].size());
+            if (weighsSpeed)
+                addSlowdowns(candidates, now);
+            PickInput input;
+            input.candidates = candidates;
+            late += send(picker.pick(input, random), now) > limit ? 1 : 0;
+        }
+        return static_cast<double>(late) / requests;
+    }
+};
+
+} // namespace
+
+// Guards against sending to servers on slow machines as much as to the others.
+TEST_CASE("pick_machinesSlowByTurns_fewerRequestsAreSlow")
+{
+    const double without = SharedMachines().lateShare(false, 60ms);
+    const double with = SharedMachines().lateShare(true, 60ms);
+    CHECK(without > 0.08);
+    CHECK(with < 0.6 * without);
+}
