--- a/include/ibisnotch/room-order.h
+++ b/include/ibisnotch/room-order.h
@@ -103,8 +103,9 @@
                              double missing);
 
 // Returns the part of a class to refuse if `missing` of the work of all classes is refused and the
-// less urgent classes give way first.
-double refusedPartOfClass(std::span<const CompetingClass> classes, int priority, double missing);
+// less urgent classes give way first, each by at most `largestPart`.
+double refusedPartOfClass(std::span<const CompetingClass> classes, int priority, double missing,
+                          double largestPart);
 
 RoomDecision decideRoom(const RoomInput &input, Random &random);
 
--- a/src/decide/room-order.cc
+++ b/src/decide/room-order.cc
@@ -78,11 +78,26 @@
     return room.slots > 0 ? room.outstanding / room.slots : 0;
 }
 
-double queueShortage(const Room &room)
+// Returns the part of the competing requests that are more urgent.
+double moreUrgentPart(const RoomInput &input)
 {
-    // Half of the queue takes up short bursts.
-    const double start = (1 + room.queueFactor) / 2;
-    return between(outstandingPerSlot(room), start, room.queueFactor);
+    double all = 0;
+    double moreUrgent = 0;
+    for (const CompetingClass &one : input.classes) {
+        all += one.requestsPerSecond;
+        moreUrgent += one.priority < input.request.priority ? one.requestsPerSecond : 0;
+    }
+    return all > 0 ? moreUrgent / all : 0;
+}
+
+double queueShortage(const RoomInput &input)
+{
+    // Half of the queue takes up short bursts. Servers run the most urgent requests first, so that
+    // half is for them: the others would wait there until the queue is empty.
+    const double half = (input.room.queueFactor - 1) / 2;
+    const double reserved = half * moreUrgentPart(input);
+    return between(outstandingPerSlot(input.room), 1 + half - reserved,
+                   input.room.queueFactor - reserved);
 }
 
 bool hasFreeRoom(const RoomInput &input)
@@ -123,7 +138,7 @@
 {
     const double reading = between(readingPressure(input), readingStart, readingFull);
     const double streams = between(streamsPressure(input), streamsStart, streamsFull);
-    const double queue = queueShortage(input.room);
+    const double queue = queueShortage(input);
     if (queue >= reading && queue >= streams)
         return RoomCause::queue;
     return reading >= streams ? RoomCause::reading : RoomCause::streams;
@@ -214,7 +229,7 @@
 {
     const double shortage = std::max({between(readingPressure(input), readingStart, readingFull),
                                       between(streamsPressure(input), streamsStart, streamsFull),
-                                      queueShortage(input.room)});
+                                      queueShortage(input)});
     return std::min(shortage, maxRefusedPart);
 }
 
@@ -247,7 +262,8 @@
     return 0;
 }
 
-double refusedPartOfClass(std::span<const CompetingClass> classes, int priority, double missing)
+double refusedPartOfClass(std::span<const CompetingClass> classes, int priority, double missing,
+                          double largestPart)
 {
     double all = 0;
     double lessUrgent = 0;
@@ -258,8 +274,8 @@
         same += one.priority == priority ? one.workPerSecond : 0;
     }
     if (all <= 0 || same <= 0)
-        return std::min(missing, maxRefusedPart);
-    return std::clamp((missing * all - maxRefusedPart * lessUrgent) / same, 0.0, maxRefusedPart);
+        return std::min(missing, largestPart);
+    return std::clamp((missing * all - largestPart * lessUrgent) / same, 0.0, largestPart);
 }
 
 RoomDecision decideRoom(const RoomInput &input, Random &random)
@@ -284,18 +300,20 @@
     const double excess
         = std::min(refusedPartOfCustomer(input.customers, input.own, missingForShares),
                    excessPart(input.customers, input.own, missingForShares));
-    const double forOrder = refusedPartOfClass(input.classes, request.priority, missing);
-    const double guaranteed = guaranteedPart * (1 - decision.pressure);
+    const double forOrder
+        = refusedPartOfClass(input.classes, request.priority, missing, maxRefusedPart);
+    const double largestPart = 1 - guaranteedPart * (1 - decision.pressure);
+    const double forShare
+        = refusedPartOfClass(input.classes, request.priority, excess, largestPart);
     // A caller that has waited goes first within its class, but not above its customer's share.
-    double refused = std::min(
-        std::max(refusedAfterWaiting(request, std::min(forOrder, maxRefusedPart)), excess),
-        1 - guaranteed);
+    double refused
+        = std::min(std::max(refusedAfterWaiting(request, forOrder), forShare), largestPart);
     // The request has passed such a draw already.
     if (request.admittedElsewhere)
         refused *= refused;
     decision.refusedPart = refused;
     if (request.draw < refused) {
-        const bool overShare = excess >= forOrder || missing > decision.pressure * shareTolerance;
+        const bool overShare = forShare >= forOrder || missing > decision.pressure * shareTolerance;
         return refuse(overShare ? RoomCause::customerShare : largestCause(input));
     }
     if (outstandingPerSlot(room) >= room.queueFactor)
--- a/test/room-order-test.cc
+++ b/test/room-order-test.cc
@@ -441,6 +441,39 @@
     CHECK(decide() == RoomCause::noSlots);
 }
 
+// Guards against urgent requests of a customer above its share that are refused as often as its
+// less urgent ones.
+TEST_CASE_METHOD(RoomFixture, "roomOrder_customerAboveItsShare_givesUpItsLessUrgentRequestsFirst")
+{
+    input.room.outstanding = 110;
+    input.classes = {{0, 50, 50, 1}, {2, 50, 50, 1}};
+    input.customers = {{60, 1}, {40, 9}};
+    input.own = input.customers[0];
+    input.request.priority = 2;
+    input.request.draw = 0.1;
+    CHECK(decide() == RoomCause::customerShare);
+    input.request.priority = 0;
+    CHECK(decide() == RoomCause::none);
+    input.own = input.customers[1];
+    CHECK(decide() == RoomCause::none);
+}
+
+// Guards against less urgent requests that wait at servers behind the more urgent until their
+// deadline.
+TEST_CASE_METHOD(RoomFixture, "roomOrder_fillingQueue_isKeptForTheMoreUrgent")
+{
+    input.room.outstanding = 140;
+    input.classes = {{0, 80, 50, 1}, {2, 20, 50, 1}};
+    input.request.priority = 2;
+    input.request.draw = 0.3;
+    CHECK(decide() == RoomCause::queue);
+    input.request.priority = 0;
+    CHECK(decide() == RoomCause::none);
+    input.classes = {{2, 20, 50, 1}};
+    input.request.priority = 2;
+    CHECK(decide() == RoomCause::none);
+}
+
 TEST_CASE_METHOD(RoomFixture, "roomOrder_requestThatCannotEndInTime_isRefusedAtOnce")
 {
     input.room.firstTokenSeconds = 0.5;
@@ -517,13 +550,13 @@
 TEST_CASE("roomOrder_classesOfAnyDemand_giveWayInTheOrderOfTheirPriorities")
 {
     const std::vector<CompetingClass> classes{{0, 10, 30, 1}, {1, 10, 30, 1}, {2, 10, 40, 1}};
-    CHECK(refusedPartOfClass(classes, 2, 0.2) == Approx(0.5));
-    CHECK(refusedPartOfClass(classes, 1, 0.2) == 0);
-    CHECK(refusedPartOfClass(classes, 2, 0.5) == Approx(0.85));
-    CHECK(refusedPartOfClass(classes, 1, 0.5) == Approx(0.16 / 0.3));
-    CHECK(refusedPartOfClass(classes, 0, 0.5) == 0);
-    CHECK(refusedPartOfClass(classes, 0, 0.85) == Approx(0.85));
-    CHECK(refusedPartOfClass({}, 0, 0.4) == Approx(0.4));
+    CHECK(refusedPartOfClass(classes, 2, 0.2, 0.85) == Approx(0.5));
+    CHECK(refusedPartOfClass(classes, 1, 0.2, 0.85) == 0);
+    CHECK(refusedPartOfClass(classes, 2, 0.5, 0.85) == Approx(0.85));
+    CHECK(refusedPartOfClass(classes, 1, 0.5, 0.85) == Approx(0.16 / 0.3));
+    CHECK(refusedPartOfClass(classes, 0, 0.5, 0.85) == 0);
+    CHECK(refusedPartOfClass(classes, 0, 0.85, 0.85) == Approx(0.85));
+    CHECK(refusedPartOfClass({}, 0, 0.4, 0.85) == Approx(0.4));
 }
 
 TEST_CASE("roomHistory_shortageThatDecreases_tellsWhenItEnds")
