--- a/include/ibisnotch/process-settings.h
+++ b/include/ibisnotch/process-settings.h
@@ -8,6 +8,7 @@
 
 #include <absl/status/statusor.h>
 
+#include "ibisnotch/buffer-budget.h"
 #include "ibisnotch/clock.h"
 #include "ibisnotch/config.h"
 #include "ibisnotch/warmup.h"
@@ -75,6 +76,7 @@
     Duration drainTime = std::chrono::seconds(120);
     std::string logLevel = "info";
     Features features;
+    BufferLimits buffers; // in force if features.bufferLimits is set
     bool operator==(const ProcessSettings &) const = default;
 };
 
--- a/src/decide/process-settings.cc
+++ b/src/decide/process-settings.cc
@@ -1,5 +1,6 @@
 #include "ibisnotch/process-settings.h"
 
+#include <algorithm>
 #include <fstream>
 #include <map>
 #include <sstream>
@@ -27,6 +28,36 @@
 
 namespace {
 
+BufferLimits readBuffers(SettingReader reader)
+{
+    constexpr int leastBytes = 64 << 10;
+    constexpr int mostBytes = 1 << 30;
+    const BufferLimits defaults;
+    const auto bytes = [&](const std::string &key, std::size_t fallback) {
+        return static_cast<std::size_t>(
+            reader.integer(key, static_cast<int>(fallback), leastBytes, mostBytes));
+    };
+    // Share of the machine's memory; the rest is for the process itself and for what isn't counted.
+    constexpr double bufferShare = 0.4;
+    constexpr int bytesPerMegabyte = 1 << 20;
+    constexpr double maxMemoryMb = 1 << 20;
+    std::size_t totalBytes = defaults.totalBytes;
+    if (reader.has("memoryMb"))
+        totalBytes = static_cast<std::size_t>(std::clamp(
+            bufferShare * bytesPerMegabyte * reader.number("memoryMb", 0, 1, maxMemoryMb),
+            double(leastBytes), double(mostBytes)));
+    BufferLimits limits;
+    limits.totalBytes = bytes("totalBytes", totalBytes);
+    limits.exchangeBytes = bytes("exchangeBytes", defaults.exchangeBytes);
+    limits.exchangeBytesWhenShort
+        = bytes("exchangeBytesWhenShort", defaults.exchangeBytesWhenShort);
+    limits.slowReadTime = reader.duration("slowReadTime", defaults.slowReadTime);
+    if (limits.exchangeBytes > limits.totalBytes)
+        reader.fail("exchangeBytes", "is above totalBytes; make it smaller");
+    reader.finish();
+    return limits;
+}
+
 // Reads the data centres and their regions, for deployments whose configuration doesn't list them.
 std::vector<Region> readRegions(SettingReader &reader)
 {
@@ -119,6 +150,7 @@
     settings.features.customerShares = features.flag("customerShares", false);
     settings.features.bufferLimits = features.flag("bufferLimits", false);
     features.finish();
+    settings.buffers = readBuffers(reader.child("buffers"));
     settings.logLevel = reader.choice("logLevel", "info", {"debug", "info", "warn", "error"});
     reader.finish();
     if (!errors.empty())
--- a/test/process-settings-test.cc
+++ b/test/process-settings-test.cc
@@ -42,3 +42,26 @@
     for (const char *text : {"", "10.0.0.1", ":80", "10.0.0.1:", "10.0.0.1:0", "10.0.0.1:70000"})
         CHECK_FALSE(parseAddress(text).ok());
 }
+
+TEST_CASE("parseProcessSettings_buffers_haveDefaultsAndBounds")
+{
+    CHECK(parseProcessSettings(validSettings, "a1.yaml")->buffers == BufferLimits());
+    const auto given = parseProcessSettings(
+        validSettings
+            + "buffers: {totalBytes: 20000000, exchangeBytes: 200000, slowReadTime: 3s}\n",
+        "a1.yaml");
+    REQUIRE(given.ok());
+    CHECK(given->buffers.totalBytes == 20000000);
+    CHECK(given->buffers.exchangeBytes == 200000);
+    CHECK(given->buffers.slowReadTime == std::chrono::seconds(3));
+    const auto byMemory
+        = parseProcessSettings(validSettings + "buffers: {memoryMb: 160}\n", "a1.yaml");
+    REQUIRE(byMemory.ok());
+    CHECK(byMemory->buffers.totalBytes == (64U << 20));
+    CHECK(errorMessage(validSettings + "buffers: {totalBytes: 10}\n")
+              .find("a1.yaml:8: buffers.totalBytes: expected a whole number from 65536")
+          == 0);
+    CHECK(errorMessage(validSettings + "buffers: {totalBytes: 70000, exchangeBytes: 80000}\n")
+              .find("is above totalBytes")
+          != std::string::npos);
+}
