--- a/include/ibisnotch/http-client.h
+++ b/include/ibisnotch/http-client.h
@@ -12,6 +12,9 @@
 
 namespace ibisnotch {
 
+// A connection's buffers take a request body up to this size at once.
+constexpr std::size_t longBodyBytes = 32 * 1024;
+
 // Time limits of one transfer; zero means no limit.
 struct TransferLimits
 {
@@ -38,6 +41,9 @@
     // A pooled connection that has been idle for longer is not used; 0 for no limit. In whole
     // seconds, as libcurl measures it.
     std::chrono::seconds maxConnectionIdleTime{0};
+    // Size of the system's buffer for what is sent on a new connection; 0 for the default. Without
+    // a bound it may take a whole request body that the server has not begun to read.
+    int sendBufferBytes = 0;
 
     bool operator==(const OutgoingRequest &) const = default;
 };
@@ -71,6 +77,9 @@
     virtual bool onData(std::string_view data) = 0;
     // Returns true while the sink cannot accept more data; the transfer is then paused.
     virtual bool isCongested() const { return false; }
+    // Called with the number of bytes that the connection has taken of a request body longer than
+    // longBodyBytes, when it grows.
+    virtual void onBodySent(std::size_t) { }
     // Called when the limit `firstByte` or `idle` has expired, and every 100 ms after that. Returns
     // true to keep waiting, up to the limit `total`, and false to end the transfer as timed out.
     virtual bool keepsWaiting() { return false; }
--- a/include/ibisnotch/http-server.h
+++ b/include/ibisnotch/http-server.h
@@ -1,6 +1,7 @@
 // The HTTP server for callers, peers and operators. RESTinio is used in its source file only.
 #pragma once
 
+#include <atomic>
 #include <chrono>
 #include <cstdint>
 #include <functional>
@@ -11,6 +12,22 @@
 
 namespace ibisnotch {
 
+// Bytes that are held at present, counted by several threads.
+using ByteCount = std::atomic<std::size_t>;
+
+// What is held of one response for its client. It lives on after the responder until the client
+// has taken all of it or has disconnected. May be used from any thread.
+class ResponseBuffer
+{
+public:
+    virtual ~ResponseBuffer() = default;
+    virtual std::size_t heldBytes() const = 0;
+    // Returns the number of bytes that the client's connection has taken.
+    virtual std::uint64_t takenBytes() const = 0;
+    // Drops what is held and disconnects the client, who sees an incomplete response.
+    virtual void discard() = 0;
+};
+
 // Sends one response. Only one thread at a time may use it, but not necessarily the handler's.
 class Responder
 {
@@ -38,6 +55,9 @@
 
     // Returns the number of bytes written but not yet sent.
     virtual std::size_t pendingBytes() const = 0;
+
+    // Returns null if the server doesn't count what it holds.
+    virtual std::shared_ptr<ResponseBuffer> buffer() const { return nullptr; }
 };
 
 class RequestHandler
@@ -57,6 +77,9 @@
     std::chrono::seconds idleTimeout{60};
     std::chrono::seconds responseTimeout{600};
     std::size_t maxConnections = 20000;
+    // If not null, counts the bytes of all responses that are held for their clients, and each
+    // response is passed on in pieces, so that the rest of it can be discarded.
+    std::shared_ptr<ByteCount> heldBytes;
 
     bool operator==(const HttpServerSettings &) const = default;
 };
--- a/src/net/http-client.cc
+++ b/src/net/http-client.cc
@@ -12,6 +12,7 @@
 #include <asio/post.hpp>
 #include <asio/steady_timer.hpp>
 #include <curl/curl.h>
+#include <sys/socket.h>
 
 namespace ibisnotch {
 
@@ -165,6 +166,15 @@
             curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE, static_cast<long>(request.body.size()));
             curl_easy_setopt(easy, CURLOPT_POSTFIELDS, request.body.text().c_str());
         }
+        if (request.sendBufferBytes > 0) {
+            curl_easy_setopt(easy, CURLOPT_SOCKOPTFUNCTION, &Private::onSocketCreated);
+            curl_easy_setopt(easy, CURLOPT_SOCKOPTDATA, &transfer);
+        }
+        if (request.body.size() > longBodyBytes) {
+            curl_easy_setopt(easy, CURLOPT_NOPROGRESS, 0L);
+            curl_easy_setopt(easy, CURLOPT_XFERINFOFUNCTION, &Private::onProgress);
+            curl_easy_setopt(easy, CURLOPT_XFERINFODATA, &transfer);
+        }
         const auto connect
             = std::chrono::duration_cast<std::chrono::milliseconds>(request.limits.connect);
         curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS, static_cast<long>(connect.count()));
@@ -184,6 +194,20 @@
         return ++transfer.sends > 1 ? CURL_PREREQFUNC_ABORT : CURL_PREREQFUNC_OK;
     }
 
+    static int onSocketCreated(void *user, curl_socket_t socket, curlsocktype)
+    {
+        const int size = static_cast<Transfer *>(user)->request.sendBufferBytes;
+        // A failure leaves the default.
+        setsockopt(socket, SOL_SOCKET, SO_SNDBUF, &size, sizeof size);
+        return CURL_SOCKOPT_OK;
+    }
+
+    static int onProgress(void *user, curl_off_t, curl_off_t, curl_off_t, curl_off_t sent)
+    {
+        static_cast<Transfer *>(user)->sink->onBodySent(static_cast<std::size_t>(sent));
+        return 0;
+    }
+
     static std::size_t onHeader(char *data, std::size_t size, std::size_t count, void *user)
     {
         auto &transfer = *static_cast<Transfer *>(user);
--- a/test/http-server-test.cc
+++ b/test/http-server-test.cc
@@ -1,7 +1,8 @@
-// The HTTP server when it ends while a response is in progress.
+// The HTTP server when it ends while a response is in progress, and when it counts what it holds.
 #include "ibisnotch/http-server.h"
 
 #include <atomic>
+#include <functional>
 #include <thread>
 
 #include <asio/connect.hpp>
@@ -11,6 +12,7 @@
 #include <catch2/catch.hpp>
 
 #include "free-ports.h"
+#include "ibisnotch/http-client.h"
 
 using namespace ibisnotch;
 using namespace std::chrono_literals;
@@ -33,6 +35,7 @@
         isStarted = true;
     }
 
+    std::shared_ptr<ResponseBuffer> buffer() const { return m_responder->buffer(); }
     std::size_t pendingBytes() const { return m_responder->pendingBytes(); }
     void release() { m_responder.reset(); }
 
@@ -68,3 +71,128 @@
     }
     CHECK(handler.closedCalls == 0);
 }
+
+namespace {
+
+// Replies with as many bytes as the path says, or streams them if it ends with "s".
+class SizedResponse final : public RequestHandler
+{
+public:
+    void handle(HttpRequest request, std::shared_ptr<Responder> responder) override
+    {
+        const std::size_t size = std::stoul(request.path.substr(1));
+        if (!request.path.ends_with('s'))
+            return responder->reply({200, {}, std::string(size, 'x')});
+        responder->start(200, {});
+        for (std::size_t sent = 0; sent < size; ++sent)
+            responder->write("x");
+        responder->finish();
+    }
+};
+
+// A server that counts what it holds.
+struct CountingServer
+{
+    explicit CountingServer(RequestHandler &handler) : server(settings(), handler, loop) { }
+
+    HttpServerSettings settings() const
+    {
+        HttpServerSettings result;
+        result.port = port;
+        result.heldBytes = held;
+        return result;
+    }
+
+    std::shared_ptr<ByteCount> held = std::make_shared<ByteCount>(0);
+    std::uint16_t port = freePorts(1).front();
+    HttpLoop loop{2};
+    HttpServer server;
+};
+
+// A client that sends one request and reads no byte of the response.
+struct IdleClient
+{
+    explicit IdleClient(std::uint16_t port)
+    {
+        socket.connect({asio::ip::address_v4::loopback(), port});
+        asio::write(socket, asio::buffer(std::string("GET / HTTP/1.1\r\nHost: a\r\n\r\n")));
+    }
+    asio::io_context io;
+    asio::ip::tcp::socket socket{io};
+};
+
+bool becomesTrue(const std::function<bool()> &condition)
+{
+    for (int i = 0; i < 500 && !condition(); ++i)
+        std::this_thread::sleep_for(20ms);
+    return condition();
+}
+
+} // namespace
+
+TEST_CASE("countingServer_responsesOfAllSizes_arriveWholeAndAreNoLongerHeld")
+{
+    SizedResponse handler;
+    CountingServer server(handler);
+    HttpClient client;
+    for (const char *path : {"/0", "/1", "/16384", "/16385", "/3000000", "/0s", "/1s", "/40000s"}) {
+        CAPTURE(path);
+        OutgoingRequest request;
+        request.url = "http://127.0.0.1:" + std::to_string(server.port) + path;
+        const BufferedResponse got = sendAndWait(client, request);
+        CHECK(got.result.outcome == TransferOutcome::complete);
+        CHECK(got.response.status == 200);
+        CHECK(got.response.body.size() == std::stoul(std::string(path).substr(1)));
+        CHECK(becomesTrue([&] { return *server.held == 0; }));
+    }
+    client.stop();
+    server.loop.stop();
+}
+
+// Guards against a slow reader whose response stays in memory after it was given up.
+TEST_CASE("countingServer_responseIsDiscarded_dropsItsBytesAndTellsItsHandler")
+{
+    UnreadResponse handler;
+    CountingServer server(handler);
+    const IdleClient client(server.port);
+    REQUIRE(becomesTrue([&] { return handler.isStarted.load(); }));
+    CHECK(*server.held > unreadBytes / 2);
+    CHECK(handler.buffer()->heldBytes() == *server.held);
+    handler.buffer()->discard();
+    CHECK(handler.closedCalls == 1);
+    constexpr std::size_t onePiece = 16 * 1024;
+    CHECK(becomesTrue([&] { return *server.held <= onePiece; }));
+    handler.release();
+    server.loop.stop();
+}
+
+// Guards against a response that stays counted after its client has left.
+TEST_CASE("countingServer_clientLeaves_holdsNothing")
+{
+    UnreadResponse handler;
+    CountingServer server(handler);
+    {
+        const IdleClient client(server.port);
+        REQUIRE(becomesTrue([&] { return handler.isStarted.load(); }));
+    }
+    CHECK(becomesTrue([&] { return *server.held == 0; }));
+    handler.release();
+    server.loop.stop();
+}
+
+// Guards against a crash as the loop ends while a response is in its queue.
+TEST_CASE("countingServer_endsWhileAResponseIsUnread_dropsIt")
+{
+    UnreadResponse handler;
+    std::shared_ptr<ByteCount> held;
+    {
+        CountingServer server(handler);
+        held = server.held;
+        const IdleClient client(server.port);
+        REQUIRE(becomesTrue([&] { return handler.isStarted.load(); }));
+        server.loop.stop();
+        handler.release();
+    }
+    CHECK(handler.closedCalls == 0);
+    CHECK(*held == 0);
+}
