--- a/include/ibisnotch/metrics.h
+++ b/include/ibisnotch/metrics.h
@@ -46,6 +46,10 @@
     void onServerSilent();
     // Counts a response in which a server asks for rest.
     void onServerRest();
+    // Counts an exchange that ended because its reader, the caller or a server, is too slow.
+    void onSlowReaderEnded(std::string_view reader);
+    // Counts a response that was not read from its server for long, as its caller reads slowly.
+    void onResponsePaused();
     void setGauge(const std::string &name, double value);
 
     // Returns all metrics. Latencies are histograms in seconds.
--- a/src/entry/attempt.cc
+++ b/src/entry/attempt.cc
@@ -9,6 +9,8 @@
 
 constexpr std::size_t maxBufferedBytes = 1U << 20;
 constexpr std::size_t maxPendingBytes = 1U << 20;
+// A pause that lasts longer is recorded, once for each attempt.
+constexpr Duration recordedPause = std::chrono::seconds(1);
 
 bool isSuccess(int status)
 {
@@ -22,8 +24,10 @@
 Dispatch::Attempt::Attempt(std::shared_ptr<Dispatch> dispatch, Target target,
                            std::unique_ptr<ResponseReader> reader)
     : m_dispatch(std::move(dispatch)), m_target(std::move(target)), m_reader(std::move(reader)),
+      m_heldBody(m_dispatch->m_state.buffers.heldBytes()),
       m_lastReceivedAt(m_dispatch->m_state.clock.now())
 {
+    onBodySent(0);
 }
 
 bool Dispatch::Attempt::stopWith(AttemptOutcome outcome)
@@ -42,6 +46,12 @@
     return outcome ? stopWith(*outcome) : true;
 }
 
+void Dispatch::Attempt::onBodySent(std::size_t sent)
+{
+    if (const auto &body = m_dispatch->m_exchange->sentBody)
+        body->onProgress(sent);
+}
+
 bool Dispatch::Attempt::onData(std::string_view data)
 {
     std::string passed;
@@ -56,12 +66,14 @@
         m_dispatch->onAnswerBegun();
     if (!outcome && !passed.empty() && !m_reader->isStreaming() && !m_exceedsBuffer) {
         m_response.body += passed;
-        if (m_response.body.size() <= maxBufferedBytes)
+        m_heldBody.set(m_response.body.size());
+        if (m_response.body.size() <= bufferBound())
             return true;
         // From here on the caller sees a failure only as a connection that ends early.
         m_exceedsBuffer = true;
         passed = std::move(m_response.body);
         m_response.body.clear();
+        m_heldBody.set(0);
     }
     if (!passed.empty()) {
         m_hasWritten = true;
@@ -92,14 +104,36 @@
 
 bool Dispatch::Attempt::isCongested() const
 {
-    return m_dispatch->m_streamStarted
-        && m_dispatch->m_exchange->responder->pendingBytes() > maxPendingBytes;
+    if (!m_dispatch->m_streamStarted)
+        return false;
+    const std::size_t pending = m_dispatch->m_exchange->responder->pendingBytes();
+    const BufferAccounts &buffers = m_dispatch->m_state.buffers;
+    if (!buffers.isEnabled())
+        return pending > maxPendingBytes;
+    const TimePoint now = m_dispatch->m_state.clock.now();
+    const bool isPaused = m_pacer.shouldPause(buffers.limits(), pending, *buffers.heldBytes(), now);
+    if (isPaused && !m_pauseRecorded && now - m_pacer.pausedSince() >= recordedPause) {
+        m_pauseRecorded = true;
+        m_dispatch->recordPause(m_target, pending);
+    }
+    return isPaused;
+}
+
+// An answer that is written before it is complete is held only as far as its caller reads slowly.
+std::size_t Dispatch::Attempt::bufferBound() const
+{
+    const BufferAccounts &buffers = m_dispatch->m_state.buffers;
+    const bool isShort
+        = buffers.isEnabled() && isShortOfBuffers(buffers.limits(), *buffers.heldBytes());
+    return isShort ? buffers.limits().exchangeBytesWhenShort : maxBufferedBytes;
 }
 
 AttemptOutcome Dispatch::Attempt::outcomeOf(const TransferResult &result) const
 {
     if (m_earlyOutcome)
         return *m_earlyOutcome;
+    if (m_dispatch->m_serverReadsSlowly && result.outcome == TransferOutcome::cancelled)
+        return AttemptOutcome::silent;
     if (m_dispatch->m_exchange->responder->isClosed()
         && result.outcome != TransferOutcome::complete)
         return AttemptOutcome::callerLeft;
--- a/src/entry/attempt.h
+++ b/src/entry/attempt.h
@@ -19,6 +19,7 @@
 
     bool onHead(int status, const Headers &headers) override;
     bool onData(std::string_view data) override;
+    void onBodySent(std::size_t sent) override;
     bool isCongested() const override;
     bool keepsWaiting() override;
     void onEnd(const TransferResult &result) override;
@@ -34,12 +35,17 @@
 
 private:
     void recordEventInterval();
+    // Returns the size up to which an answer that isn't a stream is kept until it is complete.
+    std::size_t bufferBound() const;
     bool stopWith(AttemptOutcome outcome);
     AttemptOutcome outcomeOf(const TransferResult &result) const;
 
     std::shared_ptr<Dispatch> m_dispatch;
     Target m_target;
     std::unique_ptr<ResponseReader> m_reader;
+    HeldBytes m_heldBody; // of the response
+    mutable ReadPacer m_pacer;
+    mutable bool m_pauseRecorded = false;
     HttpResponse m_response; // the body is buffered unless the response is a stream or too long
     bool m_hasWritten = false;
     bool m_hasBegun = false;
--- a/src/entry/control.cc
+++ b/src/entry/control.cc
@@ -156,6 +156,7 @@
         m_pullInProgress = false;
     }
     publishMembers();
+    m_state.buffers.update(m_state.metrics, now);
     if (now >= m_nextPoll) {
         m_nextPoll = now + pollPeriod;
         pollServers();
--- a/src/entry/dispatch-retry.cc
+++ b/src/entry/dispatch-retry.cc
@@ -187,7 +187,7 @@
 bool Dispatch::mayRetry(const Target &target, AttemptOutcome outcome, int runs) const
 {
     if (decideRetry(retryInput(outcome, runs)) != RetryDecision::retry
-        || m_exchange->responder->isClosed())
+        || m_exchange->responder->isClosed() || m_serverReadsSlowly)
         return false;
     // The quarantine trial of a request is one run on one server, even if that server has crashed.
     if (m_isQuarantineTrial && !certainlyNotRun(outcome))
@@ -214,6 +214,8 @@
 // that can be resumed waits for the retry budget.
 void Dispatch::retryOrEnd(const Target &target, AttemptOutcome outcome)
 {
+    if (waitForCaller(target, outcome))
+        return;
     const bool acquiredBefore = std::exchange(m_retryAcquired, false);
     if (!mayRetry(target, outcome, m_runs)) {
         if (acquiredBefore)
--- a/src/entry/dispatch.cc
+++ b/src/entry/dispatch.cc
@@ -16,6 +16,9 @@
 
 // An attempt that receives nothing is checked for the first time after this.
 constexpr Duration progressCheckInterval = std::chrono::milliseconds(600);
+// Of connections to servers, if the bytes held for them are limited. Shows how far a server has
+// read a long request body.
+constexpr int sendBufferBytes = 128 * 1024;
 
 } // namespace
 
@@ -51,6 +54,14 @@
                 self->onCallerLeft();
         });
     });
+    if (exchange.sentBody) {
+        exchange.sentBody->setEndTask([weak = weak_from_this(), &client = m_client] {
+            client.post([weak] {
+                if (const auto self = weak.lock())
+                    self->onServerReadsSlowly();
+            });
+        });
+    }
     if (!exchange.isBooking() || exchange.sendRightAcquired) {
         m_sendRight = SendRight::notNeeded;
         return route();
@@ -142,6 +153,7 @@
         : m_protocol.makeServerRequest(exchange, target, remaining());
     request.limits = limitsFor(target);
     request.useNewConnection = request.useNewConnection || m_attempts > 1;
+    request.sendBufferBytes = m_state.buffers.isEnabled() ? sendBufferBytes : 0;
     if (!target.isPeer)
         return request;
     ForwardPath path = exchange.path;
@@ -363,7 +375,7 @@
         const std::lock_guard lock(m_state.quarantineMutex);
         m_state.quarantine.onTrialFinished(m_exchange->fingerprint);
     }
-    if (!target.isPeer && !m_exchange->responder->isClosed())
+    if (!target.isPeer && !m_exchange->responder->isClosed() && !m_serverReadsSlowly)
         onSuspectedCrash(target, outcome, attempt);
     // The attempt reached no backend server, so the next one is no retry of it.
     if (isUnready && !reachedServers) {
--- a/src/entry/dispatch.h
+++ b/src/entry/dispatch.h
@@ -178,6 +178,15 @@
     // Writes complete events, or data of a long response, that the attempt received.
     void writeToCaller(const Attempt &attempt, std::string data);
     void onCallerLeft();
+    // Bytes held for callers and servers that read slowly (dispatch-buffers.cc).
+
+    // Called when the server has read too little of the request's body.
+    void onServerReadsSlowly();
+    // Records that the response isn't read, as its caller reads slowly.
+    void recordPause(const Target &target, std::size_t held);
+    // Makes an attempt wait until the caller has taken most of what is held for it. Returns true if
+    // the attempt will follow.
+    bool waitForCaller(const Target &target, AttemptOutcome outcome);
     // Returns the prompt tokens that the server has to read if it has the shared ones cached.
     std::int64_t tokensToRead() const;
     void recordFirstByte(const Target &target);
@@ -259,6 +268,7 @@
     int m_reportedRuns = 0; // reported to the peer that forwarded the request
     bool m_retryAcquired = false; // the retry budget for the next attempt is acquired
     std::weak_ptr<Attempt> m_currentAttempt;
+    bool m_serverReadsSlowly = false; // the exchange ends without another attempt
     bool m_callerLeft = false; // the caller closed its connection
     bool m_findsOrigin = false; // other instances are asked for the stream's origin
     std::uint32_t m_recoveryEpoch = 0; // of the current attempt's server (silence.h)
--- a/src/entry/exchange.h
+++ b/src/entry/exchange.h
@@ -6,6 +6,7 @@
 #include <string>
 #include <vector>
 
+#include "buffer-accounts.h"
 #include "ibisnotch/booking.h"
 #include "ibisnotch/config.h"
 #include "ibisnotch/forward-path.h"
@@ -58,6 +59,8 @@
     std::string fingerprint; // identifies copies of the same request, for the quarantine
     std::uint64_t prefixHash = 0; // of the prompt's shared part; 0 if it shares too little
 
+    std::shared_ptr<SentBody> sentBody; // null if bytes held are not limited
+
     Trace trace;
 
     const FleetConfig &config() const { return *table->config; }
--- a/src/entry/gateway.cc
+++ b/src/entry/gateway.cc
@@ -92,6 +92,17 @@
     m_state.metrics.onRequest(record);
 }
 
+void Gateway::holdBuffers(Exchange &exchange)
+{
+    BufferAccounts &buffers = m_state.buffers;
+    if (!buffers.isEnabled())
+        return;
+    exchange.sentBody
+        = std::make_shared<SentBody>(buffers.heldBytes(), exchange.request.body.size());
+    buffers.add(exchange.id, exchange.customer->name, exchange.responder->buffer(),
+                exchange.sentBody);
+}
+
 void Gateway::serve(HttpRequest request, std::shared_ptr<Responder> responder)
 {
     ++m_state.inFlight;
@@ -112,6 +123,10 @@
         if (const auto refusal = filter->apply(*exchange))
             return refuse(*exchange, *refusal);
     }
+    if (!m_state.buffers.accepts())
+        return refuse(*exchange,
+                      {ResultCode::overloaded, "buffers", jitteredRetryAfter(1, m_state.random)});
+    holdBuffers(*exchange);
     HttpClient &client = *m_clients[m_nextClient++ % m_clients.size()];
     auto dispatch = std::make_shared<Dispatch>(m_services, exchange, client);
     client.post([dispatch] { dispatch->start(); });
--- a/src/entry/gateway.h
+++ b/src/entry/gateway.h
@@ -36,6 +36,8 @@
     std::string requestId(const HttpRequest &request);
     std::string otherInstanceAddresses();
     void recordRefusal(const Exchange &exchange, ResultCode code);
+    // Opens the account of what is held for the exchange.
+    void holdBuffers(Exchange &exchange);
     void refuse(Exchange &exchange, const Refusal &refusal);
 
     EntryState &m_state;
--- a/src/entry/instance.cc
+++ b/src/entry/instance.cc
@@ -110,6 +110,7 @@
     settings.maxConnections = static_cast<std::size_t>(processSettings.maxConnections);
     settings.idleTimeout
         = std::chrono::duration_cast<std::chrono::seconds>(processSettings.idleTimeout);
+    settings.heldBytes = m_state.buffers.heldBytes();
     m_servers.push_back(std::make_unique<HttpServer>(settings, handler, *m_loop));
 }
 
--- a/src/entry/state.h
+++ b/src/entry/state.h
@@ -7,6 +7,7 @@
 #include <string>
 #include <vector>
 
+#include "buffer-accounts.h"
 #include "ibisnotch/active-config.h"
 #include "ibisnotch/admission.h"
 #include "ibisnotch/booking.h"
@@ -69,6 +70,7 @@
     IssuedKeys issuedKeys;
 
     Metrics metrics;
+    BufferAccounts buffers{settings.features.bufferLimits, settings.buffers};
     BurnCounter burn;
     RecentTraces traces;
 
--- a/src/net/metrics.cc
+++ b/src/net/metrics.cc
@@ -94,6 +94,8 @@
     std::atomic<std::uint64_t> m_retries = 0;
     std::atomic<std::uint64_t> m_serversSilent = 0;
     std::atomic<std::uint64_t> m_serverRests = 0;
+    std::map<std::string, std::uint64_t> m_slowReaders; // counts by reader
+    std::atomic<std::uint64_t> m_responsesPaused = 0;
 };
 
 Metrics::Metrics() : m_d(std::make_unique<Private>()) { }
@@ -138,6 +140,17 @@
     ++m_d->m_serversSilent;
 }
 
+void Metrics::onSlowReaderEnded(std::string_view reader)
+{
+    const std::lock_guard lock(m_d->m_mutex);
+    ++m_d->m_slowReaders[std::string(reader)];
+}
+
+void Metrics::onResponsePaused()
+{
+    ++m_d->m_responsesPaused;
+}
+
 void Metrics::onRetry()
 {
     ++m_d->m_retries;
@@ -170,6 +183,10 @@
     out += fmt::format("ibisnotch_retries_total {}\n", m_d->m_retries.load());
     out += fmt::format("ibisnotch_servers_silent_total {}\n", m_d->m_serversSilent.load());
     out += fmt::format("ibisnotch_server_rests_total {}\n", m_d->m_serverRests.load());
+    out += fmt::format("ibisnotch_responses_paused_total {}\n", m_d->m_responsesPaused.load());
+    for (const auto &[reader, count] : m_d->m_slowReaders)
+        out += fmt::format("ibisnotch_slow_readers_ended_total{{reader=\"{}\"}} {}\n", reader,
+                           count);
     for (const auto &[end, count] : m_d->m_attempts)
         out += fmt::format("ibisnotch_attempts_total{{end=\"{}\"}} {}\n", end, count);
     for (const auto &[knownBy, count] : m_d->m_continued)
