--- a/src/net/http-client.cc
+++ b/src/net/http-client.cc
@@ -247,6 +247,12 @@
     {
         auto &transfer = *static_cast<Transfer *>(user);
         transfer.lastProgressAt = std::chrono::steady_clock::now();
+        // While servers send without end, the loop may have no time left for its timers.
+        const Duration total = transfer.request.limits.total;
+        if (total.count() > 0 && transfer.lastProgressAt >= transfer.startedAt + total) {
+            transfer.timedOut = true;
+            return 0;
+        }
         if (transfer.sink->isCongested()) {
             transfer.paused = true;
             // Without a timer of its own, the transfer would stay paused until its next limit.
