--- a/include/ibisnotch/metrics.h
+++ b/include/ibisnotch/metrics.h
@@ -53,6 +53,10 @@
     void onSharedTokens(double sent, double expectedKept);
     // Counts a request that was refused because a region has too little room.
     void onRoomRefusal(std::string_view cause, int priority);
+    // Counts an exchange that ended because its reader, the caller or a server, is too slow.
+    void onSlowReaderEnded(std::string_view reader);
+    // Counts a response that was not read from its server for long, as its caller reads slowly.
+    void onResponsePaused();
     void setGauge(const std::string &name, double value);
 
     // Returns all metrics. Latencies are histograms in seconds.
--- a/src/net/metrics.cc
+++ b/src/net/metrics.cc
@@ -99,6 +99,8 @@
     std::atomic<std::uint64_t> m_invalidSlowdowns = 0;
     std::atomic<std::uint64_t> m_sharedTokens = 0;
     std::atomic<std::uint64_t> m_sharedTokensKept = 0;
+    std::map<std::string, std::uint64_t> m_slowReaders; // counts by reader
+    std::atomic<std::uint64_t> m_responsesPaused = 0;
 };
 
 Metrics::Metrics() : m_d(std::make_unique<Private>()) { }
@@ -154,6 +156,17 @@
     ++m_d->m_serversSilent;
 }
 
+void Metrics::onSlowReaderEnded(std::string_view reader)
+{
+    const std::lock_guard lock(m_d->m_mutex);
+    ++m_d->m_slowReaders[std::string(reader)];
+}
+
+void Metrics::onResponsePaused()
+{
+    ++m_d->m_responsesPaused;
+}
+
 void Metrics::onRetry()
 {
     ++m_d->m_retries;
@@ -196,6 +209,10 @@
     out += fmt::format("ibisnotch_shared_tokens_sent_total {}\n", m_d->m_sharedTokens.load());
     out += fmt::format("ibisnotch_shared_tokens_expected_kept_total {}\n",
                        m_d->m_sharedTokensKept.load());
+    out += fmt::format("ibisnotch_responses_paused_total {}\n", m_d->m_responsesPaused.load());
+    for (const auto &[reader, count] : m_d->m_slowReaders)
+        out += fmt::format("ibisnotch_slow_readers_ended_total{{reader=\"{}\"}} {}\n", reader,
+                           count);
     for (const auto &[end, count] : m_d->m_attempts)
         out += fmt::format("ibisnotch_attempts_total{{end=\"{}\"}} {}\n", end, count);
     for (const auto &[knownBy, count] : m_d->m_continued)
