Found in review: the plan holds for the first attempt and where its region accepts; a new reporter waits for the others; amounts that are no numbers are dropped; placed prefixes stay unless moving pays

Callers of a region at its peak were refused where the planned region had no room though home had; a reporter that had just taken over told its own demand as the region's.

--- a/include/ibisnotch/demand.h
+++ b/include/ibisnotch/demand.h
@@ -4,9 +4,9 @@
 #include <cstdint>
 #include <map>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <string_view>
-#include <tuple>
 #include <vector>
 
 #include "ibisnotch/clock.h"
@@ -95,8 +95,10 @@
     std::vector<Demand> localDemand(TimePoint now);
     // Called at the reporting instance with the demand at another instance of its region.
     void onInstanceDemand(const std::string &instance, std::vector<Demand> demands, TimePoint now);
-    // Returns the sums over all instances of the region that reported lately, with this one.
-    std::vector<Demand> sumRegion(TimePoint now);
+    // Returns the sums over all instances of the region that reported lately, with this one. Must
+    // be called several times a second while this instance is the reporter. Returns nothing in the
+    // first second, in which reports of the others may be missing.
+    std::optional<std::vector<Demand>> sumRegion(TimePoint now);
 
     void onRegionDemand(RegionDemand demand, TimePoint now);
     // Returns the reports that aren't outdated, with their ages.
@@ -127,6 +129,8 @@
     std::map<DemandClass, Rate> m_rates;
     std::map<std::string, Report> m_instances;
     std::map<std::string, RegionReport> m_regions;
+    TimePoint m_reporterSince{};
+    TimePoint m_lastSumAt{};
 };
 
 } // namespace ibisnotch
--- a/src/decide/demand.cc
+++ b/src/decide/demand.cc
@@ -10,7 +10,7 @@
 namespace {
 
 constexpr Duration averagingTime = std::chrono::milliseconds(500);
-// Four reporting intervals, so that three reports in a row may be lost.
+// Three reports in a row may be lost.
 constexpr Duration instanceReportMaxAge = std::chrono::seconds(1);
 // Reports of regions pass two instances on their way.
 constexpr Duration regionReportMaxAge = std::chrono::seconds(2);
@@ -34,6 +34,17 @@
     }
 }
 
+// An amount that is not a number would stay in all later plans.
+bool isAmount(float value)
+{
+    return std::isfinite(value) && value >= 0;
+}
+
+bool isValid(const Demand &demand)
+{
+    return isAmount(demand.requests) && isAmount(demand.servers) && isAmount(demand.running);
+}
+
 } // namespace
 
 std::uint32_t poolId(std::string_view name)
@@ -91,15 +102,21 @@
 void DemandMeter::onInstanceDemand(const std::string &instance, std::vector<Demand> demands,
                                    TimePoint now)
 {
+    std::erase_if(demands, [](const Demand &demand) { return !isValid(demand); });
     const std::lock_guard lock(m_mutex);
     m_instances[instance] = {std::move(demands), now};
 }
 
-std::vector<Demand> DemandMeter::sumRegion(TimePoint now)
+std::optional<std::vector<Demand>> DemandMeter::sumRegion(TimePoint now)
 {
     std::map<DemandClass, Demand> sums;
     add(sums, localDemand(now));
     const std::lock_guard lock(m_mutex);
+    if (now - m_lastSumAt >= instanceReportMaxAge)
+        m_reporterSince = now;
+    m_lastSumAt = now;
+    if (now - m_reporterSince < instanceReportMaxAge)
+        return std::nullopt;
     std::erase_if(m_instances, [now](const auto &entry) {
         return entry.second.at + instanceReportMaxAge <= now;
     });
@@ -113,6 +130,10 @@
 
 void DemandMeter::onRegionDemand(RegionDemand demand, TimePoint now)
 {
+    std::erase_if(demand.demands, [](const Demand &one) { return !isValid(one); });
+    std::erase_if(demand.capacities, [](const PoolCapacity &one) {
+        return !isAmount(one.servers) || !isAmount(one.outstanding);
+    });
     const std::lock_guard lock(m_mutex);
     const TimePoint at = now - std::chrono::milliseconds(demand.ageMs);
     RegionReport &report = m_regions[demand.region];
--- a/src/decide/region-plan.cc
+++ b/src/decide/region-plan.cc
@@ -18,7 +18,7 @@
 constexpr double firstStepOfPlaced = 0.03;
 constexpr double stepsToHalve = 4; // steps after which that part has halved
 // Part by which the unexplained load follows a new measurement. Requests run for a second or more
-// after the plan has changed, so a faster change would be made twice.
+// after the plan has changed, so a difference that is corrected already still shows.
 constexpr double unexplainedGain = 0.15;
 
 // Returns the derivative of the number of running requests by the work that arrives, relative to
@@ -119,16 +119,18 @@
         for (double &share : flow.fromShare)
             share /= std::max(flow.requests, std::numeric_limits<double>::min());
         flow.shares.assign(m_capacity.size(), 0);
-        const PlanRow *row
-            = previous.find(flow.demandClass, m_input.regions[flow.from.front()].region);
+        const PlanRow *row = previousRow(flow, previous);
         double sum = 0;
         for (std::size_t i = 0; i < flow.shares.size(); ++i) {
-            if (isAllowed(flow, i))
-                flow.shares[i] = row != nullptr ? shareOf(*row, m_input.regions[i].region)
-                                                : startShare(flow, i);
+            if (!isAllowed(flow, i))
+                continue;
+            if (row != nullptr)
+                flow.shares[i] = shareOf(*row, m_input.regions[i].region);
+            else
+                flow.shares[i] = flow.demandClass.placed ? m_capacity[i] : startShare(flow, i);
             sum += flow.shares[i];
         }
-        if (sum <= 0)
+        if (!(sum > 0))
             sum = startEvenly(flow);
         for (std::size_t i = 0; i < flow.shares.size(); ++i) {
             flow.shares[i] /= std::max(sum, std::numeric_limits<double>::min());
@@ -158,6 +160,17 @@
         return std::max(1.0, m_running[region] / std::max(m_load[region], 0.001));
     }
 
+    // The rows of a placed class are alike, so that of any region tells its shares.
+    const PlanRow *previousRow(const Flow &flow, const RegionPlan &previous) const
+    {
+        if (!flow.demandClass.placed)
+            return previous.find(flow.demandClass, m_input.regions[flow.from.front()].region);
+        const auto found
+            = std::find_if(previous.rows.begin(), previous.rows.end(),
+                           [&](const PlanRow &row) { return row.demandClass == flow.demandClass; });
+        return found == previous.rows.end() ? nullptr : &*found;
+    }
+
     static double startShare(const Flow &flow, std::size_t region)
     {
         const auto at = std::find(flow.from.begin(), flow.from.end(), region);
@@ -189,12 +202,27 @@
     {
         const double requestsPerWork = flow.requests / std::max(flow.servers, 0.001);
         const double movedShare = 1 - startShare(flow, region);
-        const double runningPerServer = std::reduce(m_running.begin(), m_running.end())
+        const double meanRunningPerServer = std::reduce(m_running.begin(), m_running.end())
             / std::max(std::reduce(m_load.begin(), m_load.end()), 0.001);
-        return runningPerServer * congestion(utilization(region))
+        return meanRunningPerServer * congestion(utilization(region))
             + movedShare * requestsPerWork * m_input.moveSeconds;
     }
 
+    // A prefix that changes its region has to be read again there. A placed class stays where it is
+    // unless another region is better by as much as its requests lose on the way to another region.
+    bool isWorthMoving(const Flow &flow, double bestCost) const
+    {
+        if (!flow.demandClass.placed)
+            return true;
+        double mean = 0;
+        for (std::size_t i = 0; i < flow.shares.size(); ++i) {
+            if (flow.shares[i] > 0)
+                mean += flow.shares[i] * costOf(flow, i);
+        }
+        const double requestsPerWork = flow.requests / std::max(flow.servers, 0.001);
+        return mean - bestCost > requestsPerWork * m_input.moveSeconds;
+    }
+
     void moveTowardsBest(Flow &flow, double part)
     {
         std::optional<std::size_t> best;
@@ -208,7 +236,7 @@
                 bestCost = cost;
             }
         }
-        if (!best)
+        if (!best || !isWorthMoving(flow, bestCost))
             return;
         for (std::size_t i = 0; i < flow.shares.size(); ++i) {
             const double wanted = i == *best ? 1 : 0;
--- a/src/entry/control-loads.cc
+++ b/src/entry/control-loads.cc
@@ -162,8 +162,10 @@
     GossipMessage report = makeEmptyMessage();
     report.regionLoads = ownRegionLoads(*table);
     report.rangePositions = m_source->positions();
-    if (m_state.settings.features.regionPlan)
-        report.regionDemands = {ownRegionDemand(*table)};
+    if (m_state.settings.features.regionPlan) {
+        if (auto own = ownRegionDemand(*table))
+            report.regionDemands.push_back(*std::move(own));
+    }
     for (const auto &[region, reporter] : reportersByRegion(m_membership.aliveMembers())) {
         if (region != m_state.settings.region)
             m_link.sendGossip(reporter.gossipAddress, report);
--- a/src/entry/control.h
+++ b/src/entry/control.h
@@ -117,7 +117,7 @@
     void sendServerLoads();
     // Adds this instance's demand, or at the reporter that of all regions.
     void addDemand(GossipMessage &message);
-    RegionDemand ownRegionDemand(const RoutingTable &table);
+    std::optional<RegionDemand> ownRegionDemand(const RoutingTable &table);
     void updateRegionPlan();
     void logRegionPlan(const RegionPlan &plan);
     void sendCustomerUsage();
--- a/src/entry/dispatch-plan.cc
+++ b/src/entry/dispatch-plan.cc
@@ -229,12 +229,11 @@
     std::optional<RegionDecision> planned;
     if (const auto divided = demandClass()) {
         countDemand(*divided, candidates);
-        planned = plannedRegion(input, *divided);
+        planned = plannedRegion(input, *divided, admit);
     }
     const RegionDecision decision = planned
         ? *planned
         : m_state.regionChooser.choose(input, m_state.regionLoads, now, m_state.random);
-    m_routeInputs.byPlan = planned.has_value();
     if (decision.residencyForbids)
         return Refusal{ResultCode::residencyForbids, "", {}};
     if (!decision.region)
@@ -242,6 +241,7 @@
                        retryAfterWithoutServer(*table, noServerRetrySeconds)};
     const bool isRemote = *decision.region != input.localRegion;
     m_routeInputs = {};
+    m_routeInputs.byPlan = planned.has_value();
     m_routeInputs.localLoad = input.localLoad;
     m_routeInputs.senders = table->senders.size();
     m_routeInputs.listRevision = table->list.revision;
--- a/src/entry/dispatch-region.cc
+++ b/src/entry/dispatch-region.cc
@@ -27,22 +27,27 @@
 
 void Dispatch::countDemand(const DemandClass &demandClass, std::span<const Candidate> candidates)
 {
-    if (std::exchange(m_demandCounted, true) || candidates.empty())
+    if (std::exchange(m_demandCounted, true))
         return;
     const std::string &pool = loadKey(*m_exchange);
     const double readSeconds
         = seconds(readTime(m_state.engineStatistics.readRate(pool), tokensToRead()));
     const double answerSeconds = m_state.engineStatistics.meanEvents(m_exchange->service->name)
         * m_state.engineStatistics.facts(pool).eventSeconds;
-    const double slots = std::max(1.0, candidates.front().slots);
-    const DemandMeter::Work work{readSeconds + answerSeconds / slots, readSeconds + answerSeconds};
+    // Without a server here the number of slots isn't known, and only the reading counts.
+    const double slotsUsed = candidates.empty() ? 0 : 1 / std::max(1.0, candidates.front().slots);
+    const DemandMeter::Work work{readSeconds + answerSeconds * slotsUsed,
+                                 readSeconds + answerSeconds};
     m_state.demand.onRequest(demandClass, work, m_state.clock.now());
 }
 
+// The plan holds for the first attempt only: with each further one it would lead to the same
+// region, also if that can't be reached.
 std::optional<RegionDecision> Dispatch::plannedRegion(const RegionChoiceInput &input,
-                                                      const DemandClass &demandClass) const
+                                                      const DemandClass &demandClass, bool admit)
 {
-    if (!input.canForward || input.allowed.empty())
+    const bool isFirst = m_attempts == 0 && m_exchange->lastEventId.empty();
+    if (!isFirst || !input.canForward || input.allowed.empty())
         return std::nullopt;
     const double draw = demandClass.placed ? drawForPrefix(m_exchange->prefixHash) : m_regionDraw;
     const auto region = m_state.regionPlanner.choose(demandClass, input.localRegion, draw);
@@ -51,8 +56,8 @@
     };
     if (!region || !contains(input.allowed))
         return std::nullopt;
+    // Where the region would refuse the request, the loads of all regions decide.
     if (*region == input.localRegion) {
-        // The choice is left to the comparison of loads if the plan can't be followed.
         if (input.localRejects || input.localLoad.slots <= 0)
             return std::nullopt;
         return RegionDecision{region, 0, false};
@@ -60,6 +65,8 @@
     const auto load = m_state.regionLoads.find(*region, input.loadKey, m_state.clock.now());
     if (!contains(input.reachable) || !load || load->slots <= 0)
         return std::nullopt;
+    if (admit && !m_admitted && admissionRefusal(*load, true, false))
+        return std::nullopt;
     return RegionDecision{region, 2 * seconds(input.oneWayDelay), false};
 }
 
--- a/src/entry/dispatch-room.cc
+++ b/src/entry/dispatch-room.cc
@@ -122,8 +122,8 @@
     if (isFinal)
         m_routeInputs.refusal
             = detailOf(decision, input, *m_exchange->customer, m_exchange->priority, *demand.age);
-    return Refusal{codeOf(decision.cause), isFinal ? m_routeInputs.refusal : "",
-                   decision.retryAfter};
+    // What other customers ask for is not told to callers.
+    return Refusal{codeOf(decision.cause), "", decision.retryAfter};
 }
 
 } // namespace ibisnotch
--- a/src/entry/dispatch.cc
+++ b/src/entry/dispatch.cc
@@ -411,7 +411,7 @@
         m_state.streamStatistics.onStreamEnded(*m_exchange->service, m_exchange->priority,
                                                loadKey(*m_exchange), attempt.reader().eventCount(),
                                                m_state.clock.now());
-    if (completeStream)
+    if (completeStream && m_attempts == 1)
         recordEndedStream(target, attempt);
     if (outcome == AttemptOutcome::answered)
         return deliver(attempt);
--- a/src/entry/dispatch.h
+++ b/src/entry/dispatch.h
@@ -143,7 +143,7 @@
     void countDemand(const DemandClass &demandClass, std::span<const Candidate> candidates);
     // Returns the region in which the plan runs the request; empty if the choice is free.
     std::optional<RegionDecision> plannedRegion(const RegionChoiceInput &input,
-                                                const DemandClass &demandClass) const;
+                                                const DemandClass &demandClass, bool admit);
 
     // Attempts.
     void route();
--- a/src/entry/region-demand.cc
+++ b/src/entry/region-demand.cc
@@ -20,12 +20,18 @@
     return names;
 }
 
-RegionDemand Control::ownRegionDemand(const RoutingTable &table)
+// An instance that has just become the reporter lacks the demand at the others, so it reports
+// nothing until they have had the time to report to it. The sums of the one before it hold until
+// then.
+std::optional<RegionDemand> Control::ownRegionDemand(const RoutingTable &table)
 {
     const TimePoint now = m_state.clock.now();
+    auto sum = m_state.demand.sumRegion(now);
+    if (!sum)
+        return std::nullopt;
     RegionDemand own;
     own.region = m_state.settings.region;
-    own.demands = m_state.demand.sumRegion(now);
+    own.demands = *std::move(sum);
     for (const auto &[name, pool] : table.config->pools) {
         if (pool.kind != ServiceKind::model)
             continue;
@@ -33,6 +39,8 @@
         removeCold(candidates, now);
         removeLimited(candidates);
         removeResting(candidates, now);
+        std::erase_if(candidates,
+                      [](const Candidate &one) { return one.view->counters->saidLeaving.load(); });
         const RegionLoad load = summarizeLoad(own.region, name, candidates);
         own.capacities.push_back({poolId(name), static_cast<float>(candidates.size()),
                                   static_cast<float>(load.outstanding)});
@@ -51,7 +59,8 @@
     const auto table = m_state.routing.read();
     if (!table || !table->config)
         return;
-    m_state.demand.onRegionDemand(ownRegionDemand(*table), now);
+    if (const auto own = ownRegionDemand(*table))
+        m_state.demand.onRegionDemand(*own, now);
     message.regionDemands = m_state.demand.regions(now);
 }
 
@@ -68,10 +77,12 @@
     input.moveSeconds = 2 * seconds(config.regionOneWay) + seconds(config.limits.awayMargin);
     m_state.regionPlanner.update(input);
     const RegionPlan plan = m_state.regionPlanner.plan();
+    double highest = 0; // of the pools
     for (const PlannedLoad &load : plan.loads) {
         if (load.region == m_state.settings.region)
-            m_state.metrics.setGauge("ibisnotch_planned_utilization", load.utilization);
+            highest = std::max(highest, load.utilization);
     }
+    m_state.metrics.setGauge("ibisnotch_planned_utilization", highest);
     if (isReporter())
         logRegionPlan(plan);
 }
