--- a/src/entry/dispatch-prefix.cc
+++ b/src/entry/dispatch-prefix.cc
@@ -12,6 +12,16 @@
     return {serverId(view.server.name), view.incarnation, view.coldSince};
 }
 
+// The wait that was measured for a service includes the reading of shared parts, which is weighed
+// here by itself. So all that is ahead counts at the reading rate.
+EngineState engineOf(const Candidate &candidate)
+{
+    constexpr double msPerSecond = 1000;
+    EngineState engine = *candidate.engine;
+    engine.unreadTokens = candidate.aheadSeconds * msPerSecond * candidate.tokensPerMs;
+    return engine;
+}
+
 } // namespace
 
 std::size_t Dispatch::chooseServer(const RoutingTable &table, const PickInput &input)
@@ -28,7 +38,7 @@
     for (const Candidate &candidate : input.candidates) {
         const double cost = candidate.view->server.cost;
         processes.push_back(processOf(*candidate.view));
-        servers.push_back({processes.back().server, *candidate.engine,
+        servers.push_back({processes.back().server, engineOf(candidate),
                            input.weights.cost * cost * input.expectedSeconds});
     }
     const PrefixBeliefs beliefs
