--- a/src/decide/server-speed.cc
+++ b/src/decide/server-speed.cc
@@ -16,7 +16,10 @@
 // usual speed while the server states nothing.
 constexpr double fadeSeconds = 0.5;
 constexpr double meanSeconds = 4;
-constexpr double forgetSeconds = 30;
+constexpr double forgetSeconds = 2;
+// A belief closer to the usual speed than this counts as usual. A server that gets no requests
+// states nothing, so it is tried again once its slowdown is no longer sure.
+constexpr double ignoredPart = 0.1;
 // A single statement changes the mean as if it had held for this long at most.
 constexpr double maxHoldSeconds = 1;
 // Servers that differ by more than this are slow for another reason than their machine's kind.
@@ -45,8 +48,8 @@
     const double mean = counters.meanSlowdown;
     if (mean <= 0)
         return 1;
-    const double age = secondsSince(counters.slowdownStatedAt, now);
-    return 1 + (mean - 1) * std::exp(-age / forgetSeconds);
+    const double silent = secondsSince(counters.slowdownStatedAt, now) - maxHoldSeconds;
+    return 1 + (mean - 1) * std::exp(-std::max(0.0, silent) / forgetSeconds);
 }
 
 } // namespace
@@ -89,7 +92,8 @@
     const double mean = meanSlowdownAt(counters, now);
     const double age = secondsSince(counters.slowdownStatedAt, now) - seconds(freshTime);
     const double weight = std::exp(-std::max(0.0, age) / fadeSeconds);
-    return mean + (percent / usualPercent - mean) * weight;
+    const double believed = mean + (percent / usualPercent - mean) * weight;
+    return std::abs(believed - 1) < ignoredPart ? 1 : believed;
 }
 
 double slowdown(const ServerCounters &counters, TimePoint now)
