--- a/include/ibisnotch/http-server.h
+++ b/include/ibisnotch/http-server.h
@@ -53,7 +53,7 @@
     // responder. May be called from any thread.
     virtual void setClosedHandler(std::function<void()> task) = 0;
 
-    // Returns the number of bytes written but not yet sent.
+    // Returns the number of bytes written but not yet sent, with what is kept beside them.
     virtual std::size_t pendingBytes() const = 0;
 
     // Returns null if the server doesn't count what it holds.
--- a/src/net/http-server.cc
+++ b/src/net/http-server.cc
@@ -75,6 +75,10 @@
         restinio::write_group_t{restinio::writable_items_container_t{}});
 }
 
+// What RESTinio and the loop keep beside the data of one write. A server may send its response in
+// chunks of one byte, of which a megabyte would take some hundred.
+constexpr std::size_t writeOverheadBytes = 512;
+
 // The system's buffers of a connection are not counted and grow to megabytes if its client reads
 // slowly, so they are bounded. This is enough for 1 MB/s over a round trip of 100 ms.
 constexpr int sendBufferBytes = 128 * 1024;
@@ -187,6 +191,10 @@
     {
         m_held += data.size();
         *m_total += data.size();
+        if (!m_queue.empty() && m_queue.back().size() + data.size() <= pieceBytes) {
+            m_queue.back() += data;
+            return;
+        }
         if (data.size() <= pieceBytes)
             return m_queue.push_back(std::move(data));
         for (std::size_t at = 0; at < data.size(); at += pieceBytes)
@@ -209,10 +217,6 @@
     {
         std::string piece = std::move(m_queue.front());
         m_queue.pop_front();
-        while (!m_queue.empty() && piece.size() + m_queue.front().size() <= pieceBytes) {
-            piece += m_queue.front();
-            m_queue.pop_front();
-        }
         return piece;
     }
 
@@ -286,7 +290,7 @@
     restinio::impl::connection_handle_t m_connection; // null once the response has ended
     const restinio::request_id_t m_requestId;
     Builder m_builder;
-    std::deque<std::string> m_queue;
+    std::deque<std::string> m_queue; // pieces
     bool m_isSending = false; // RESTinio has a piece
     bool m_hasEnded = false; // nothing follows the piece that RESTinio has
     End m_end = End::none; // once the queue is sent
@@ -430,7 +434,7 @@
             return;
         if (m_sender)
             return m_sender->write(std::move(data));
-        const std::size_t size = data.size();
+        const std::size_t size = data.size() + writeOverheadBytes;
         m_state->pendingBytes += size;
         m_chunked->append_chunk(std::move(data));
         m_chunked->flush([state = m_state, size](const asio::error_code &error) {
