--- a/src/net/http-client.cc
+++ b/src/net/http-client.cc
@@ -4,6 +4,8 @@
 #include <mutex>
 #include <thread>
 #include <unordered_map>
+#include <utility>
+#include <vector>
 
 #include <absl/strings/ascii.h>
 #include <absl/strings/str_split.h>
@@ -58,6 +60,7 @@
         curl_slist *headerList = nullptr;
         Headers responseHeaders;
         std::size_t fieldBytes = 0;
+        std::string received; // not passed to the sink yet
         int status = 0;
         bool headReceived = false;
         bool cancelled = false;
@@ -234,6 +237,8 @@
         long status = 0;
         curl_easy_getinfo(transfer.easy, CURLINFO_RESPONSE_CODE, &status);
         transfer.lastProgressAt = std::chrono::steady_clock::now();
+        if (!deliver(transfer)) // the body, if these are trailers
+            return false;
         if (status < 200)
             return true;
         transfer.status = static_cast<int>(status);
@@ -253,17 +258,36 @@
             transfer.timedOut = true;
             return 0;
         }
-        if (transfer.sink->isCongested()) {
+        if (transfer.received.empty() && transfer.sink->isCongested()) {
             transfer.paused = true;
             // Without a timer of its own, the transfer would stay paused until its next limit.
             transfer.owner->armTimer(transfer.owner->m_transfers.at(transfer.easy));
             return CURL_WRITEFUNC_PAUSE;
         }
-        if (!transfer.sink->onData(std::string_view(data, size * count))) {
+        if (transfer.received.empty())
+            transfer.owner->m_received.push_back(transfer.owner->m_transfers.at(transfer.easy));
+        transfer.received.append(data, size * count);
+        const bool isFull = transfer.received.size() >= receiveBufferBytes;
+        return !isFull || deliver(transfer) ? size * count : 0;
+    }
+
+    // Passes what was received to the sink. Returns false if the transfer is cancelled.
+    static bool deliver(Transfer &transfer)
+    {
+        const std::string data = std::exchange(transfer.received, {});
+        if (!data.empty() && !transfer.cancelled && !transfer.sink->onData(data))
             transfer.cancelled = true;
-            return 0;
+        return !transfer.cancelled;
+    }
+
+    // libcurl passes on each chunk by itself. A server may send chunks of one byte without end; if
+    // each were passed to the sink and on to the caller, neither loop would have time for others.
+    void deliverReceived()
+    {
+        for (const auto &transfer : std::exchange(m_received, {})) {
+            if (m_transfers.count(transfer->easy) > 0 && !deliver(*transfer))
+                finish(transfer->easy, CURLE_ABORTED_BY_CALLBACK);
         }
-        return size * count;
     }
 
     static int onSocketWanted(CURL *, curl_socket_t fd, int what, void *user, void *)
@@ -342,6 +366,7 @@
     {
         int running = 0;
         curl_multi_socket_action(m_multi, fd, flags, &running);
+        deliverReceived();
         collectFinished();
     }
 
@@ -358,6 +383,7 @@
     {
         const auto found = m_transfers.find(easy);
         const std::shared_ptr<Transfer> transfer = found->second;
+        deliver(*transfer);
         TransferResult result;
         result.sent = transfer->sends > 0;
         result.headReceived = transfer->headReceived;
@@ -435,6 +461,7 @@
         transfer.paused = false;
         transfer.lastProgressAt = std::chrono::steady_clock::now();
         curl_easy_pause(transfer.easy, CURLPAUSE_CONT);
+        deliverReceived();
         collectFinished();
     }
 
@@ -442,6 +469,7 @@
     asio::steady_timer m_timer;
     std::unordered_map<curl_socket_t, std::shared_ptr<WatchedSocket>> m_sockets;
     std::unordered_map<CURL *, std::shared_ptr<Transfer>> m_transfers;
+    std::vector<std::shared_ptr<Transfer>> m_received; // transfers with undelivered data
     std::thread m_thread;
 };
 
