--- a/test/room-order-test.cc
+++ b/test/room-order-test.cc
@@ -127,16 +127,16 @@
                 instance = std::make_unique<Instance>();
             m_restartAt = length * 2;
         }
-        DemandTotals &reporter = m_instances.back()->demand;
+        DemandTotals &reporter = m_instances.back()->customerDemand;
         for (int i = 0; i + 1 < instanceCount; ++i)
-            reporter.onInstanceDemand(std::to_string(i), m_instances[i]->demand.localDemand(now),
-                                      now);
+            reporter.onInstanceDemand(std::to_string(i),
+                                      m_instances[i]->customerDemand.localDemand(now), now);
         reporter.onCustomerTotals(reporter.aggregateRegion("region", now), now);
         const CustomerTotals all = reporter.aggregateAll(now);
         if (time >= m_totalsLostAt)
             return;
         for (int i = m_cutOff; i < instanceCount; ++i)
-            m_instances[i]->demand.onCustomerTotals(all, now);
+            m_instances[i]->customerDemand.onCustomerTotals(all, now);
     }
 
     double knownReadDelay(double now)
@@ -184,9 +184,9 @@
         request.remainingSeconds = remaining;
         request.deadlineSeconds = sender.deadlineSeconds;
         request.draw = draw;
-        instance.demand.onRequest(sender.customer, "pool", sender.tokens, now);
+        instance.customerDemand.onRequest(sender.customer, "pool", sender.tokens, now);
         instance.history.onRequest("region", "pool", request, sender.tokens, now);
-        const PoolDemand demand = instance.demand.demandFor("pool", now);
+        const PoolDemand demand = instance.customerDemand.demandFor("pool", now);
         if (m_rule == Rule::roomOrder && demand.age) {
             RoomInput input;
             input.request = request;
