--- a/include/ibisnotch/room-order.h
+++ b/include/ibisnotch/room-order.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "ibisnotch/clock.h"
+#include "ibisnotch/config.h"
 #include "ibisnotch/random.h"
 #include "ibisnotch/result-code.h"
 
@@ -49,6 +50,10 @@
     bool operator==(const CustomerClaim &) const = default;
 };
 
+// Returns the shares of all customers by name. One without a usage cap has at least the mean share
+// of those with one, since shares may follow from the caps.
+std::map<std::string, double> roomShares(const std::map<std::string, Customer> &customers);
+
 struct RoomRequest
 {
     int priority = 0;
--- a/src/decide/room-order.cc
+++ b/src/decide/room-order.cc
@@ -225,6 +225,23 @@
     return ResultCode::overloaded;
 }
 
+std::map<std::string, double> roomShares(const std::map<std::string, Customer> &customers)
+{
+    double cappedShares = 0;
+    int capped = 0;
+    for (const auto &[name, customer] : customers) {
+        cappedShares += customer.usageCap ? customer.share : 0;
+        capped += customer.usageCap ? 1 : 0;
+    }
+    std::map<std::string, double> shares;
+    for (const auto &[key, customer] : customers) {
+        const bool follows = !customer.usageCap && capped > 0;
+        shares[customer.name]
+            = follows ? std::max(customer.share, cappedShares / capped) : customer.share;
+    }
+    return shares;
+}
+
 double roomShortage(const RoomInput &input)
 {
     const double shortage = std::max({between(readingPressure(input), readingStart, readingFull),
--- a/src/entry/dispatch-room.cc
+++ b/src/entry/dispatch-room.cc
@@ -16,19 +16,19 @@
 }
 
 // Returns what the customers of the configuration ask for.
-std::vector<CustomerClaim> claimsOf(const FleetConfig &config, const PoolDemand &demand)
+std::vector<CustomerClaim> claimsOf(const std::map<std::string, double> &shares,
+                                    const PoolDemand &demand)
 {
     std::vector<CustomerClaim> claims;
-    for (const auto &[name, customer] : config.customers) {
+    for (const auto &[name, share] : shares) {
         const auto found = demand.customers.find(customerId(name));
         if (found != demand.customers.end())
-            claims.push_back({found->second, customer.share});
+            claims.push_back({found->second, share});
     }
     return claims;
 }
 
-std::string detailOf(const RoomDecision &decision, const RoomInput &input, const Customer &customer,
-                     int priority, Duration age)
+std::string detailOf(const RoomDecision &decision, const RoomInput &input, Duration age)
 {
     double asked = 0;
     double shares = 0;
@@ -39,8 +39,9 @@
     const auto part = [](double value, double sum) { return sum > 0 ? value / sum : 0; };
     return fmt::format(
         "cause:{},priority:{},pressure:{:.2f},refused:{:.2f},share:{:.3f},asked:{:.3f},age:{}",
-        roomCauseName(decision.cause), priority, decision.pressure, decision.refusedPart,
-        part(customer.share, shares), part(input.own.workPerSecond, asked), millisecondsText(age));
+        roomCauseName(decision.cause), input.request.priority, decision.pressure,
+        decision.refusedPart, part(input.own.share, shares), part(input.own.workPerSecond, asked),
+        millisecondsText(age));
 }
 
 } // namespace
@@ -107,9 +108,13 @@
                   known.eventIntervalSeconds,
                   known.maxEventIntervalSeconds};
     input.classes = m_state.roomHistory.classes(load.region, pool, now);
-    input.customers = claimsOf(config, demand);
-    const auto own = demand.customers.find(customerId(m_exchange->customer->name));
-    input.own = {own == demand.customers.end() ? 0 : own->second, m_exchange->customer->share};
+    const auto shares = roomShares(config.customers);
+    input.customers = claimsOf(shares, demand);
+    const std::string &customer = m_exchange->customer->name;
+    const auto own = demand.customers.find(customerId(customer));
+    const auto share = shares.find(customer);
+    input.own = {own == demand.customers.end() ? 0 : own->second,
+                 share == shares.end() ? m_exchange->customer->share : share->second};
     if (isFinal)
         input.secondsUntilRoom = m_state.roomHistory.secondsUntilRoom(
             load.region, pool, m_exchange->priority, roomShortage(input), now);
@@ -119,8 +124,7 @@
     if (isFinal)
         m_state.metrics.onRoomRefusal(roomCauseName(decision.cause), m_exchange->priority);
     if (isFinal)
-        m_routeInputs.refusal
-            = detailOf(decision, input, *m_exchange->customer, m_exchange->priority, *demand.age);
+        m_routeInputs.refusal = detailOf(decision, input, *demand.age);
     return Refusal{codeOf(decision.cause), isFinal ? m_routeInputs.refusal : "",
                    decision.retryAfter};
 }
--- a/test/room-order-test.cc
+++ b/test/room-order-test.cc
@@ -559,6 +559,26 @@
     CHECK(refusedPartOfClass({}, 0, 0.4, 0.85) == Approx(0.4));
 }
 
+// Guards against callers without a key, who have no cap, that get nothing beside customers whose
+// shares are their caps. Demand is counted by the customers' names, which may differ from the keys.
+TEST_CASE("roomShares_customerWithoutCap_hasTheMeanOfThoseWithOne")
+{
+    std::map<std::string, Customer> customers;
+    customers["a"].name = "a";
+    customers["a"].share = 3000;
+    customers["a"].usageCap = UsageCap{};
+    customers["b"].name = "b";
+    customers["b"].share = 1000;
+    customers["b"].usageCap = UsageCap{};
+    customers[""] = makeAnonymousCustomer();
+    const std::string anonymous = customers[""].name;
+    const std::map<std::string, double> expected{{anonymous, 2000}, {"a", 3000}, {"b", 1000}};
+    CHECK(roomShares(customers) == expected);
+    customers["a"].usageCap.reset();
+    customers["b"].usageCap.reset();
+    CHECK(roomShares(customers).at(anonymous) == 1);
+}
+
 TEST_CASE("roomHistory_shortageThatDecreases_tellsWhenItEnds")
 {
     RoomHistory history;
