--- a/test/peer-link-test.cc
+++ b/test/peer-link-test.cc
@@ -96,6 +96,9 @@
 {
     GossipMessage oldMessage = sampleMessage();
     oldMessage.protocol = 6;
+    oldMessage.hasDemand = false;
+    oldMessage.demands.clear();
+    oldMessage.regionDemands.clear();
     oldMessage.serverSpeeds.clear();
     CHECK(*decodeGossip(encodeGossip(oldMessage)) == oldMessage);
 }
