--- a/include/ibisnotch/demand.h
+++ b/include/ibisnotch/demand.h
@@ -7,6 +7,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <tuple>
 #include <vector>
 
 #include "ibisnotch/clock.h"
@@ -21,7 +22,11 @@
     bool placed = false; // requests with the same prefix run in the same region, for its cache
 
     template <typename Archive> void serialize(Archive &archive) { archive(pool, regions, placed); }
-    auto operator<=>(const DemandClass &) const = default;
+    bool operator==(const DemandClass &) const = default;
+    bool operator<(const DemandClass &other) const
+    {
+        return std::tie(pool, regions, placed) < std::tie(other.pool, other.regions, other.placed);
+    }
 };
 
 // What callers ask for, in averages over about the last second.
