A request's line tells the status sent to its caller and how the last transfer ended

Four places could lose the status: the HTTP client counts an answer without a final head as complete (1), the dispatch loses the status of an answer that had one (2), the caller's connection writes a status it doesn't know as 000 (3), or a peer answered so (4). No line told them apart. "Request over." now has status and transfer, "Attempt failed." transfer.

--- a/include/ibisnotch/http-client.h
+++ b/include/ibisnotch/http-client.h
@@ -56,6 +56,9 @@
     cancelled, // by the sink or by HttpClient::cancel()
 };
 
+// Returns the name used in logs.
+std::string_view transferOutcomeName(TransferOutcome outcome);
+
 struct TransferResult
 {
     TransferOutcome outcome = TransferOutcome::complete;
--- a/src/entry/attempt.cc
+++ b/src/entry/attempt.cc
@@ -153,6 +153,7 @@
 
 void Dispatch::Attempt::onEnd(const TransferResult &result)
 {
+    m_transfer = result;
     // The HTTP client keeps this object, and this object the dispatch, alive until onEnd() returns.
     m_dispatch->onAttemptFinished(m_target, outcomeOf(result), *this);
 }
--- a/src/entry/attempt.h
+++ b/src/entry/attempt.h
@@ -26,6 +26,8 @@
 
     const HttpResponse &response() const { return m_response; }
     const Target &target() const { return m_target; }
+    // Returns how the transfer ended. Known when the attempt has finished.
+    const TransferResult &transfer() const { return m_transfer; }
     const ResponseReader &reader() const { return *m_reader; }
     // Returns whether the caller has received part of this attempt's response.
     bool hasWritten() const { return m_hasWritten; }
@@ -47,6 +49,7 @@
     mutable ReadPacer m_pacer;
     mutable bool m_pauseRecorded = false;
     HttpResponse m_response; // the body is buffered unless the response is a stream or too long
+    TransferResult m_transfer;
     bool m_hasWritten = false;
     bool m_hasBegun = false;
     bool m_exceedsBuffer = false; // the body is too long to be buffered
--- a/src/entry/dispatch-end.cc
+++ b/src/entry/dispatch-end.cc
@@ -49,6 +49,7 @@
     response.headers = m_protocol.makeResponseHeaders(*m_exchange, code, response.headers,
                                                       servedBy(response.headers));
     addCountsToPeer(response.headers, m_exchange->previousRuns + m_runs);
+    m_statusSent = response.status;
     m_exchange->responder->reply(std::move(response));
     finish(code);
 }
@@ -130,6 +131,7 @@
     trace("refused: " + std::string(resultInfo(refusal.code).name));
     HttpResponse response = m_protocol.makeRefusal(*m_exchange, refusal, servedBy({}));
     addCountsToPeer(response.headers, m_exchange->previousRuns + m_runs);
+    m_statusSent = response.status;
     m_exchange->responder->reply(std::move(response));
     finish(refusal.code);
 }
@@ -238,8 +240,10 @@
          {"customer", exchange.customer->name},
          {"service", exchange.service->name},
          {"code", std::to_string(static_cast<int>(code))},
+         {"status", std::to_string(m_statusSent)},
          {"attempts", std::to_string(m_attempts)},
          {"server", m_servedBy},
+         {"transfer", m_lastTransfer},
          {"firstMs", m_firstByteAt ? millisecondsText(*m_firstByteAt - exchange.arrived) : "none"},
          {"ms", millisecondsText(now - exchange.arrived)},
          {"leftMs", millisecondsText(remaining())},
--- a/src/entry/dispatch.cc
+++ b/src/entry/dispatch.cc
@@ -21,6 +21,12 @@
 // read a long request body.
 constexpr int sendBufferBytes = 128 * 1024;
 
+std::string transferText(const TransferResult &result)
+{
+    return std::string(transferOutcomeName(result.outcome))
+        + (result.headReceived ? "" : ", no head");
+}
+
 } // namespace
 
 Dispatch::Dispatch(DispatchServices services, ExchangePtr exchange, HttpClient &client)
@@ -248,6 +254,7 @@
             *m_exchange, ResultCode::served, response.headers, servedBy(response.headers));
         addCountsToPeer(headers, runs);
         addOriginToPeer(headers);
+        m_statusSent = response.status;
         m_exchange->responder->start(response.status, headers);
     } else if (m_exchange->fromPeer && runs != m_reportedRuns) {
         data.insert(0, m_protocol.makeRunsReport(runs));
@@ -318,6 +325,7 @@
 void Dispatch::recordAttempt(const Target &target, AttemptOutcome outcome, const Attempt &attempt)
 {
     m_state.metrics.onAttempt(attemptOutcomeName(outcome));
+    m_lastTransfer = transferText(attempt.transfer());
     trace(
         fmt::format("attempt {} at {}: {}", m_attempts, target.name, attemptOutcomeName(outcome)));
     if (target.isPeer) {
@@ -362,6 +370,7 @@
              {"customer", m_exchange->customer->name},
              {"server", target.name},
              {"end", std::string(attemptOutcomeName(outcome))},
+             {"transfer", m_lastTransfer},
              {"begun", fmt::to_string(attempt.hasBegun())},
              {"parts", sharedPartsText(m_exchange->prompt)},
              {"ms", millisecondsText(m_state.clock.now() - m_attemptStartedAt)}});
--- a/src/entry/dispatch.h
+++ b/src/entry/dispatch.h
@@ -317,6 +317,8 @@
     std::set<std::string> m_triedTargets; // names of servers and peers
     std::set<std::string_view> m_loggedDecisions; // see logRetryDecision()
     std::string m_servedBy;
+    std::string m_lastTransfer = "none"; // how the last attempt's transfer ended, for the log
+    int m_statusSent = 0; // in the head that was sent to the caller
     TimePoint m_attemptStartedAt{};
     double m_cost = 0; // of all attempts: seconds at a server times the server's cost
     std::optional<TimePoint> m_firstByteAt;
--- a/src/net/http-client.cc
+++ b/src/net/http-client.cc
@@ -473,6 +473,23 @@
     std::thread m_thread;
 };
 
+std::string_view transferOutcomeName(TransferOutcome outcome)
+{
+    switch (outcome) {
+    case TransferOutcome::complete:
+        return "complete";
+    case TransferOutcome::notConnected:
+        return "not connected";
+    case TransferOutcome::timedOut:
+        return "timed out";
+    case TransferOutcome::connectionLost:
+        return "connection lost";
+    case TransferOutcome::cancelled:
+        return "cancelled";
+    }
+    return "";
+}
+
 HttpClient::HttpClient() : m_d(std::make_unique<Private>()) { }
 
 HttpClient::~HttpClient() = default;
