A version stays possible for as long as callers wait, not only for their route's deadline

What callers saw, forced by a fleet of small fakes: all instances killed at once, the old version gone, streams taken up 8.5 s after the restart by callers that wait for 30 s where the route's limit is 3 s: 6 of 6 answered 200 and joined from two versions (fleet_callersOutwaitTheirRoute_streamsDoNotGoOnAtTheNewVersion on the code before). Cause: the time after which an instance relies on its list, and for which records last, came from the configured deadline. Now it is the longest limit that callers stated lately if that is longer, and then only an instance's own list counts.

--- a/include/ibisnotch/origin-history.h
+++ b/include/ibisnotch/origin-history.h
@@ -38,26 +38,37 @@
 class OriginHistory
 {
 public:
-    // Time for which a stream may be resumed after the deadline of its service.
+    // Time for which a stream may be resumed after the deadline of its service or its caller.
     static constexpr Duration resumeReserve = std::chrono::seconds(5);
+    // Callers that wait for longer count as waiting for this long.
+    static constexpr Duration maxCallerLimit = std::chrono::minutes(10);
 
     // Sets the origins of the listed servers in all regions.
     void setListed(const std::set<StreamOrigin> &listed, TimePoint now);
     void setServices(const std::map<std::string, Service> &services, TimePoint now);
+    // Called when a caller that waits until `limit` from now uses a stream of the service. A stream
+    // may be resumed for as long as its caller waits, also beyond the service's deadline.
+    void onCaller(const std::string &service, Duration limit, TimePoint now);
     // Called several times a second with the time at which the complete list was last known to be
     // current. It counts as current for `maxAge` after that.
     void onConfirmed(TimePoint confirmedAt, Duration maxAge, TimePoint now);
 
     PossibleOrigins possibleOrigins(const std::string &service, TimePoint now) const;
+    // Returns whether callers of the service wait for longer than its deadline.
+    bool outlastsDeadline(const std::string &service, TimePoint now) const;
 
 private:
     // When an entry was last in the list or configuration; max() while it is.
     using LastSeen = TimePoint;
     struct ServiceHistory
     {
-        Duration streamLifetime{};
+        Duration deadline{}; // the longest one configured
+        Duration callerLimit{}; // the longest one met lately
+        TimePoint callerLimitAt{};
         std::map<std::string, LastSeen> pools;
     };
+    static bool outlastsDeadline(const ServiceHistory &history, TimePoint now);
+    static Duration streamLifetime(const ServiceHistory &history, TimePoint now);
 
     mutable std::mutex m_mutex;
     std::map<StreamOrigin, LastSeen> m_origins;
--- a/src/decide/origin-history.cc
+++ b/src/decide/origin-history.cc
@@ -7,7 +7,7 @@
 namespace {
 
 // Longer than any stream lasts.
-constexpr Duration retention = std::chrono::minutes(10);
+constexpr Duration retention = OriginHistory::maxCallerLimit + OriginHistory::resumeReserve;
 
 // Marks the entries that `current` doesn't contain as last seen now, and adds those that it does.
 template <typename Key>
@@ -65,11 +65,45 @@
         for (const PoolShare &share : service.pools)
             pools.insert(share.pool);
         ServiceHistory &history = m_services[name];
-        history.streamLifetime = std::max(history.streamLifetime, service.deadline + resumeReserve);
+        history.deadline = std::max(history.deadline, service.deadline);
         update(history.pools, pools, now);
     }
 }
 
+void OriginHistory::onCaller(const std::string &service, Duration limit, TimePoint now)
+{
+    const std::lock_guard lock(m_mutex);
+    const auto found = m_services.find(service);
+    if (found == m_services.end())
+        return;
+    ServiceHistory &history = found->second;
+    const Duration counted = std::min(limit, maxCallerLimit);
+    if (counted < history.callerLimit && now - history.callerLimitAt <= maxCallerLimit)
+        return;
+    history.callerLimit = counted;
+    history.callerLimitAt = now;
+}
+
+bool OriginHistory::outlastsDeadline(const std::string &service, TimePoint now) const
+{
+    const std::lock_guard lock(m_mutex);
+    const auto found = m_services.find(service);
+    return found != m_services.end() && outlastsDeadline(found->second, now);
+}
+
+bool OriginHistory::outlastsDeadline(const ServiceHistory &history, TimePoint now)
+{
+    const bool isRecent = now - history.callerLimitAt <= maxCallerLimit;
+    return isRecent && history.callerLimit > history.deadline;
+}
+
+Duration OriginHistory::streamLifetime(const ServiceHistory &history, TimePoint now)
+{
+    const Duration longest
+        = outlastsDeadline(history, now) ? history.callerLimit : history.deadline;
+    return longest + resumeReserve;
+}
+
 void OriginHistory::onConfirmed(TimePoint confirmedAt, Duration maxAge, TimePoint now)
 {
     const std::lock_guard lock(m_mutex);
@@ -90,17 +124,17 @@
     if (found == m_services.end())
         return {};
     const ServiceHistory &history = found->second;
+    const Duration lifetime = streamLifetime(history, now);
     PossibleOrigins possible;
     for (const auto &[origin, lastListed] : m_origins) {
         const auto pool = history.pools.find(origin.pool);
-        const bool isPossible = pool != history.pools.end()
-            && isRecent(pool->second, history.streamLifetime, now)
-            && isRecent(lastListed, history.streamLifetime, now);
+        const bool isPossible = pool != history.pools.end() && isRecent(pool->second, lifetime, now)
+            && isRecent(lastListed, lifetime, now);
         if (isPossible)
             possible.origins.push_back(origin);
     }
     possible.isComplete = m_confirmedAt != TimePoint{} && now - m_confirmedAt <= m_maxAge
-        && now - m_currentSince >= history.streamLifetime;
+        && now - m_currentSince >= lifetime;
     return possible;
 }
 
--- a/src/entry/dispatch-origin.cc
+++ b/src/entry/dispatch-origin.cc
@@ -23,6 +23,7 @@
 {
     if (m_findsOrigin)
         return;
+    recordCallerLimit();
     const TimePoint now = m_state.clock.now();
     const std::uint64_t stream = streamKey(m_exchange->streamId);
     if (const auto record = m_state.originRecords.find(stream, now)) {
@@ -74,6 +75,15 @@
     route();
 }
 
+// Instances can't tell which versions may have begun a stream without knowing how long callers
+// wait.
+void Dispatch::recordCallerLimit()
+{
+    if (!m_exchange->fromPeer && m_exchange->callerTimeout)
+        m_state.originHistory.onCaller(m_exchange->service->name, *m_exchange->callerTimeout,
+                                       m_state.clock.now());
+}
+
 bool Dispatch::useOriginPool()
 {
     const StreamOrigin &origin = *m_exchange->origin;
@@ -88,6 +98,7 @@
 
 void Dispatch::onStreamBegun(const Attempt &attempt)
 {
+    recordCallerLimit();
     const Target &target = attempt.target();
     m_exchange->origin = target.isPeer
         ? attempt.reader().reportedOrigin()
@@ -107,9 +118,12 @@
     if (m_exchange->fromPeer || !service.isResumable || m_exchange->streamId.empty())
         return;
     const TimePoint now = m_state.clock.now();
+    const Duration callerLimit
+        = std::min(m_exchange->callerTimeout.value_or(Duration(0)), OriginHistory::maxCallerLimit);
+    const Duration lifetime
+        = std::max(service.deadline, callerLimit) + OriginHistory::resumeReserve;
     m_state.originRecords.add(streamKey(m_exchange->streamId),
-                              {*m_exchange->origin, service.name, now,
-                               now + service.deadline + OriginHistory::resumeReserve});
+                              {*m_exchange->origin, service.name, now, now + lifetime});
     if (!isSole(m_state.originHistory.possibleOrigins(service.name, now)))
         m_control.scheduleOriginNotices();
 }
--- a/src/entry/dispatch.h
+++ b/src/entry/dispatch.h
@@ -191,6 +191,7 @@
     // Finds the origin of the stream to be continued, then routes the request or refuses it.
     void findOrigin();
     void onOriginFound(const OriginFinding &finding);
+    void recordCallerLimit();
     // Makes all further choices use the origin's pool. Returns false if the service doesn't use it.
     bool useOriginPool();
     // Records the origin of a stream whose first event this attempt has brought.
--- a/src/entry/origin-exchange.cc
+++ b/src/entry/origin-exchange.cc
@@ -139,6 +139,16 @@
         finish(id, answer.origin ? std::optional(answer) : std::nullopt);
 }
 
+// The others may not have met the callers that wait for longer than the service's deadline. Then
+// their knowledge is complete too early, and only this instance's own counts.
+bool OriginExchange::mayRelyOnLists(const Search &search) const
+{
+    const bool hasAnswer = search.asked == 0 || search.unanswered.size() < search.asked;
+    const bool mustKnowItself
+        = m_state.originHistory.outlastsDeadline(search.question.service, m_state.clock.now());
+    return hasAnswer && (search.known.front().isComplete || !mustKnowItself);
+}
+
 // Without a record, the stream may be continued only if no other origin is possible. The list that
 // this instance knows may lack the newest changes while it is cut off, so at least one other
 // instance must have answered if there is any.
@@ -153,7 +163,7 @@
         finding.origin = told->origin;
         finding.source = OriginSource::told;
         finding.age = std::chrono::milliseconds(told->ageMs);
-    } else if (finding.answered > 0 || finding.asked == 0) {
+    } else if (mayRelyOnLists(search)) {
         finding.origin = soleOrigin(search.known);
         finding.source = finding.origin ? OriginSource::sole : OriginSource::unknown;
     }
--- a/src/entry/origin-exchange.h
+++ b/src/entry/origin-exchange.h
@@ -74,6 +74,7 @@
     std::vector<Member> holdersOf(std::uint64_t stream) const;
     void ask(std::uint64_t search, Duration elapsed);
     void onAnswer(const OriginAnswer &answer, const std::string &from);
+    bool mayRelyOnLists(const Search &search) const;
     void finish(std::uint64_t search, std::optional<OriginAnswer> told);
 
     EntryState &m_state;
--- a/test/origin-exchange-test.cc
+++ b/test/origin-exchange-test.cc
@@ -196,6 +196,19 @@
     CHECK_FALSE(finding->origin);
 }
 
+// Guards against a guess by an instance that has just started, because others, which have not met
+// the callers that wait for longer, know of one version only.
+TEST_CASE_METHOD(OriginExchangeFixture,
+                 "originExchange_callersOutwaitTheDeadline_doesNotRelyOnOthersLists")
+{
+    state.originHistory.onCaller("s", 120s, state.clock.now());
+    find();
+    answer(std::nullopt, {{oldVersion}, true});
+    transport.runTasks();
+    REQUIRE(finding);
+    CHECK_FALSE(finding->origin);
+}
+
 TEST_CASE_METHOD(OriginExchangeFixture, "originExchange_onlyInstance_reliesOnItsOwnList")
 {
     setInstances(1);
--- a/test/origin-history-test.cc
+++ b/test/origin-history-test.cc
@@ -102,6 +102,51 @@
     CHECK(isSole(possible()));
 }
 
+// Guards against a guess while callers still wait for streams that began before the instance
+// started, as they wait for longer than their service's deadline. After a restart, a deadline that
+// was shortened before it can't be known either.
+TEST_CASE_METHOD(OriginHistoryFixture,
+                 "possibleOrigins_callersOutwaitTheDeadline_isNotCompleteForTheirTime")
+{
+    constexpr Duration limit = 3 * deadline;
+    list({oldVersion});
+    history.onCaller("s", limit, clock.now());
+    follow(limit + OriginHistory::resumeReserve - 1s);
+    history.onCaller("s", deadline, clock.now());
+    CHECK(history.outlastsDeadline("s", clock.now()));
+    CHECK_FALSE(isSole(possible()));
+    follow(1s);
+    CHECK(isSole(possible()));
+}
+
+// The same for a version that has left.
+TEST_CASE_METHOD(OriginHistoryFixture,
+                 "possibleOrigins_callersOutwaitTheDeadline_versionRemainsForTheirTime")
+{
+    constexpr Duration limit = 3 * deadline;
+    list({oldVersion, newVersion});
+    follow(lifetime);
+    history.onCaller("s", limit, clock.now());
+    list({newVersion});
+    follow(limit + OriginHistory::resumeReserve);
+    CHECK(possible().origins == std::vector{oldVersion, newVersion});
+    follow(1s);
+    CHECK(isSole(possible()));
+}
+
+// Guards against one caller with a long limit that makes each stream depend on records for good.
+TEST_CASE_METHOD(OriginHistoryFixture, "possibleOrigins_longCallersHaveGone_isSoleAgain")
+{
+    list({oldVersion});
+    history.onCaller("s", std::chrono::hours(24), clock.now());
+    follow(OriginHistory::maxCallerLimit);
+    CHECK_FALSE(isSole(possible()));
+    follow(OriginHistory::resumeReserve + 1s);
+    history.onCaller("s", deadline, clock.now());
+    CHECK_FALSE(history.outlastsDeadline("s", clock.now()));
+    CHECK(isSole(possible()));
+}
+
 // Guards against a stream that goes on at another pool because a configuration moved its service.
 TEST_CASE_METHOD(OriginHistoryFixture,
                  "possibleOrigins_serviceMoved_keepsTheOldPoolForAStreamsLifetime")
