A new route may have taken over streams of other routes

By reading, while the report on joined versions was looked into: possible origins were kept by route, and a route that a configuration has just split off knew its own pool alone, at once and for sure. A new route now starts with the pools and limits of all streaming routes and forgets them after a stream's time. possibleOrigins_routeSplit_keepsThePoolsOfOthersForAStreamsLifetime fails without it (2 checks); origin-history-test passes with it. Not seen at callers.

--- a/include/ibisnotch/origin-history.h
+++ b/include/ibisnotch/origin-history.h
@@ -65,8 +65,11 @@
         Duration deadline{}; // the longest one configured
         Duration callerLimit{}; // the longest one met lately
         TimePoint callerLimitAt{};
+        bool isStreaming = false;
         std::map<std::string, LastSeen> pools;
     };
+    // Returns what holds for streams that other services have begun. m_mutex must be held.
+    ServiceHistory historyOfNewService(TimePoint now) const;
     static bool outlastsDeadline(const ServiceHistory &history, TimePoint now);
     static Duration streamLifetime(const ServiceHistory &history, TimePoint now);
 
--- a/src/decide/origin-history.cc
+++ b/src/decide/origin-history.cc
@@ -60,16 +60,41 @@
 void OriginHistory::setServices(const std::map<std::string, Service> &services, TimePoint now)
 {
     const std::lock_guard lock(m_mutex);
+    const ServiceHistory inherited = historyOfNewService(now);
     for (const auto &[name, service] : services) {
         std::set<std::string> pools;
         for (const PoolShare &share : service.pools)
             pools.insert(share.pool);
-        ServiceHistory &history = m_services[name];
+        auto found = m_services.find(name);
+        if (found == m_services.end())
+            found = m_services.emplace(name, inherited).first;
+        ServiceHistory &history = found->second;
+        history.isStreaming = service.isStreaming;
         history.deadline = std::max(history.deadline, service.deadline);
         update(history.pools, pools, now);
     }
 }
 
+// A new service may take over paths of others, with streams that callers resume.
+OriginHistory::ServiceHistory OriginHistory::historyOfNewService(TimePoint now) const
+{
+    ServiceHistory sum;
+    for (const auto &[name, history] : m_services) {
+        if (!history.isStreaming)
+            continue;
+        sum.deadline = std::max(sum.deadline, history.deadline);
+        if (outlastsDeadline(history, now) && history.callerLimit >= sum.callerLimit) {
+            sum.callerLimit = history.callerLimit;
+            sum.callerLimitAt = history.callerLimitAt;
+        }
+        for (const auto &[pool, lastSeen] : history.pools) {
+            TimePoint &latest = sum.pools[pool];
+            latest = std::max(latest, std::min(lastSeen, now));
+        }
+    }
+    return sum;
+}
+
 void OriginHistory::onCaller(const std::string &service, Duration limit, TimePoint now)
 {
     const std::lock_guard lock(m_mutex);
--- a/test/origin-history-test.cc
+++ b/test/origin-history-test.cc
@@ -24,13 +24,18 @@
         setPool("p");
     }
 
-    void setPool(const std::string &pool)
+    static Service makeService(const std::string &name, const std::string &pool)
     {
         Service service;
-        service.name = "s";
+        service.name = name;
+        service.isStreaming = true;
         service.deadline = deadline;
         service.pools = {{pool, 1}};
-        history.setServices({{"s", service}}, clock.now());
+        return service;
+    }
+    void setPool(const std::string &pool)
+    {
+        history.setServices({{"s", makeService("s", pool)}}, clock.now());
     }
     void list(const std::set<StreamOrigin> &origins) { history.setListed(origins, clock.now()); }
     void confirm() { history.onConfirmed(clock.now(), maxAge, clock.now()); }
@@ -159,6 +164,35 @@
     CHECK(possible().origins == std::vector{otherPool});
 }
 
+// Guards against a stream that goes on at another pool because a new route takes its path over.
+TEST_CASE_METHOD(OriginHistoryFixture,
+                 "possibleOrigins_routeSplit_keepsThePoolsOfOthersForAStreamsLifetime")
+{
+    list({oldVersion, otherPool});
+    follow(lifetime);
+    Service split = makeService("t", "q");
+    split.deadline = deadline / 2;
+    history.setServices({{"s", makeService("s", "p")}, {"t", split}}, clock.now());
+    const auto ofSplit = [this] { return history.possibleOrigins("t", clock.now()); };
+    CHECK(ofSplit().origins == std::vector{oldVersion, otherPool});
+    follow(lifetime);
+    CHECK(ofSplit().origins == std::vector{oldVersion, otherPool});
+    follow(1s);
+    CHECK(ofSplit() == PossibleOrigins{{otherPool}, true});
+}
+
+// A route that takes a path over at the same pool leaves its streams their origin.
+TEST_CASE_METHOD(OriginHistoryFixture, "possibleOrigins_routeSplitAtTheSamePool_isSole")
+{
+    list({oldVersion, otherPool});
+    Service booking = makeService("b", "q");
+    booking.isStreaming = false;
+    history.setServices({{"s", makeService("s", "p")}, {"b", booking}}, clock.now());
+    follow(lifetime);
+    history.setServices({{"s", makeService("s", "p")}, {"t", makeService("t", "p")}}, clock.now());
+    CHECK(history.possibleOrigins("t", clock.now()) == PossibleOrigins{{oldVersion}, true});
+}
+
 TEST_CASE("soleOrigin_knowledgeOfSeveralInstances_isTheOnlyOneThatAllKnow")
 {
     const auto sole = [](const std::vector<PossibleOrigins> &known) { return soleOrigin(known); };
