A response to HEAD ends with its head, whatever length it names

A caller's HEAD got a lost connection, or 502 and the retries before it, from each server that names the length of the body that it leaves out: the method was set by name alone, and libcurl waited for the body. Found while the related paths of the answer without a head were listed. transfer_answerToHeadHasALength_isComplete fails without the line and passes with it.

--- a/src/net/http-client.cc
+++ b/src/net/http-client.cc
@@ -164,6 +164,9 @@
         curl_easy_setopt(easy, CURLOPT_BUFFERSIZE, receiveBufferBytes);
         curl_easy_setopt(easy, CURLOPT_TCP_NODELAY, 1L);
         curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, request.method.c_str());
+        // The length in such a response is that of a body that doesn't follow.
+        if (request.method == "HEAD")
+            curl_easy_setopt(easy, CURLOPT_NOBODY, 1L);
         if (!request.body.empty() || request.method == "POST" || request.method == "PUT") {
             curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE, static_cast<long>(request.body.size()));
             curl_easy_setopt(easy, CURLOPT_POSTFIELDS, request.body.text().c_str());
--- a/test/http-client-test.cc
+++ b/test/http-client-test.cc
@@ -114,6 +114,14 @@
     }
 }
 
+// Guards against a caller of HEAD that waits for a body that never comes.
+TEST_CASE_METHOD(RawAnswerFixture, "transfer_answerToHeadHasALength_isComplete")
+{
+    const BufferedResponse got = answerTo("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n", "HEAD");
+    CHECK(got.result.outcome == TransferOutcome::complete);
+    CHECK(got.response == HttpResponse{200, {{"Content-Length", "5"}}, ""});
+}
+
 // Guards against answers that are taken for broken ones because they have no body, or more heads
 // than one.
 TEST_CASE_METHOD(RawAnswerFixture, "transfer_unusualAnswers_areComplete")
