--- a/include/ibisnotch/response-head.h
+++ b/include/ibisnotch/response-head.h
@@ -20,6 +20,7 @@
 // Returns the name used in logs.
 std::string_view headFaultName(HeadFault fault);
 
+// The heads of one response: interim ones, if any, and the final one.
 class ResponseHead
 {
 public:
