--- a/test/answers-fleet-test.cc
+++ b/test/answers-fleet-test.cc
@@ -198,6 +198,34 @@
     CHECK(mayHaveRunCount > 0);
 }
 
+// Guards against a log that can't tell an answer that its server never began from one that was lost
+// on its way to the caller.
+TEST_CASE_METHOD(ResponsesFixture, "instance_requestIsOver_logNamesStatusAndTransfer")
+{
+    const auto logged = [this](const std::string &sentence, const Reply &reply) {
+        std::string line;
+        eventually("the line is written", [&] {
+            for (const std::string &one : fleet.logLines("a1", sentence)) {
+                if (one.find("request=" + reply.requestId + ' ') != std::string::npos)
+                    line = one;
+            }
+            return !line.empty();
+        });
+        return line;
+    };
+    using Catch::Contains;
+    const Reply served = fleet.chat("a1", false);
+    CHECK_THAT(logged("Request over.", served),
+               Contains(" status=200 ") && Contains(" transfer=complete "));
+    fleet.setFault("a-a1", "drop", 1);
+    const Reply dropped = fleet.book("a1", fleet.callerKey());
+    CHECK(dropped.status != 200);
+    const std::string lost = " transfer=\"connection lost, no head\" ";
+    CHECK_THAT(logged("Attempt failed.", dropped), Contains(lost));
+    CHECK_THAT(logged("Request over.", dropped),
+               Contains(" status=" + std::to_string(dropped.status) + ' ') && Contains(lost));
+}
+
 // Guards against a response after the caller's deadline when no engine responds.
 TEST_CASE_METHOD(ResponsesFixture, "refusal_atTheDeadline_isSentAtOnce")
 {
--- a/test/fleet.cc
+++ b/test/fleet.cc
@@ -150,6 +150,17 @@
     m_pids[name] = pid;
 }
 
+std::vector<std::string> Fleet::logLines(const std::string &name, const std::string &text) const
+{
+    std::ifstream log(m_directory + "/" + name + ".log");
+    std::vector<std::string> lines;
+    for (std::string line; std::getline(log, line);) {
+        if (line.find(text) != std::string::npos)
+            lines.push_back(line);
+    }
+    return lines;
+}
+
 void Fleet::startAll()
 {
     for (const auto &[name, ports] : m_ports)
--- a/test/fleet.h
+++ b/test/fleet.h
@@ -83,6 +83,8 @@
     std::string issuedKey(const std::string &entry);
     // Returns the body of /admin/status.
     std::string adminStatus(const std::string &entry);
+    // Returns the lines of a process's log that contain the text.
+    std::vector<std::string> logLines(const std::string &name, const std::string &text) const;
     std::uint64_t configVersion(const std::string &entry);
 
     // Returns the configuration with which the fleet starts.
