--- /dev/null
+++ b/test/crowd-fleet-test.cc
@@ -0,0 +1,336 @@
+// Crowds of clients that stay outside the limits, or that stop inside them, against a real process:
+// it lives, keeps to its memory and its descriptors, and answers an ordinary caller.
+#include <functional>
+
+#include <asio/buffer.hpp>
+#include <asio/ip/tcp.hpp>
+#include <asio/read.hpp>
+#include <asio/write.hpp>
+
+#include <catch2/catch.hpp>
+#include <fmt/format.h>
+
+#include "crowd.h"
+#include "fleet.h"
+
+using namespace ibisnotch;
+
+namespace {
+
+constexpr std::size_t mib = 1U << 20;
+constexpr std::size_t memoryMb = 80; // of the machine, as the instance is told
+constexpr std::size_t maxBodyBytes = mib;
+constexpr int maxConnections = 200;
+constexpr std::size_t spareDescriptors = 60; // for the store, servers, ports, loops and logs
+constexpr rlim_t fewDescriptors = 160;
+constexpr const char *statusPath = "/v1/services/status";
+
+std::string head(const std::string &fields, const std::string &target = "/v1/chat/completions")
+{
+    return "POST " + target
+        + " HTTP/1.1\r\nHost: a\r\nAuthorization: Bearer free-token\r\n"
+          "Content-Type: application/json\r\n"
+        + fields + "\r\n";
+}
+
+// Returns the start of a request body; the rest of it is any text.
+std::string chatBody(std::size_t size)
+{
+    const std::string begin
+        = R"({"model":"m","max_tokens":4,"messages":[{"role":"user","content":")";
+    const std::string end = R"("}]})";
+    return begin + std::string(size - begin.size() - end.size(), 'x') + end;
+}
+
+std::string withoutLastByte(std::string text)
+{
+    text.pop_back();
+    return text;
+}
+
+std::string wholeRequest(std::size_t size)
+{
+    return head(fmt::format("Content-Length: {}\r\n", size)) + chatBody(size);
+}
+
+std::string inChunks(const std::string &body, const std::function<std::size_t()> &nextSize)
+{
+    std::string text;
+    for (std::size_t at = 0; at < body.size();) {
+        const std::size_t size = std::min(nextSize(), body.size() - at);
+        text += fmt::format("{:x}\r\n", size);
+        text.append(body, at, size);
+        text += "\r\n";
+        at += size;
+    }
+    return text + "0\r\n\r\n";
+}
+
+std::string chunkedRequest(std::size_t size, const std::function<std::size_t()> &nextSize)
+{
+    return head("Transfer-Encoding: chunked\r\n") + inChunks(chatBody(size), nextSize);
+}
+
+// As many fields as fit: each costs far more memory than bytes.
+std::string shortFields(std::size_t bytes)
+{
+    std::string text;
+    while (text.size() < bytes)
+        text += "a:\r\n";
+    return text;
+}
+
+FleetShape oneInstance()
+{
+    FleetShape shape;
+    shape.instances = 1;
+    shape.models = 1;
+    shape.extraBaseText = fmt::format("limits: {{maxBodyBytes: {}}}\n", maxBodyBytes);
+    // The idle limit is longer than the test's own calls wait, so that it doesn't help them.
+    shape.extraSettings = fmt::format("workers: 1\nidleTimeout: 10m\nmaxConnections: {}\n"
+                                      "features: {{bufferLimits: true}}\n"
+                                      "buffers: {{memoryMb: {}}}\n",
+                                      maxConnections, memoryMb);
+    return shape;
+}
+
+Fleet startInstance()
+{
+    return Fleet(oneInstance());
+}
+
+} // namespace
+
+struct CrowdFixture
+{
+    explicit CrowdFixture(Fleet (*startFleet)() = startInstance) : fleet(startFleet()) { }
+
+    // The bound is the machine's memory. Called while the crowd is there and after it has left.
+    void checkInstance(std::size_t descriptors = maxConnections + spareDescriptors)
+    {
+        REQUIRE(fleet.isRunning("a1"));
+        CHECK(peakMemory(fleet.pid("a1")) < memoryMb * mib);
+        CHECK(openDescriptors(fleet.pid("a1")) <= descriptors);
+        int status = 0;
+        eventually(
+            "an ordinary request is answered",
+            [&] { return (status = getOnNewConnection(fleet.callers("a1"), statusPath)) == 200; },
+            [&] { return "the last status was " + std::to_string(status); });
+        REQUIRE(fleet.isRunning("a1"));
+    }
+
+    int getOnNewConnection(const std::string &address, const std::string &path)
+    {
+        OutgoingRequest request;
+        request.url = "http://" + address + path;
+        request.headers = {{"Authorization", "Bearer free-token"}};
+        request.useNewConnection = true;
+        return fleet.send(request).status;
+    }
+
+    void meet(CrowdShape shape) { meet(fleet.callers("a1"), std::move(shape)); }
+    void meet(const std::string &address, CrowdShape shape)
+    {
+        {
+            const Crowd crowd(*parseAddress(address), std::move(shape));
+            crowd.waitUntilStill();
+            checkInstance();
+        }
+        checkInstance();
+    }
+
+    Fleet fleet;
+};
+
+// Guards against a process that is killed for its memory as many callers stop just before the end
+// of a body of legal size.
+TEST_CASE_METHOD(CrowdFixture, "instance_crowdStopsBeforeTheEndOfItsBodies_staysWithinItsMemory")
+{
+    meet({100, withoutLastByte(wholeRequest(maxBodyBytes)), 2 * mib});
+}
+
+// The same, with bodies that arrive side by side.
+TEST_CASE_METHOD(CrowdFixture, "instance_crowdSendsItsBodiesPieceByPiece_staysWithinItsMemory")
+{
+    meet({100, withoutLastByte(wholeRequest(maxBodyBytes)), 1024});
+}
+
+// Guards against a record for each chunk, of which one body of legal size may have a million.
+TEST_CASE_METHOD(CrowdFixture, "instance_crowdSendsChunksOfOneByte_staysWithinItsMemory")
+{
+    meet({8, withoutLastByte(chunkedRequest(maxBodyBytes, [] { return 1; }))});
+}
+
+// Guards against chunked bodies that are counted nowhere as they have no length.
+TEST_CASE_METHOD(CrowdFixture, "instance_crowdSendsChunksOfManySizes_staysWithinItsMemory")
+{
+    std::size_t step = 0;
+    const auto size = [&step] { return 1 + (step += 241) % 700; };
+    meet({100, withoutLastByte(chunkedRequest(maxBodyBytes, size))});
+}
+
+// The same with chunks as large as proxies send them.
+TEST_CASE_METHOD(CrowdFixture, "instance_crowdSendsLargeChunks_staysWithinItsMemory")
+{
+    meet({100, withoutLastByte(chunkedRequest(maxBodyBytes, [] { return 64 * 1024; }))});
+}
+
+// Guards against bodies that are read to the listener's own limit, far above the configured one.
+TEST_CASE_METHOD(CrowdFixture, "instance_crowdSendsChunkedBodiesAboveTheLimit_staysWithinItsMemory")
+{
+    const std::string begin = head("Transfer-Encoding: chunked\r\n");
+    const std::string chunk = "100000\r\n" + std::string(mib, 'x') + "\r\n";
+    std::string bytes = begin;
+    for (int i = 0; i < 12; ++i)
+        bytes += chunk;
+    meet({20, bytes});
+}
+
+// The same for a length that is announced, which allows the refusal of the head alone.
+TEST_CASE_METHOD(CrowdFixture, "instance_crowdAnnouncesBodiesAboveTheLimit_staysWithinItsMemory")
+{
+    meet({20, withoutLastByte(wholeRequest(12 * mib))});
+}
+
+// Guards against bodies that are counted only after they were parsed and checked: all of them are
+// whole here, and each is legal.
+TEST_CASE_METHOD(CrowdFixture, "instance_crowdSendsWholeBodies_staysWithinItsMemory")
+{
+    meet({100, wholeRequest(maxBodyBytes)});
+}
+
+// Guards against bodies that are read while the answer to an earlier request of their connection is
+// in progress.
+TEST_CASE_METHOD(CrowdFixture, "instance_crowdPipelinesUnfinishedBodies_staysWithinItsMemory")
+{
+    const std::string first = R"({"model":"m","stream":true,"max_tokens":4000,"messages":[]})";
+    const std::string text = head(fmt::format("Content-Length: {}\r\n", first.size())) + first
+        + withoutLastByte(wholeRequest(maxBodyBytes));
+    meet({100, text});
+}
+
+// Guards against heads whose many short fields take far more memory than bytes.
+TEST_CASE_METHOD(CrowdFixture, "instance_crowdSendsHeadsOfShortFields_staysWithinItsMemory")
+{
+    meet({100, "GET /v1/services/status HTTP/1.1\r\nHost: a\r\n" + shortFields(70 * 1024)});
+}
+
+// The same for fields after the last chunk.
+TEST_CASE_METHOD(CrowdFixture, "instance_crowdSendsTrailersOfShortFields_staysWithinItsMemory")
+{
+    meet({100, head("Transfer-Encoding: chunked\r\n") + "0\r\n" + shortFields(70 * 1024)});
+}
+
+// Guards against a listener that isn't limited as the callers' one is.
+TEST_CASE_METHOD(CrowdFixture, "instance_crowdUsesThePortOfPeers_staysWithinItsMemory")
+{
+    meet(fleet.peers("a1"), {100, withoutLastByte(wholeRequest(maxBodyBytes))});
+}
+
+// Guards against a listener that accepts nobody while all its connections are taken by clients that
+// send nothing.
+TEST_CASE_METHOD(CrowdFixture, "instance_silentCrowdTakesAllConnections_answersOthers")
+{
+    meet({maxConnections + 60, ""});
+}
+
+// The same with clients that stop in their head, or in a short body.
+TEST_CASE_METHOD(CrowdFixture, "instance_crowdStopsInItsHeads_answersOthers")
+{
+    meet({maxConnections + 60, "POST /v1/chat/completions HTTP/1.1\r\nHost"});
+}
+
+TEST_CASE_METHOD(CrowdFixture, "instance_crowdStopsInShortBodies_answersOthers")
+{
+    meet({maxConnections + 60, withoutLastByte(wholeRequest(200))});
+}
+
+// The same for a silent crowd at the port of peers and operators.
+TEST_CASE_METHOD(CrowdFixture, "instance_silentCrowdAtThePortOfPeers_answersOthers")
+{
+    const Crowd crowd(*parseAddress(fleet.peers("a1")), {maxConnections + 60, ""});
+    crowd.waitUntilStill();
+    CHECK(getOnNewConnection(fleet.peers("a1"), "/admin/status") == 200);
+    checkInstance();
+}
+
+namespace {
+
+// The system allows fewer descriptors than the settings allow connections.
+Fleet startWithFewDescriptors()
+{
+    FleetShape shape = oneInstance();
+    shape.extraSettings = fmt::format("workers: 1\nidleTimeout: 10m\nmaxConnections: 20000\n"
+                                      "features: {{bufferLimits: true}}\n"
+                                      "buffers: {{memoryMb: {}}}\n",
+                                      memoryMb);
+    const DescriptorLimit limit(fewDescriptors);
+    return Fleet(shape);
+}
+
+struct FewDescriptorsFixture : CrowdFixture
+{
+    FewDescriptorsFixture() : CrowdFixture(startWithFewDescriptors) { }
+};
+
+} // namespace
+
+// Guards against a listener that never accepts again once the process has had no descriptor left,
+// also after the crowd has gone.
+TEST_CASE_METHOD(FewDescriptorsFixture, "instance_crowdTakesAllDescriptors_answersOthers")
+{
+    {
+        const Crowd crowd(*parseAddress(fleet.callers("a1")), {2 * int(fewDescriptors), ""});
+        crowd.waitUntilStill();
+        checkInstance(fewDescriptors);
+    }
+    checkInstance(fewDescriptors);
+}
+
+namespace {
+
+Fleet startWithLongBodies()
+{
+    FleetShape shape = oneInstance();
+    shape.extraBaseText = fmt::format("limits: {{maxBodyBytes: {}}}\n", 4 * mib);
+    return Fleet(shape);
+}
+
+struct LongBodiesFixture : CrowdFixture
+{
+    LongBodiesFixture() : CrowdFixture(startWithLongBodies) { }
+};
+
+} // namespace
+
+// Guards against a body of which a whole tree is built for three of its fields: one alone, of legal
+// size, took thirty times its bytes.
+TEST_CASE_METHOD(LongBodiesFixture, "instance_bodyOfEmptyArrays_staysWithinItsMemory")
+{
+    std::string body = R"({"model":"m","max_tokens":4,"messages":[[])";
+    while (body.size() + 5 < 4 * mib)
+        body += ",[]";
+    body += "]}";
+    meet({1, head(fmt::format("Content-Length: {}\r\n", body.size())) + body});
+}
+
+// Guards against a limit that keeps out a single legal request, of the size and the form that cost
+// most.
+TEST_CASE_METHOD(CrowdFixture, "instance_longestBodyInChunksOfOneByte_isServed")
+{
+    const std::string body = chatBody(maxBodyBytes);
+    OutgoingRequest request = fleet.chatRequest("a1", false, 4, "", "free-token");
+    request.body = body;
+    CHECK(fleet.send(request).status == 200);
+    asio::io_context io;
+    asio::ip::tcp::socket socket(io);
+    const Address address = *parseAddress(fleet.callers("a1"));
+    socket.connect({asio::ip::make_address(address.host), address.port});
+    asio::write(socket, asio::buffer(head("Transfer-Encoding: chunked\r\n") + inChunks(body, [] {
+                                         return 1;
+                                     })));
+    std::string answer(16, '\0');
+    answer.resize(asio::read(socket, asio::buffer(answer)));
+    CHECK(answer.starts_with("HTTP/1.1 200"));
+    checkInstance();
+}
--- a/test/fleet.cc
+++ b/test/fleet.cc
@@ -111,9 +111,9 @@
     for (int r = 0; r < m_shape.regions; ++r)
         seeds += fmt::format("{}\"{}\"", r == 0 ? "" : ", ", address(regionName(r) + "1", 2));
     return fmt::format("name: {}\nregion: {}\ndataCentre: {}1\ncallers: \"{}\"\npeers: \"{}\"\n"
-                       "gossip: \"{}\"\nstore: \"{}\"\nseeds: [{}]\ndrainTime: 30s\n",
+                       "gossip: \"{}\"\nstore: \"{}\"\nseeds: [{}]\ndrainTime: 30s\n{}",
                        name, region, region, address(name, 0), address(name, 1), address(name, 2),
-                       address("store"), seeds);
+                       address("store"), seeds, m_shape.extraSettings);
 }
 
 std::vector<std::string> Fleet::makeCommand(const std::string &name) const
--- a/test/fleet.h
+++ b/test/fleet.h
@@ -25,6 +25,7 @@
     int applications = 1; // application engines per region, named a-a1
     int tokenMs = 5; // time that a model engine takes per token
     std::string extraBaseText{}; // lines appended to the base file
+    std::string extraSettings{}; // lines appended to the settings of each instance
 };
 
 // The parts of an instance's answer that tests check.
