--- a/test/crowd-fleet-test.cc
+++ b/test/crowd-fleet-test.cc
@@ -1,5 +1,6 @@
 // Crowds of clients that stay outside the limits, or that stop inside them, against a real process:
 // it lives, keeps to its memory and its descriptors, and answers an ordinary caller.
+#include <csignal>
 #include <functional>
 
 #include <asio/buffer.hpp>
@@ -254,6 +255,48 @@
     checkInstance();
 }
 
+// Guards against a listener that takes each connection for its own that is reset before it is
+// accepted, and accepts nobody once it counts as many as it may have.
+TEST_CASE_METHOD(CrowdFixture, "instance_crowdResetsItsConnections_answersOthers")
+{
+    fleet.signal("a1", SIGSTOP);
+    {
+        const Crowd crowd(*parseAddress(fleet.callers("a1")),
+                          {maxConnections + 60, "", 1, 1, true});
+        crowd.waitUntilStill();
+        fleet.signal("a1", SIGCONT);
+    }
+    checkInstance();
+}
+
+// Guards against a port of the peers' protocol that sets aside what the first bytes of a frame
+// announce.
+TEST_CASE_METHOD(CrowdFixture, "instance_crowdAnnouncesFramesOfPeers_staysWithinItsMemory")
+{
+    const std::string almostEightMebibytes{'\0', '\x7f', '\xff', '\xff'};
+    meet(fleet.address("a1", 2), {40, almostEightMebibytes});
+}
+
+// Guards against silent connections at that port, which are counted nowhere.
+TEST_CASE_METHOD(CrowdFixture, "instance_silentCrowdAtThePortOfGossip_keepsToItsDescriptors")
+{
+    meet(fleet.address("a1", 2), {2 * maxConnections, ""});
+}
+
+// Guards against a listener that never accepts again once an accept has failed.
+TEST_CASE_METHOD(CrowdFixture, "instance_descriptorsRunOutForAWhile_answersOthers")
+{
+    {
+        const DescriptorLimit limit(3, fleet.pid("a1"));
+        const Crowd callers(*parseAddress(fleet.callers("a1")), {5, ""});
+        const Crowd peers(*parseAddress(fleet.peers("a1")), {5, ""});
+        callers.waitUntilStill();
+        peers.waitUntilStill();
+    }
+    checkInstance();
+    CHECK(getOnNewConnection(fleet.peers("a1"), "/admin/status") == 200);
+}
+
 namespace {
 
 // The system allows fewer descriptors than the settings allow connections.
--- a/test/crowd.cc
+++ b/test/crowd.cc
@@ -30,7 +30,9 @@
         m_members.push_back(member);
         member->socket.async_connect(endpoint, [this, member](const asio::error_code &error) {
             ++m_progress;
-            if (!error)
+            if (!error && m_shape.resets)
+                reset(*member);
+            else if (!error)
                 send(member);
         });
     }
@@ -43,6 +45,13 @@
     m_thread.join();
 }
 
+void Crowd::reset(Member &member)
+{
+    asio::error_code ignored;
+    member.socket.set_option(asio::socket_base::linger(true, 0), ignored);
+    member.socket.close(ignored);
+}
+
 void Crowd::send(const std::shared_ptr<Member> &member)
 {
     const std::string &bytes = m_shape.bytes;
@@ -95,16 +104,16 @@
     return static_cast<std::size_t>(std::distance(begin(entries), end(entries)));
 }
 
-DescriptorLimit::DescriptorLimit(rlim_t limit)
+DescriptorLimit::DescriptorLimit(rlim_t limit, pid_t process) : m_process(process)
 {
-    REQUIRE(getrlimit(RLIMIT_NOFILE, &m_before) == 0);
+    REQUIRE(prlimit(m_process, RLIMIT_NOFILE, nullptr, &m_before) == 0);
     const rlimit lowered{limit, m_before.rlim_max};
-    REQUIRE(setrlimit(RLIMIT_NOFILE, &lowered) == 0);
+    REQUIRE(prlimit(m_process, RLIMIT_NOFILE, &lowered, nullptr) == 0);
 }
 
 DescriptorLimit::~DescriptorLimit()
 {
-    setrlimit(RLIMIT_NOFILE, &m_before);
+    prlimit(m_process, RLIMIT_NOFILE, &m_before, nullptr);
 }
 
 } // namespace ibisnotch
--- a/test/crowd.h
+++ b/test/crowd.h
@@ -25,6 +25,7 @@
     std::string bytes{}; // what each connection sends
     std::size_t pieceBytes = 64 * 1024; // sent at once, each connection in its turn
     int repeats = 1; // how often `bytes` are sent, one after the other
+    bool resets = false; // each connection is reset as soon as it is established
 };
 
 // Connects and sends on a thread of its own. Connections that the server closes are not replaced;
@@ -44,6 +45,7 @@
     struct Member;
 
     void send(const std::shared_ptr<Member> &member);
+    static void reset(Member &member);
 
     const CrowdShape m_shape;
     asio::io_context m_io;
@@ -58,16 +60,18 @@
 
 std::size_t openDescriptors(pid_t process);
 
-// Processes that are started while it exists may have so many descriptors open.
+// Limits the descriptors of a process while it exists.
 class DescriptorLimit
 {
 public:
-    explicit DescriptorLimit(rlim_t limit);
+    // The process is this one, whose limit processes inherit that it starts, or a running one.
+    explicit DescriptorLimit(rlim_t limit, pid_t process = 0);
     ~DescriptorLimit();
     DescriptorLimit(const DescriptorLimit &) = delete;
     DescriptorLimit &operator=(const DescriptorLimit &) = delete;
 
 private:
+    pid_t m_process;
     rlimit m_before{};
 };
 
