A hash of several parts is taken without joining them

Each request's fingerprint, and a booking's body hash, copied the whole body twice for the time of the hash. XXH3 takes the parts one after the other and gives the same value (hash-test passes unchanged; the values are part of what instances tell each other).

--- a/src/decide/hash.cc
+++ b/src/decide/hash.cc
@@ -1,5 +1,6 @@
 #include "ibisnotch/hash.h"
 
+#include <memory>
 #include <random>
 
 #include <fmt/format.h>
@@ -16,9 +17,15 @@
 
 std::string hash128Hex(std::string_view first, std::string_view second, std::string_view third)
 {
-    const std::string joined = fmt::format("{}:{}{}:{}{}:{}", first.size(), first, second.size(),
-                                           second, third.size(), third);
-    const XXH128_hash_t hash = XXH3_128bits(joined.data(), joined.size());
+    const std::unique_ptr<XXH3_state_t, decltype(&XXH3_freeState)> state(XXH3_createState(),
+                                                                         &XXH3_freeState);
+    XXH3_128bits_reset(state.get());
+    for (const std::string_view part : {first, second, third}) {
+        const std::string length = std::to_string(part.size()) + ":";
+        XXH3_128bits_update(state.get(), length.data(), length.size());
+        XXH3_128bits_update(state.get(), part.data(), part.size());
+    }
+    const XXH128_hash_t hash = XXH3_128bits_digest(state.get());
     return fmt::format("{:016x}{:016x}", hash.high64, hash.low64);
 }
 
