Frames between instances take memory as their bytes arrive

What was seen: 40 connections to the port of gossip, of four bytes each, took 355 MB for three seconds (instance_crowdAnnouncesFramesOfPeers_staysWithinItsMemory on the untouched code).

Cause: a frame's announced size, up to 8 MiB, was set aside and cleared before any byte of it came. Found by reading the related paths; the pages' users don't reach this port, peers and whoever is on their network do.

Now a frame grows by 64 KiB as they arrive, and a request, which is a few numbers, may have 64 KiB in all; 8 MiB are for replies, which this instance has asked for.

--- a/src/net/peer-link.cc
+++ b/src/net/peer-link.cc
@@ -1,5 +1,6 @@
 #include "ibisnotch/peer-link.h"
 
+#include <algorithm>
 #include <array>
 #include <atomic>
 #include <ctime>
@@ -30,7 +31,10 @@
 namespace {
 
 constexpr std::size_t maxDatagramBytes = 16384;
-constexpr std::uint32_t maxFrameBytes = 8U << 20;
+constexpr std::uint32_t maxReplyBytes = 8U << 20;
+constexpr std::uint32_t maxRequestBytes = 64U << 10;
+// Set aside for a frame before its bytes have arrived; the frame's size is only announced.
+constexpr std::size_t frameStepBytes = 64U << 10;
 constexpr auto requestTimeout = std::chrono::seconds(3);
 
 constexpr std::uint16_t protocolWithRangeUpdates = 2;
@@ -191,20 +195,32 @@
 using PeerConnectionPtr = std::shared_ptr<PeerConnection>;
 using FrameDone = std::function<void(bool)>;
 
-void readFrame(const PeerConnectionPtr &connection, FrameDone done)
-{
-    asio::async_read(
-        connection->socket, asio::buffer(connection->head),
-        [connection, done = std::move(done)](const asio::error_code &error, std::size_t) {
-            const std::uint32_t size = frameSize(connection->head);
-            if (error || size > maxFrameBytes)
-                return done(false);
-            connection->in.resize(size);
-            asio::async_read(connection->socket, asio::buffer(connection->in),
-                             [connection, done](const asio::error_code &bodyError, std::size_t) {
-                                 done(!bodyError);
-                             });
-        });
+// Reads the rest of a frame of this size.
+void readFrameBody(const PeerConnectionPtr &connection, std::size_t size, FrameDone done)
+{
+    std::string &in = connection->in;
+    const std::size_t begin = in.size();
+    const std::size_t step = std::min(frameStepBytes, size - begin);
+    in.resize(begin + step);
+    asio::async_read(connection->socket, asio::buffer(in.data() + begin, step),
+                     [connection, size, done = std::move(done)](const asio::error_code &error,
+                                                                std::size_t) mutable {
+                         if (error || connection->in.size() == size)
+                             return done(!error);
+                         readFrameBody(connection, size, std::move(done));
+                     });
+}
+
+void readFrame(const PeerConnectionPtr &connection, std::uint32_t maxBytes, FrameDone done)
+{
+    asio::async_read(connection->socket, asio::buffer(connection->head),
+                     [connection, maxBytes, done = std::move(done)](const asio::error_code &error,
+                                                                    std::size_t) mutable {
+                         const std::uint32_t size = frameSize(connection->head);
+                         if (error || size > maxBytes)
+                             return done(false);
+                         readFrameBody(connection, size, std::move(done));
+                     });
 }
 
 void writeFrame(const PeerConnectionPtr &connection, const std::string &body, FrameDone done)
@@ -320,7 +336,7 @@
                 writeFrame(connection, bytes, [this, connection, done](bool written) {
                     if (!written)
                         return done(std::nullopt);
-                    readFrame(connection, [this, connection, done](bool read) {
+                    readFrame(connection, maxReplyBytes, [this, connection, done](bool read) {
                         m_received += connection->in.size();
                         done(read ? decode<PeerReply>(connection->in) : std::nullopt);
                     });
@@ -377,7 +393,7 @@
     void serve(const PeerConnectionPtr &connection)
     {
         closeAfterTimeout(connection);
-        readFrame(connection, [this, connection](bool read) {
+        readFrame(connection, maxRequestBytes, [this, connection](bool read) {
             const auto request = read ? decode<PeerRequest>(connection->in) : std::nullopt;
             if (!request)
                 return;
