Requests of peers are served within bounds, the oldest give way

What was seen: 400 silent connections to the port of gossip are all kept for three seconds, 433 descriptors where 260 are allowed (instance_silentCrowdAtThePortOfGossip_keepsToItsDescriptors on the untouched code). With no descriptor left, its accept failed and was repeated without a pause, on the loop that membership lives on (by reading).

Now 128 requests at most are served at a time and 16 MiB of replies are unsent at most; beyond that the oldest connection is closed, since an honest peer is served within milliseconds and asks again. After a failed accept the next one waits 100 ms.

--- a/src/net/peer-link.cc
+++ b/src/net/peer-link.cc
@@ -4,6 +4,7 @@
 #include <array>
 #include <atomic>
 #include <ctime>
+#include <deque>
 #include <sstream>
 #include <thread>
 
@@ -36,6 +37,12 @@
 // Set aside for a frame before its bytes have arrived; the frame's size is only announced.
 constexpr std::size_t frameStepBytes = 64U << 10;
 constexpr auto requestTimeout = std::chrono::seconds(3);
+// Bounds of the requests that are served at a time, and of the replies to them that are not sent
+// yet. The oldest give way.
+constexpr std::size_t maxServedRequests = 128;
+constexpr std::size_t maxUnsentBytes = 16U << 20;
+// Accepting fails at once, again and again, while the process has no descriptor left.
+constexpr auto acceptRetryTime = std::chrono::milliseconds(100);
 
 constexpr std::uint16_t protocolWithRangeUpdates = 2;
 constexpr std::uint16_t protocolWithRangePositions = 3;
@@ -384,15 +391,50 @@
                                 [this, connection](const asio::error_code &error) {
                                     if (error == asio::error::operation_aborted)
                                         return;
-                                    if (!error)
-                                        serve(connection);
+                                    if (error)
+                                        return acceptLater();
+                                    serve(connection);
                                     accept();
                                 });
     }
 
+    void acceptLater()
+    {
+        m_acceptTimer.expires_after(acceptRetryTime);
+        m_acceptTimer.async_wait([this](const asio::error_code &error) {
+            if (!error)
+                accept();
+        });
+    }
+
+    // Closes the oldest connections until the others are within their bounds. The newest stays.
+    void makeRoom()
+    {
+        std::erase_if(m_served, [](const auto &one) { return one.expired(); });
+        std::size_t unsent = 0;
+        for (const auto &one : m_served)
+            unsent += unsentBytes(one);
+        while (m_served.size() > 1
+               && (m_served.size() > maxServedRequests || unsent > maxUnsentBytes)) {
+            unsent -= unsentBytes(m_served.front());
+            asio::error_code ignored;
+            if (const auto oldest = m_served.front().lock())
+                oldest->socket.close(ignored);
+            m_served.pop_front();
+        }
+    }
+
+    static std::size_t unsentBytes(const std::weak_ptr<PeerConnection> &connection)
+    {
+        const auto alive = connection.lock();
+        return alive ? alive->out.size() : 0;
+    }
+
     void serve(const PeerConnectionPtr &connection)
     {
         closeAfterTimeout(connection);
+        m_served.push_back(connection);
+        makeRoom();
         readFrame(connection, maxRequestBytes, [this, connection](bool read) {
             const auto request = read ? decode<PeerRequest>(connection->in) : std::nullopt;
             if (!request)
@@ -401,12 +443,15 @@
             m_received += connection->in.size();
             m_sent += reply.size();
             writeFrame(connection, reply, [connection](bool) { connection->timer.cancel(); });
+            makeRoom();
         });
     }
 
     PeerHandler &m_handler;
     udp::socket m_udp;
     tcp::acceptor m_acceptor;
+    asio::steady_timer m_acceptTimer{m_io};
+    std::deque<std::weak_ptr<PeerConnection>> m_served; // the oldest first
     std::string m_buffer;
     udp::endpoint m_sender;
 };
