Requests are received within bounds, in front of RESTinio

Cause: what is being received was counted nowhere, and collected by RESTinio up to 16 MiB on each connection of each listener, with a record of 16 bytes a chunk; the configured limit and the bounds of buffers applied to whole requests only.

Now ReceiveGuard, as the socket of RESTinio's connections, receives each request by itself (with the parser that RESTinio uses, so that both agree on where a request ends), and hands over its head when all of it is there. Bytes are counted from their arrival until nobody uses them, together with what is held; of incomplete requests, half of the bound. Beyond it the connections give way that hold most bytes for the longest silence: neither arrival nor bytes alone show who stops short. Limits of body, head, head's time and idle time are the configuration's; they were read and, but for the body, used nowhere. Refusals (413, 431, 408, 503, 400) come at once, with the request's id, say "not run", close the connection, and are readable as the connection is read for two seconds more.

Requests that are received in any pieces are the same by rapidcheck.

Ruled out: a lower limit of the listener (bodies of legal size are enough); limits of RESTinio for fields (a legal head may have many); holding reads back (the system's buffers fill in its place).

Also: accepts() is asked with the body's size, and large bodies are refused a quarter earlier, so that a few large ones don't keep small ones out; budget tests pass their size now.

--- a/include/ibisnotch/buffer-budget.h
+++ b/include/ibisnotch/buffer-budget.h
@@ -66,8 +66,10 @@
     // holder first, until half of the bound is free. Forgets readers without a sample.
     std::vector<std::uint64_t> update(std::span<const ReaderSample> samples, std::size_t totalHeld,
                                       TimePoint now);
-    // Returns whether there is room for another exchange.
-    bool accepts(std::size_t totalHeld) const { return totalHeld <= m_limits.totalBytes; }
+    // Returns whether there is room for another exchange with so many bytes of its own, which the
+    // total includes. The last part of the bound is for small ones, which are most, so that a few
+    // large ones can't keep them out.
+    bool accepts(std::size_t totalHeld, std::size_t ownBytes) const;
 
 private:
     // Progress of one reader. A window begins when bytes are held and none were before.
--- a/include/ibisnotch/http-server.h
+++ b/include/ibisnotch/http-server.h
@@ -1,20 +1,20 @@
 // The HTTP server for callers, peers and operators. RESTinio is used in its source file only.
 #pragma once
 
-#include <atomic>
 #include <chrono>
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
+#include "ibisnotch/byte-count.h"
+#include "ibisnotch/clock.h"
 #include "ibisnotch/http.h"
+#include "ibisnotch/receive-limits.h"
 
 namespace ibisnotch {
 
-// Bytes that are held at present, counted by several threads.
-using ByteCount = std::atomic<std::size_t>;
-
 // What is held of one response for its client. It lives on after the responder until the client
 // has taken all of it or has disconnected. May be used from any thread.
 class ResponseBuffer
@@ -65,18 +65,29 @@
 public:
     virtual ~RequestHandler() = default;
     virtual void handle(HttpRequest request, std::shared_ptr<Responder> responder) = 0;
+
+    // Returns the limits of the next request; empty for those of the server's settings. Called on
+    // any thread.
+    virtual std::optional<MessageLimits> messageLimits() const { return std::nullopt; }
+    // Returns the response to a request that is not read to its end, given the fields received so
+    // far. The connection is closed after it. Called on any thread.
+    virtual HttpResponse refuse(ReceiveFault fault, const Headers &fields);
 };
 
+// Returns the HTTP status that says so.
+int statusOf(ReceiveFault fault);
+
 struct HttpServerSettings
 {
     std::string address = "127.0.0.1";
     std::uint16_t port = 0;
-    // A request with a larger body closes the connection without a response. The handler rejects
-    // bodies above a lower limit of its own with a result code.
-    std::uint64_t maxBodyBytes = 16U << 20;
-    std::chrono::seconds idleTimeout{60};
+    std::string name = "server"; // in metrics and logs
+    MessageLimits limits; // where the handler has none of its own
     std::chrono::seconds responseTimeout{600};
     std::size_t maxConnections = 20000;
+    // Size of the system's buffer for what a connection receives; 0 for the default. Bytes that are
+    // not read yet belong to the memory that a process takes.
+    int receiveBufferBytes = 0;
     // If not null, counts the bytes of all responses that are held for their clients, and each
     // response is passed on in pieces, so that the rest of it can be discarded.
     std::shared_ptr<ByteCount> heldBytes;
@@ -84,11 +95,46 @@
     bool operator==(const HttpServerSettings &) const = default;
 };
 
-// The threads and the event loop that servers share.
+// A connection that was closed by the process, and why.
+struct ClosedConnection
+{
+    std::string listener;
+    std::string address; // of the client
+    std::uint16_t port = 0;
+    ReceiveFault fault = ReceiveFault::none;
+    std::size_t heldBytes = 0; // of its request
+    std::size_t totalBytes = 0; // of all requests that were being received
+    Duration silence{};
+
+    bool operator==(const ClosedConnection &) const = default;
+};
+
+// Called on the loop's threads.
+class ReceiveObserver
+{
+public:
+    virtual ~ReceiveObserver() = default;
+    virtual void onConnectionClosed(const ClosedConnection &connection) = 0;
+    // Called from time to time with the bytes of requests that are being received.
+    virtual void onReceiving(std::size_t bytes, std::size_t connections) = 0;
+};
+
+struct ReceiveSettings
+{
+    ReceiveLimits limits;
+    // If not null, counts the bytes of all requests, from their first byte until nobody uses them.
+    std::shared_ptr<ByteCount> heldBytes;
+    const Clock *clock = nullptr; // null for the system's
+    ReceiveObserver *observer = nullptr; // null if nobody wants to know
+
+    bool operator==(const ReceiveSettings &) const = default;
+};
+
+// The threads and the event loop that servers share, and what they receive.
 class HttpLoop
 {
 public:
-    explicit HttpLoop(unsigned threads);
+    explicit HttpLoop(unsigned threads, const ReceiveSettings &settings = {});
     ~HttpLoop();
     HttpLoop(const HttpLoop &) = delete;
     HttpLoop &operator=(const HttpLoop &) = delete;
--- a/include/ibisnotch/process-settings.h
+++ b/include/ibisnotch/process-settings.h
@@ -11,6 +11,7 @@
 #include "ibisnotch/buffer-budget.h"
 #include "ibisnotch/clock.h"
 #include "ibisnotch/config.h"
+#include "ibisnotch/receive-limits.h"
 #include "ibisnotch/warmup.h"
 
 namespace ibisnotch {
@@ -76,16 +77,21 @@
     // than this might not finish before the process is killed.
     Duration drainAcceptTime{};
     int workers = 2;
-    int maxConnections = 20000;
+    int maxConnections = 20000; // of all listeners together
     Duration idleTimeout = std::chrono::seconds(60);
     // Time for which a stopping instance waits for running requests.
     Duration drainTime = std::chrono::seconds(120);
     std::string logLevel = "info";
     Features features;
-    BufferLimits buffers; // in force if features.bufferLimits is set
+    // Bounds of what is held; those on readers are in force if features.bufferLimits is set.
+    BufferLimits buffers;
     bool operator==(const ProcessSettings &) const = default;
 };
 
+// Returns the bounds on what callers, peers and operators send together. Descriptors that the
+// system allows beyond those of their connections are for servers, the store and files.
+ReceiveLimits receiveLimits(const ProcessSettings &settings, std::size_t descriptors);
+
 absl::StatusOr<ProcessSettings> parseProcessSettings(std::string_view text,
                                                      const std::string &file);
 
--- a/include/ibisnotch/result-code.h
+++ b/include/ibisnotch/result-code.h
@@ -21,6 +21,8 @@
     deadlinePassed = 2008,
     bookingKeyReused = 2009,
     noSuchPath = 2010,
+    headTooLarge = 2011,
+    requestTimeout = 2012,
     overloaded = 3001,
     noBackendServer = 3002,
     residencyForbids = 3003,
--- a/src/decide/buffer-budget.cc
+++ b/src/decide/buffer-budget.cc
@@ -70,6 +70,13 @@
     return progress.isMeasured && static_cast<double>(held) > readable;
 }
 
+bool BufferBudget::accepts(std::size_t totalHeld, std::size_t ownBytes) const
+{
+    if (ownBytes <= m_limits.exchangeBytesWhenShort)
+        return totalHeld <= m_limits.totalBytes;
+    return !isShortOfBuffers(m_limits, totalHeld - std::min(totalHeld, ownBytes));
+}
+
 std::vector<std::uint64_t> BufferBudget::update(std::span<const ReaderSample> samples,
                                                 std::size_t totalHeld, TimePoint now)
 {
--- a/src/decide/config-read.cc
+++ b/src/decide/config-read.cc
@@ -47,10 +47,14 @@
 void readLimits(SettingReader &root, FleetConfig &config)
 {
     constexpr int maxBodySize = 8 << 20;
+    constexpr int maxHeadSize = 64 << 10; // the parser's own limit is little more
     constexpr int maxShards = 4096;
     SettingReader reader = root.child("limits");
     Limits &limits = config.limits;
     limits.maxBodyBytes = reader.integer("maxBodyBytes", limits.maxBodyBytes, 1024, maxBodySize);
+    limits.maxHeaderBytes
+        = reader.integer("maxHeaderBytes", limits.maxHeaderBytes, 1024, maxHeadSize);
+    limits.headerTimeout = reader.duration("headerTimeout", limits.headerTimeout);
     limits.retryShare = reader.number("retryShare", limits.retryShare, 0, 1);
     limits.queueFactor = reader.number("queueFactor", limits.queueFactor, 1, 100);
     limits.awayMargin = reader.duration("awayMargin", limits.awayMargin);
--- a/src/decide/process-settings.cc
+++ b/src/decide/process-settings.cc
@@ -104,6 +104,21 @@
 
 } // namespace
 
+ReceiveLimits receiveLimits(const ProcessSettings &settings, std::size_t descriptors)
+{
+    constexpr std::size_t leastReserve = 64;
+    constexpr std::size_t reserveShare = 4; // one in four
+    constexpr std::size_t closingShare = 8; // connections that are about to be closed
+    const std::size_t reserve = std::max(leastReserve, descriptors / reserveShare);
+    const std::size_t available = descriptors - std::min(descriptors, reserve);
+    ReceiveLimits limits;
+    limits.maxConnections = std::clamp<std::size_t>(
+        available - available / closingShare, 1, static_cast<std::size_t>(settings.maxConnections));
+    // The other half is for complete requests and for responses.
+    limits.totalBytes = settings.buffers.totalBytes / 2;
+    return limits;
+}
+
 absl::StatusOr<Address> parseAddress(const std::string &text)
 {
     constexpr int maxPort = 65535;
--- a/src/entry/buffer-accounts.cc
+++ b/src/entry/buffer-accounts.cc
@@ -7,20 +7,6 @@
 
 namespace ibisnotch {
 
-void HeldBytes::set(std::size_t size)
-{
-    if (!m_count)
-        return;
-    *m_count += size;
-    *m_count -= std::exchange(m_size, size);
-}
-
-SentBody::SentBody(std::shared_ptr<ByteCount> count, std::size_t size)
-    : m_size(size), m_held(std::move(count))
-{
-    m_held.set(size);
-}
-
 void SentBody::onProgress(std::size_t sent)
 {
     if (m_size <= longBodyBytes)
@@ -48,14 +34,8 @@
 }
 
 BufferAccounts::BufferAccounts(bool isEnabled, const BufferLimits &limits)
-    : m_limits(limits), m_held(isEnabled ? std::make_shared<ByteCount>(0) : nullptr),
-      m_budget(limits)
-{
-}
-
-bool BufferAccounts::accepts() const
+    : m_isEnabled(isEnabled), m_limits(limits), m_budget(limits)
 {
-    return !m_held || m_budget.accepts(*m_held);
 }
 
 void BufferAccounts::add(const std::string &requestId, const std::string &customer,
@@ -126,10 +106,10 @@
 
 void BufferAccounts::update(Metrics &metrics, TimePoint now)
 {
-    if (!m_held)
-        return;
     const std::size_t totalHeld = *m_held;
     metrics.setGauge("ibisnotch_held_bytes", static_cast<double>(totalHeld));
+    if (!m_isEnabled)
+        return;
     // Ending an exchange calls its tasks, so it is done without the mutex.
     for (const Account &one : chooseEnded(totalHeld, now))
         end(one, totalHeld, metrics);
--- a/src/entry/buffer-accounts.h
+++ b/src/entry/buffer-accounts.h
@@ -9,34 +9,18 @@
 #include <vector>
 
 #include "ibisnotch/buffer-budget.h"
+#include "ibisnotch/byte-count.h"
 #include "ibisnotch/clock.h"
 #include "ibisnotch/http-server.h"
 #include "ibisnotch/metrics.h"
 
 namespace ibisnotch {
 
-// Counts bytes that an object holds, as long as it exists. Counts nothing without a count.
-class HeldBytes
-{
-public:
-    HeldBytes() = default;
-    explicit HeldBytes(std::shared_ptr<ByteCount> count) : m_count(std::move(count)) { }
-    ~HeldBytes() { set(0); }
-    HeldBytes(const HeldBytes &) = delete;
-    HeldBytes &operator=(const HeldBytes &) = delete;
-
-    void set(std::size_t size);
-
-private:
-    std::shared_ptr<ByteCount> m_count;
-    std::size_t m_size = 0;
-};
-
-// A request body on its way to a server. Thread-safe.
+// A request body on its way to a server; its bytes are counted where it was received. Thread-safe.
 class SentBody
 {
 public:
-    SentBody(std::shared_ptr<ByteCount> count, std::size_t size);
+    explicit SentBody(std::size_t size) : m_size(size) { }
 
     // Called with the number of bytes that the current attempt's connection has taken, at its begin
     // and when it grows. What HttpClient doesn't report of short bodies counts as taken.
@@ -51,7 +35,6 @@
 
 private:
     const std::size_t m_size;
-    HeldBytes m_held;
     std::atomic<bool> m_isUnsent = false;
     std::atomic<std::uint64_t> m_taken = 0;
     std::atomic<std::size_t> m_sent = 0;
@@ -65,12 +48,13 @@
 public:
     BufferAccounts(bool isEnabled, const BufferLimits &limits);
 
-    bool isEnabled() const { return m_held != nullptr; }
+    // Returns whether readers that are too slow are limited. Requests always are.
+    bool isEnabled() const { return m_isEnabled; }
     const BufferLimits &limits() const { return m_limits; }
-    // Returns the count of all bytes held; null if nothing is limited.
+    // Returns the count of all bytes held, of requests from their first byte.
     const std::shared_ptr<ByteCount> &heldBytes() const { return m_held; }
-    // Returns whether there is room for another request.
-    bool accepts() const;
+    // Returns whether there is room for a request whose body has so many bytes.
+    bool accepts(std::size_t bodyBytes) const { return m_budget.accepts(*m_held, bodyBytes); }
 
     // Adds an exchange. Its account is closed when neither object exists any more.
     void add(const std::string &requestId, const std::string &customer,
@@ -93,8 +77,9 @@
     static void end(const Account &account, std::size_t totalHeld, Metrics &metrics);
     std::vector<Account> chooseEnded(std::size_t totalHeld, TimePoint now);
 
+    const bool m_isEnabled;
     const BufferLimits m_limits;
-    const std::shared_ptr<ByteCount> m_held;
+    const std::shared_ptr<ByteCount> m_held = std::make_shared<ByteCount>(0);
     std::mutex m_mutex; // guards all below
     BufferBudget m_budget;
     std::uint64_t m_lastId = 0;
--- a/src/entry/gateway.cc
+++ b/src/entry/gateway.cc
@@ -1,5 +1,7 @@
 #include "gateway.h"
 
+#include <algorithm>
+
 #include <fmt/format.h>
 
 #include "ibisnotch/entry-list.h"
@@ -36,6 +38,57 @@
     }
 }
 
+std::optional<MessageLimits> Gateway::messageLimits() const
+{
+    const auto table = m_state.routing.read();
+    if (!table || !table->config)
+        return std::nullopt;
+    const Limits &limits = table->config->limits;
+    MessageLimits result;
+    result.headBytes = static_cast<std::size_t>(limits.maxHeaderBytes);
+    result.bodyBytes = static_cast<std::uint64_t>(limits.maxBodyBytes);
+    result.headTime = limits.headerTimeout;
+    result.idleTime = std::max(limits.idleTimeout, m_state.settings.idleTimeout);
+    return result;
+}
+
+Refusal Gateway::refusalFor(ReceiveFault fault)
+{
+    const Duration retryAfter = jitteredRetryAfter(1, m_state.random);
+    const std::string reason(receiveFaultName(fault));
+    switch (fault) {
+    case ReceiveFault::malformed:
+        return {ResultCode::malformedRequest, reason, {}};
+    case ReceiveFault::headTooLarge:
+    case ReceiveFault::bodyTooLarge:
+        // A configuration that isn't known yet may allow it.
+        if (!messageLimits())
+            return {ResultCode::notReady, reason, retryAfter};
+        return {fault == ReceiveFault::headTooLarge ? ResultCode::headTooLarge
+                                                    : ResultCode::bodyTooLarge,
+                reason,
+                {}};
+    case ReceiveFault::headTimeout:
+    case ReceiveFault::bodyTimeout:
+    case ReceiveFault::idleTimeout:
+        return {ResultCode::requestTimeout, reason, {}};
+    case ReceiveFault::none:
+    case ReceiveFault::memoryShort:
+    case ReceiveFault::connectionsShort:
+        return {ResultCode::overloaded, reason, retryAfter};
+    }
+    return {ResultCode::overloaded, reason, retryAfter};
+}
+
+HttpResponse Gateway::refuse(ReceiveFault fault, const Headers &fields)
+{
+    Exchange exchange;
+    exchange.request.headers = fields;
+    exchange.fromPeer = m_forPeers;
+    exchange.id = requestId(exchange.request);
+    return m_services.protocol.makeRefusal(exchange, refusalFor(fault), m_state.settings.name);
+}
+
 // Returns the id of a forwarded request, so that its trace can be found on both instances, or a new
 // id.
 std::string Gateway::requestId(const HttpRequest &request)
@@ -97,8 +150,7 @@
     BufferAccounts &buffers = m_state.buffers;
     if (!buffers.isEnabled())
         return;
-    exchange.sentBody
-        = std::make_shared<SentBody>(buffers.heldBytes(), exchange.request.body.size());
+    exchange.sentBody = std::make_shared<SentBody>(exchange.request.body.size());
     buffers.add(exchange.id, exchange.customer->name, exchange.responder->buffer(),
                 exchange.sentBody);
 }
@@ -123,7 +175,7 @@
         if (const auto refusal = filter->apply(*exchange))
             return refuse(*exchange, *refusal);
     }
-    if (!m_state.buffers.accepts())
+    if (!m_state.buffers.accepts(exchange->request.body.size()))
         return refuse(*exchange,
                       {ResultCode::overloaded, "buffers", jitteredRetryAfter(1, m_state.random)});
     holdBuffers(*exchange);
--- a/src/entry/gateway.h
+++ b/src/entry/gateway.h
@@ -3,6 +3,7 @@
 
 #include <atomic>
 #include <memory>
+#include <optional>
 #include <vector>
 
 #include "dispatch.h"
@@ -30,6 +31,8 @@
             bool forPeers);
 
     void handle(HttpRequest request, std::shared_ptr<Responder> responder) override;
+    std::optional<MessageLimits> messageLimits() const override;
+    HttpResponse refuse(ReceiveFault fault, const Headers &fields) override;
 
 private:
     void serve(HttpRequest request, std::shared_ptr<Responder> responder);
@@ -39,6 +42,7 @@
     // Opens the account of what is held for the exchange.
     void holdBuffers(Exchange &exchange);
     void refuse(Exchange &exchange, const Refusal &refusal);
+    Refusal refusalFor(ReceiveFault fault);
 
     EntryState &m_state;
     DispatchServices m_services;
--- a/src/entry/instance.cc
+++ b/src/entry/instance.cc
@@ -1,5 +1,8 @@
 #include "instance.h"
 
+#include <sys/resource.h>
+
+#include <limits>
 #include <thread>
 
 #include "ibisnotch/log.h"
@@ -17,6 +20,17 @@
 // and use another instance; waiting longer for them would leave the region without this instance
 // for longer.
 constexpr Duration extraServeTime = std::chrono::milliseconds(300);
+// The system's buffers of connections that send faster than they are read count as memory. This is
+// enough for 400 KB/s over a round trip of 160 ms.
+constexpr int receiveBufferBytes = 64 * 1024;
+
+std::size_t descriptorLimit()
+{
+    rlimit limit{};
+    if (getrlimit(RLIMIT_NOFILE, &limit) != 0)
+        return std::numeric_limits<std::size_t>::max();
+    return static_cast<std::size_t>(limit.rlim_cur);
+}
 
 } // namespace
 
@@ -67,14 +81,18 @@
     m_peerGateway = std::make_unique<Gateway>(services, clients, *m_peerPages, true);
     m_control->start();
     m_placement = m_interfaces->placementController(m_state, *m_controlClient);
-    m_loop = std::make_unique<HttpLoop>(static_cast<unsigned>(settings.workers));
-    listen(settings.peerAddress, *m_peerGateway);
+    m_receiveLog = std::make_unique<ReceiveLog>(m_state.metrics);
+    m_loop = std::make_unique<HttpLoop>(static_cast<unsigned>(settings.workers),
+                                        ReceiveSettings{receiveLimits(settings, descriptorLimit()),
+                                                        m_state.buffers.heldBytes(), &m_state.clock,
+                                                        m_receiveLog.get()});
+    listen("peers", settings.peerAddress, *m_peerGateway);
     for (PagePort &port : m_interfaces->pagePorts(services)) {
         m_pageServers.push_back(std::make_unique<PageServer>(std::move(port.pages)));
-        listen(port.address, *m_pageServers.back());
+        listen("pages", port.address, *m_pageServers.back());
     }
     // The callers' port is opened last, so that the other ports are open once it accepts.
-    listen(settings.callerAddress, *m_callerGateway);
+    listen("callers", settings.callerAddress, *m_callerGateway);
 }
 
 // All threads are stopped before any part is destroyed, because the parts refer to each other: a
@@ -101,16 +119,16 @@
     m_claimService.reset();
 }
 
-void Instance::listen(const Address &address, RequestHandler &handler)
+void Instance::listen(const std::string &name, const Address &address, RequestHandler &handler)
 {
-    const ProcessSettings &processSettings = m_state.settings;
     HttpServerSettings settings;
+    settings.name = name;
     settings.address = address.host;
     settings.port = address.port;
-    settings.maxConnections = static_cast<std::size_t>(processSettings.maxConnections);
-    settings.idleTimeout
-        = std::chrono::duration_cast<std::chrono::seconds>(processSettings.idleTimeout);
-    settings.heldBytes = m_state.buffers.heldBytes();
+    settings.limits.idleTime = m_state.settings.idleTimeout;
+    settings.receiveBufferBytes = receiveBufferBytes;
+    settings.maxConnections = static_cast<std::size_t>(m_state.settings.maxConnections);
+    settings.heldBytes = m_state.buffers.isEnabled() ? m_state.buffers.heldBytes() : nullptr;
     m_servers.push_back(std::make_unique<HttpServer>(settings, handler, *m_loop));
 }
 
--- a/src/entry/instance.h
+++ b/src/entry/instance.h
@@ -10,6 +10,7 @@
 #include "ibisnotch/http-server.h"
 #include "interfaces.h"
 #include "placement-controller.h"
+#include "receive-log.h"
 #include "state.h"
 
 namespace ibisnotch {
@@ -37,7 +38,7 @@
     Instance(std::unique_ptr<InterfaceFactory> interfaces, const ProcessSettings &settings);
     void start();
     void stopThreads();
-    void listen(const Address &address, RequestHandler &handler);
+    void listen(const std::string &name, const Address &address, RequestHandler &handler);
     bool isBusy();
 
     std::unique_ptr<InterfaceFactory> m_interfaces;
@@ -53,6 +54,7 @@
     std::unique_ptr<Gateway> m_callerGateway;
     std::unique_ptr<Gateway> m_peerGateway;
     std::vector<std::unique_ptr<PageServer>> m_pageServers;
+    std::unique_ptr<ReceiveLog> m_receiveLog;
     std::unique_ptr<HttpLoop> m_loop;
     std::vector<std::unique_ptr<HttpServer>> m_servers;
 };
--- /dev/null
+++ b/src/entry/receive-log.cc
@@ -0,0 +1,28 @@
+#include "receive-log.h"
+
+#include "ibisnotch/log.h"
+
+namespace ibisnotch {
+
+void ReceiveLog::onConnectionClosed(const ClosedConnection &connection)
+{
+    const std::string fault(receiveFaultName(connection.fault));
+    m_metrics.onConnectionClosed(connection.listener, fault);
+    // Idle connections are closed all the time.
+    const bool isOrdinary = connection.fault == ReceiveFault::idleTimeout;
+    logLine(LogPart::request, isOrdinary ? LogLevel::debug : LogLevel::warn, "Connection closed.",
+            {{"listener", connection.listener},
+             {"client", connection.address + ":" + std::to_string(connection.port)},
+             {"fault", fault},
+             {"heldBytes", std::to_string(connection.heldBytes)},
+             {"totalBytes", std::to_string(connection.totalBytes)},
+             {"silentMs", millisecondsText(connection.silence)}});
+}
+
+void ReceiveLog::onReceiving(std::size_t bytes, std::size_t connections)
+{
+    m_metrics.setGauge("ibisnotch_receiving_bytes", static_cast<double>(bytes));
+    m_metrics.setGauge("ibisnotch_connections", static_cast<double>(connections));
+}
+
+} // namespace ibisnotch
--- a/src/net/http-server.cc
+++ b/src/net/http-server.cc
@@ -11,6 +11,9 @@
 
 #include <restinio/all.hpp>
 
+#include "receive-accounts.h"
+#include "receive-guard.h"
+
 namespace ibisnotch {
 
 namespace {
@@ -83,6 +86,17 @@
 // slowly, so they are bounded. This is enough for 1 MB/s over a round trip of 100 ms.
 constexpr int sendBufferBytes = 128 * 1024;
 
+constexpr auto unlimitedTime = std::chrono::hours(24 * 365);
+
+// Returns what to call when the last byte of a response was sent.
+auto responseEnd(const std::weak_ptr<ReceiveGuard> &guard)
+{
+    return [guard](const asio::error_code &) {
+        if (const auto alive = guard.lock())
+            alive->onResponseEnd();
+    };
+}
+
 using PlainResponse = restinio::response_builder_t<restinio::restinio_controlled_output_t>;
 using PiecewiseResponse = restinio::response_builder_t<restinio::user_controlled_output_t>;
 using ChunkedResponse = restinio::response_builder_t<restinio::chunked_output_t>;
@@ -95,8 +109,9 @@
 {
 public:
     PacedSender(asio::io_context &io, std::shared_ptr<ResponseState> state,
-                std::shared_ptr<ByteCount> total, restinio::request_handle_t request)
-        : m_io(io), m_state(std::move(state)), m_total(std::move(total)),
+                std::shared_ptr<ByteCount> total, restinio::request_handle_t request,
+                std::weak_ptr<ReceiveGuard> guard)
+        : m_io(io), m_state(std::move(state)), m_total(std::move(total)), m_guard(std::move(guard)),
           m_connection(restinio::impl::access_req_connection(*request)),
           m_requestId(request->request_id())
     {
@@ -250,9 +265,9 @@
         if (end != End::complete)
             return {};
         if (const auto *chunked = std::get_if<std::shared_ptr<ChunkedResponse>>(&builder))
-            return [one = *chunked] { one->done(); };
+            return [one = *chunked, guard = m_guard] { one->done(responseEnd(guard)); };
         if (const auto *whole = std::get_if<std::shared_ptr<PiecewiseResponse>>(&builder))
-            return [one = *whole] { one->done(); };
+            return [one = *whole, guard = m_guard] { one->done(responseEnd(guard)); };
         return {};
     }
 
@@ -284,6 +299,7 @@
     asio::io_context &m_io;
     const std::shared_ptr<ResponseState> m_state;
     const std::shared_ptr<ByteCount> m_total;
+    const std::weak_ptr<ReceiveGuard> m_guard;
     std::atomic<std::size_t> m_held = 0;
     std::atomic<std::uint64_t> m_taken = 0;
     mutable std::mutex m_mutex; // guards all below
@@ -364,6 +380,7 @@
 {
     using connection_state_listener_t = ConnectionRegistry;
     using logger_t = restinio::null_logger_t;
+    using stream_socket_t = GuardedSocket;
     using request_handler_t
         = std::function<restinio::request_handling_status_t(restinio::request_handle_t)>;
     using connection_count_limiter_t
@@ -388,9 +405,11 @@
 {
 public:
     RestinioResponder(restinio::request_handle_t request,
-                      const std::atomic<bool> &closeAfterResponse)
+                      const std::atomic<bool> &closeAfterResponse,
+                      std::weak_ptr<ReceiveGuard> guard, std::shared_ptr<const HeldBytes> head)
         : m_connection(restinio::impl::access_req_connection(*request)),
           m_request(std::move(request)), m_closeAfterResponse(closeAfterResponse),
+          m_guard(std::move(guard)), m_heldHead(std::move(head)),
           m_state(std::make_shared<ResponseState>())
     {
     }
@@ -413,7 +432,7 @@
         if (m_closeAfterResponse)
             builder.connection_close();
         builder.set_body(std::move(response.body));
-        builder.done();
+        builder.done(responseEnd(m_guard));
     }
 
     void start(int status, const Headers &headers) override
@@ -449,7 +468,7 @@
         if (m_sender)
             return m_sender->finish();
         if (m_chunked)
-            m_chunked->done();
+            m_chunked->done(responseEnd(m_guard));
         m_chunked.reset();
     }
 
@@ -492,11 +511,13 @@
     restinio::request_handle_t m_request;
     std::shared_ptr<ChunkedResponse> m_chunked;
     const std::atomic<bool> &m_closeAfterResponse;
+    const std::weak_ptr<ReceiveGuard> m_guard;
+    const std::shared_ptr<const HeldBytes> m_heldHead; // of the request
     std::shared_ptr<ResponseState> m_state;
     std::shared_ptr<PacedSender> m_sender; // null if responses are passed on as they come
 };
 
-HttpRequest toHttpRequest(const restinio::request_handle_t &from)
+HttpRequest toHttpRequest(const restinio::request_handle_t &from, Body body)
 {
     const auto &header = from->header();
     HttpRequest request;
@@ -506,9 +527,10 @@
     const auto query = header.query();
     request.query.assign(query.data(), query.size());
     header.for_each_field([&request](const restinio::http_header_field_t &field) {
-        request.headers.add(field.name(), field.value());
+        if (!isMaskedField(field.name()))
+            request.headers.add(field.name(), field.value());
     });
-    request.body = Body(std::shared_ptr<const std::string>(from, &from->body()));
+    request.body = std::move(body);
     return request;
 }
 
@@ -517,8 +539,9 @@
 class HttpLoop::Private
 {
 public:
-    explicit Private(unsigned threads)
+    Private(unsigned threads, const ReceiveSettings &settings)
     {
+        accounts = std::make_unique<ReceiveAccounts>(io, settings);
         for (unsigned i = 0; i < threads; ++i)
             m_threads.emplace_back([this] { io.run(); });
     }
@@ -529,8 +552,10 @@
         for (std::thread &thread : m_threads)
             thread.join();
         m_threads.clear();
+        accounts->stop();
     }
 
+    std::unique_ptr<ReceiveAccounts> accounts; // destroyed after the connections of the loop
     asio::io_context io;
 
 private:
@@ -538,7 +563,10 @@
     std::vector<std::thread> m_threads;
 };
 
-HttpLoop::HttpLoop(unsigned threads) : m_d(std::make_unique<Private>(threads)) { }
+HttpLoop::HttpLoop(unsigned threads, const ReceiveSettings &settings)
+    : m_d(std::make_unique<Private>(threads, settings))
+{
+}
 
 HttpLoop::~HttpLoop()
 {
@@ -550,17 +578,44 @@
     m_d->stop();
 }
 
+int statusOf(ReceiveFault fault)
+{
+    switch (fault) {
+    case ReceiveFault::malformed:
+        return 400;
+    case ReceiveFault::headTooLarge:
+        return 431;
+    case ReceiveFault::bodyTooLarge:
+        return 413;
+    case ReceiveFault::headTimeout:
+    case ReceiveFault::bodyTimeout:
+    case ReceiveFault::idleTimeout:
+        return 408;
+    case ReceiveFault::none:
+    case ReceiveFault::memoryShort:
+    case ReceiveFault::connectionsShort:
+        return 503;
+    }
+    return 503;
+}
+
+HttpResponse RequestHandler::refuse(ReceiveFault fault, const Headers &)
+{
+    return {statusOf(fault), {}, std::string(receiveFaultName(fault)) + "\n"};
+}
+
 class HttpServer::Private
 {
 public:
-    Private(const HttpServerSettings &settings, RequestHandler &handler, asio::io_context &loop)
-        : io(loop), heldBytes(settings.heldBytes),
+    Private(const HttpServerSettings &settings, RequestHandler &handler, HttpLoop::Private &loop)
+        : io(loop.io), heldBytes(settings.heldBytes),
           server(*new restinio::http_server_t<ServerTraits>(
-              restinio::external_io_context(loop),
+              restinio::external_io_context(loop.io),
               [&](restinio::server_settings_t<ServerTraits> &to) {
                   configure(to, settings, handler);
               }))
     {
+        loop.accounts->addListener(settings.port, {settings.name, &handler, settings.limits});
         std::promise<void> opened;
         server.open_async([&opened] { opened.set_value(); },
                           [&opened](std::exception_ptr error) { opened.set_exception(error); });
@@ -577,21 +632,24 @@
     {
         to.address(settings.address);
         to.port(settings.port);
-        to.read_next_http_message_timelimit(settings.idleTimeout);
-        to.write_http_response_timelimit(settings.idleTimeout);
+        // Times of requests are limited by ReceiveAccounts.
+        to.read_next_http_message_timelimit(unlimitedTime);
+        to.write_http_response_timelimit(
+            std::chrono::duration_cast<std::chrono::milliseconds>(settings.limits.idleTime));
         to.handle_request_timeout(settings.responseTimeout);
         to.max_parallel_connections(settings.maxConnections);
-        to.incoming_http_msg_limits(
-            restinio::incoming_http_msg_limits_t{}.max_body_size(settings.maxBodyBytes));
         // Reads one request ahead, so that a close is detected while a response is in progress.
         to.max_pipelined_requests(2);
         to.connection_state_listener(m_connections);
         // RESTinio numbers connections without synchronization between concurrent accepts. If two
         // got the same number, the end of one would cancel the other caller's request.
         to.concurrent_accepts_count(1);
-        to.socket_options_setter([this](restinio::socket_options_t &options) {
+        to.socket_options_setter([this, size = settings.receiveBufferBytes](
+                                     restinio::socket_options_t &options) {
             options.set_option(asio::ip::tcp::no_delay{true});
             asio::error_code ignored;
+            if (size > 0)
+                options.set_option(asio::socket_base::receive_buffer_size{size}, ignored);
             if (heldBytes)
                 options.set_option(asio::socket_base::send_buffer_size{sendBufferBytes}, ignored);
         });
@@ -599,13 +657,18 @@
             options.set_option(asio::ip::tcp::acceptor::reuse_address(true));
         });
         to.request_handler([this, &handler](restinio::request_handle_t request) {
-            HttpRequest plain = toHttpRequest(request);
+            const std::shared_ptr<ReceiveGuard> guard = ReceiveGuard::current();
+            if (!guard)
+                return restinio::request_rejected();
+            ReceivedRequest received = guard->takeRequest();
+            HttpRequest plain = toHttpRequest(request, std::move(received.body));
             const auto connection = request->connection_id();
-            auto responder = std::make_shared<RestinioResponder>(request, closeAfterResponse);
+            auto responder = std::make_shared<RestinioResponder>(request, closeAfterResponse, guard,
+                                                                 std::move(received.head));
             m_connections->add(connection, responder->state());
             if (heldBytes) {
                 auto sender = std::make_shared<PacedSender>(io, responder->state(), heldBytes,
-                                                            std::move(request));
+                                                            std::move(request), guard);
                 m_connections->addSender(connection, sender);
                 responder->setSender(std::move(sender));
             }
@@ -626,7 +689,7 @@
 };
 
 HttpServer::HttpServer(const HttpServerSettings &settings, RequestHandler &handler, HttpLoop &loop)
-    : m_d(std::make_unique<Private>(settings, handler, loop.m_d->io))
+    : m_d(std::make_unique<Private>(settings, handler, *loop.m_d))
 {
 }
 
--- a/src/net/metrics.cc
+++ b/src/net/metrics.cc
@@ -100,6 +100,8 @@
     std::atomic<std::uint64_t> m_sharedTokens = 0;
     std::atomic<std::uint64_t> m_sharedTokensKept = 0;
     std::map<std::string, std::uint64_t> m_slowReaders; // counts by reader
+    std::map<std::pair<std::string, std::string>, std::uint64_t>
+        m_closedConnections; // counts by listener and fault
     std::atomic<std::uint64_t> m_responsesPaused = 0;
 };
 
@@ -162,6 +164,12 @@
     ++m_d->m_slowReaders[std::string(reader)];
 }
 
+void Metrics::onConnectionClosed(std::string_view listener, std::string_view fault)
+{
+    const std::lock_guard lock(m_d->m_mutex);
+    ++m_d->m_closedConnections[{std::string(listener), std::string(fault)}];
+}
+
 void Metrics::onResponsePaused()
 {
     ++m_d->m_responsesPaused;
@@ -213,6 +221,10 @@
     for (const auto &[reader, count] : m_d->m_slowReaders)
         out += fmt::format("ibisnotch_slow_readers_ended_total{{reader=\"{}\"}} {}\n", reader,
                            count);
+    for (const auto &[key, count] : m_d->m_closedConnections)
+        out += fmt::format(
+            "ibisnotch_connections_closed_total{{listener=\"{}\",fault=\"{}\"}} {}\n", key.first,
+            key.second, count);
     for (const auto &[end, count] : m_d->m_attempts)
         out += fmt::format("ibisnotch_attempts_total{{end=\"{}\"}} {}\n", end, count);
     for (const auto &[knownBy, count] : m_d->m_continued)
--- /dev/null
+++ b/src/net/receive-guard.h
@@ -0,0 +1,141 @@
+// What stands between a connection's socket and RESTinio. RESTinio collects a request without
+// counting it, keeps a record of each chunk and gives a whole request one time limit, so requests
+// are received here and reach it when they are complete, without their bodies.
+#pragma once
+
+#include <array>
+#include <atomic>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include <asio/any_io_executor.hpp>
+#include <asio/associated_executor.hpp>
+#include <asio/buffer.hpp>
+#include <asio/ip/tcp.hpp>
+
+#include "receive-accounts.h"
+#include "request-receiver.h"
+
+namespace ibisnotch {
+
+// The parts of a complete request that RESTinio doesn't see, and the count of what it holds.
+struct ReceivedRequest
+{
+    Body body;
+    std::shared_ptr<const HeldBytes> head;
+};
+
+// One connection. Its functions run on the connection's executor, unless they say otherwise.
+class ReceiveGuard : public std::enable_shared_from_this<ReceiveGuard>
+{
+public:
+    using ReadHandler = std::function<void(const asio::error_code &, std::size_t)>;
+
+    ReceiveGuard(ReceiveAccounts &accounts, std::uint64_t id, Listener listener,
+                 asio::ip::tcp::socket &socket, asio::any_io_executor executor);
+    ~ReceiveGuard();
+    ReceiveGuard(const ReceiveGuard &) = delete;
+    ReceiveGuard &operator=(const ReceiveGuard &) = delete;
+
+    // Passes the head of the next complete request to the handler, in pieces as large as the
+    // buffer. An error means the end of the connection.
+    void read(asio::mutable_buffer buffer, ReadHandler handler);
+    // The socket was closed or is about to be destroyed.
+    void onSocketClosed();
+
+    // Returns the guard whose request RESTinio is handling on this thread; null if there is none.
+    static std::shared_ptr<ReceiveGuard> current();
+    ReceivedRequest takeRequest();
+
+    // May be called from any thread.
+    void onResponseEnd();
+    void requestClose(ReceiveFault fault);
+    ReceiveSample sample(TimePoint now) const;
+    ReceiveFault findTimeout(TimePoint now) const;
+    bool isClosing() const { return m_isClosing; }
+
+    // Drops the handler, which refers to the connection. Called when no thread runs the loop.
+    void release() { m_handler = {}; }
+
+    std::uint64_t id() const { return m_id; }
+    const Listener &listener() const { return m_listener; }
+    const asio::ip::tcp::endpoint &remote() const { return m_remote; }
+
+private:
+    // Goes on with what is due: handing over, parsing or waiting for bytes.
+    void proceed();
+    void waitForBytes();
+    void onReadable(const asio::error_code &error);
+    void receive();
+    void parse(std::string_view bytes);
+    void handOver();
+    void deliver();
+    void complete(const asio::error_code &error, std::size_t size);
+    void closeFor(ReceiveFault fault);
+    std::string responseTo(ReceiveFault fault) const;
+    void dropRequest();
+    void setReceiving(std::size_t size);
+    void touch() { m_lastActivity = m_accounts.now(); }
+    MessageLimits limits() const;
+
+    ReceiveAccounts &m_accounts;
+    const std::uint64_t m_id;
+    const Listener m_listener;
+    asio::ip::tcp::socket *m_socket; // null once it was closed
+    const asio::any_io_executor m_executor;
+    const std::uint16_t m_port;
+    const asio::ip::tcp::endpoint m_remote;
+
+    std::atomic<ReceiveState> m_state = ReceiveState::unused;
+    std::atomic<std::size_t> m_receiving = 0; // bytes held of the request that is being received
+    std::atomic<TimePoint> m_lastActivity;
+    std::atomic<TimePoint> m_headBegan;
+    std::atomic<bool> m_isClosing = false;
+
+    RequestReceiver m_receiver;
+    std::string m_unparsed; // bytes that follow a complete request
+    std::string m_head; // to be handed over
+    std::size_t m_headDelivered = 0;
+    ReceivedRequest m_request;
+    asio::mutable_buffer m_buffer;
+    ReadHandler m_handler;
+    bool m_hasBegun = false;
+    bool m_isWaiting = false;
+};
+
+// The socket of RESTinio's connections. What it doesn't define is the socket's own.
+class GuardedSocket : public asio::ip::tcp::socket
+{
+public:
+    explicit GuardedSocket(asio::io_context &io) : asio::ip::tcp::socket(io) { }
+    ~GuardedSocket() { endGuard(); }
+    GuardedSocket(GuardedSocket &&) = default;
+    GuardedSocket &operator=(GuardedSocket &&) = delete;
+
+    template <typename Handler>
+    void async_read_some(const asio::mutable_buffer &buffer, Handler &&handler) // NOLINT
+    {
+        if (!m_guard)
+            m_guard = openGuard(asio::get_associated_executor(handler, get_executor()));
+        // The handler may only be moved.
+        auto shared = std::make_shared<std::decay_t<Handler>>(std::forward<Handler>(handler));
+        m_guard->read(buffer, [shared](const asio::error_code &error, std::size_t size) {
+            (*shared)(error, size);
+        });
+    }
+
+    void close() // NOLINT: hides Asio's
+    {
+        endGuard();
+        asio::ip::tcp::socket::close();
+    }
+
+private:
+    std::shared_ptr<ReceiveGuard> openGuard(const asio::any_io_executor &executor);
+    void endGuard();
+
+    std::shared_ptr<ReceiveGuard> m_guard;
+};
+
+} // namespace ibisnotch
--- a/test/buffer-budget-test.cc
+++ b/test/buffer-budget-test.cc
@@ -142,7 +142,7 @@
     run(20s);
     CHECK(most > limits.totalBytes);
     CHECK(std::none_of(readers.begin(), readers.end(), [](const auto &one) { return one.ended; }));
-    CHECK_FALSE(budget.accepts(most));
+    CHECK_FALSE(budget.accepts(most, 0));
 }
 
 TEST_CASE_METHOD(ReadersFixture,
