Connections are bounded for the process, and the longest silent one gives way

What callers saw: while a crowd held all connections of a listener, an ordinary request waited for the idle limit; after a crowd whose connections were reset before they were accepted, for ever; with fewer descriptors than connections, ordinary requests got 503 as their servers had none.

RESTinio's own limit is gone.

--- a/include/ibisnotch/http-server.h
+++ b/include/ibisnotch/http-server.h
@@ -84,7 +84,6 @@
     std::string name = "server"; // in metrics and logs
     MessageLimits limits; // where the handler has none of its own
     std::chrono::seconds responseTimeout{600};
-    std::size_t maxConnections = 20000;
     // Size of the system's buffer for what a connection receives; 0 for the default. Bytes that are
     // not read yet belong to the memory that a process takes.
     int receiveBufferBytes = 0;
--- a/include/ibisnotch/receive-limits.h
+++ b/include/ibisnotch/receive-limits.h
@@ -83,4 +83,11 @@
 std::vector<std::uint64_t> chooseForMemory(std::span<const ReceiveSample> samples,
                                            std::size_t totalBytes);
 
+// Returns up to `count` connections to close so that others can be accepted. They are taken from
+// the listener that has most connections, the longest silence first; silence within a request, or
+// before the first one, weighs more, as others reuse idle connections. Never those whose request is
+// being handled.
+std::vector<std::uint64_t> chooseForConnections(std::span<const ReceiveSample> samples,
+                                                std::size_t count);
+
 } // namespace ibisnotch
--- a/src/decide/receive-limits.cc
+++ b/src/decide/receive-limits.cc
@@ -1,6 +1,7 @@
 #include "ibisnotch/receive-limits.h"
 
 #include <algorithm>
+#include <map>
 
 namespace ibisnotch {
 
@@ -11,6 +12,8 @@
 constexpr double relievedShare = 0.875;
 // Silence of a client that has just sent something.
 constexpr Duration leastSilence = std::chrono::milliseconds(100);
+// Weight of silence where the client owes bytes.
+constexpr int owingWeight = 4;
 
 double memoryCost(const ReceiveSample &sample)
 {
@@ -22,6 +25,23 @@
     return sample.state == ReceiveState::head || sample.state == ReceiveState::body;
 }
 
+Duration weighSilence(const ReceiveSample &sample)
+{
+    const bool owesBytes = sample.state != ReceiveState::idle;
+    return owesBytes ? owingWeight * sample.silence : sample.silence;
+}
+
+std::uint16_t findFullestListener(std::span<const ReceiveSample> samples)
+{
+    std::map<std::uint16_t, std::size_t> counts;
+    for (const ReceiveSample &sample : samples)
+        ++counts[sample.port];
+    const auto most
+        = std::max_element(counts.begin(), counts.end(),
+                           [](const auto &a, const auto &b) { return a.second < b.second; });
+    return most == counts.end() ? std::uint16_t(0) : most->first;
+}
+
 } // namespace
 
 std::string_view receiveFaultName(ReceiveFault fault)
@@ -98,4 +118,26 @@
     return chosen;
 }
 
+std::vector<std::uint64_t> chooseForConnections(std::span<const ReceiveSample> samples,
+                                                std::size_t count)
+{
+    const std::uint16_t port = findFullestListener(samples);
+    std::vector<ReceiveSample> candidates;
+    for (const ReceiveSample &sample : samples) {
+        if (sample.port == port && sample.state != ReceiveState::handling)
+            candidates.push_back(sample);
+    }
+    const std::size_t size = std::min(count, candidates.size());
+    const auto end = candidates.begin() + static_cast<std::ptrdiff_t>(size);
+    std::partial_sort(candidates.begin(), end, candidates.end(), [](const auto &a, const auto &b) {
+        const Duration silenceOfA = weighSilence(a);
+        const Duration silenceOfB = weighSilence(b);
+        return silenceOfA != silenceOfB ? silenceOfA > silenceOfB : a.id < b.id;
+    });
+    std::vector<std::uint64_t> chosen;
+    for (auto one = candidates.begin(); one != end; ++one)
+        chosen.push_back(one->id);
+    return chosen;
+}
+
 } // namespace ibisnotch
--- a/src/entry/instance.cc
+++ b/src/entry/instance.cc
@@ -127,7 +127,6 @@
     settings.port = address.port;
     settings.limits.idleTime = m_state.settings.idleTimeout;
     settings.receiveBufferBytes = receiveBufferBytes;
-    settings.maxConnections = static_cast<std::size_t>(m_state.settings.maxConnections);
     settings.heldBytes = m_state.buffers.isEnabled() ? m_state.buffers.heldBytes() : nullptr;
     m_servers.push_back(std::make_unique<HttpServer>(settings, handler, *m_loop));
 }
--- a/src/net/http-server.cc
+++ b/src/net/http-server.cc
@@ -383,10 +383,6 @@
     using stream_socket_t = GuardedSocket;
     using request_handler_t
         = std::function<restinio::request_handling_status_t(restinio::request_handle_t)>;
-    using connection_count_limiter_t
-        = restinio::connection_count_limits::connection_count_limiter_t<
-            asio::strand<restinio::default_asio_executor>>;
-    static constexpr bool use_connection_count_limiter = true; // NOLINT: RESTinio's name
 };
 
 restinio::http_status_line_t statusLine(int status)
@@ -637,7 +633,6 @@
         to.write_http_response_timelimit(
             std::chrono::duration_cast<std::chrono::milliseconds>(settings.limits.idleTime));
         to.handle_request_timeout(settings.responseTimeout);
-        to.max_parallel_connections(settings.maxConnections);
         // Reads one request ahead, so that a close is detected while a response is in progress.
         to.max_pipelined_requests(2);
         to.connection_state_listener(m_connections);
--- a/src/net/receive-accounts.cc
+++ b/src/net/receive-accounts.cc
@@ -112,6 +112,7 @@
         guard = std::make_shared<ReceiveGuard>(*this, ++m_lastId, listener, socket, executor);
         m_guards.emplace(guard->id(), guard);
     }
+    makeRoomForConnections();
     return guard;
 }
 
@@ -180,6 +181,16 @@
                  ReceiveFault::memoryShort);
 }
 
+void ReceiveAccounts::makeRoomForConnections()
+{
+    const auto all = guards();
+    const std::vector<ReceiveSample> samples = samplesOf(all, now());
+    if (samples.size() <= m_limits.maxConnections)
+        return;
+    requestClose(all, chooseForConnections(samples, samples.size() - m_limits.maxConnections),
+                 ReceiveFault::connectionsShort);
+}
+
 void ReceiveAccounts::report(const ReceiveGuard &guard, ReceiveFault fault, std::size_t heldBytes)
 {
     if (m_observer == nullptr)
--- a/src/net/receive-accounts.h
+++ b/src/net/receive-accounts.h
@@ -44,7 +44,7 @@
     // Must be called before the port accepts connections.
     void addListener(std::uint16_t port, Listener listener);
 
-    // Opens the account of a new connection.
+    // Opens the account of a new connection. Closes others if there are too many.
     std::shared_ptr<ReceiveGuard> open(asio::ip::tcp::socket &socket,
                                        const asio::any_io_executor &executor);
     void remove(const ReceiveGuard &guard);
@@ -69,6 +69,7 @@
     // Returns the connections in the order of their ids.
     std::vector<std::shared_ptr<ReceiveGuard>> guards() const;
     void makeRoom();
+    void makeRoomForConnections();
     void scheduleCheck();
     void checkTimes();
 
--- a/test/receive-guard-test.cc
+++ b/test/receive-guard-test.cc
@@ -351,6 +351,26 @@
     handler.releaseAll();
 }
 
+TEST_CASE_METHOD(GuardedServerFixture, "server_allConnectionsAreTaken_closesTheLongestSilent")
+{
+    const std::uint16_t port = start();
+    std::vector<std::unique_ptr<Client>> clients;
+    for (int i = 0; i < 4; ++i) {
+        clients.push_back(std::make_unique<Client>(port));
+        clients.back()->send(post("a"));
+        clients.back()->readTo("POST a");
+        std::this_thread::sleep_for(50ms);
+        clock.advance(1s);
+    }
+    Client newest(port);
+    newest.send(post("b"));
+    newest.readTo("POST b");
+    CHECK(clients[0]->readAll().empty());
+    clients[3]->send(post("c"));
+    clients[3]->readTo("POST c");
+    CHECK(faultsText() == "connectionsShort ");
+}
+
 // Guards against a count that grows with each request, until no room is left.
 TEST_CASE_METHOD(GuardedServerFixture, "server_manyRequestsAndBrokenOnes_holdsNothingAfterwards")
 {
--- a/test/receive-limits-test.cc
+++ b/test/receive-limits-test.cc
@@ -100,6 +100,32 @@
     CHECK(chooseForMemory(samples, 16 * mib).empty());
 }
 
+TEST_CASE_METHOD(ReceivingFixture, "chooseForConnections_oneStopsInItsRequest_goesBeforeIdleOnes")
+{
+    add(1, 0, 3s, ReceiveState::idle);
+    add(1, 100, 2s, ReceiveState::head);
+    add(1, 0, 9s, ReceiveState::idle);
+    add(1, 0, 1s, ReceiveState::unused);
+    CHECK(chooseForConnections(samples, 2) == std::vector<std::uint64_t>{3, 2});
+}
+
+// Guards against callers whose answers are cut for others that want to connect.
+TEST_CASE_METHOD(ReceivingFixture, "chooseForConnections_allInHandling_choosesTheNewOne")
+{
+    add(5, 0, 30s, ReceiveState::handling);
+    add(1, 0, 0s, ReceiveState::unused);
+    CHECK(chooseForConnections(samples, 3) == std::vector<std::uint64_t>{6});
+}
+
+// Guards against a crowd at one listener that closes the connections of another.
+TEST_CASE_METHOD(ReceivingFixture, "chooseForConnections_crowdAtOneListener_paysItself")
+{
+    add(3, 0, 30s, ReceiveState::idle, 1);
+    add(8, 0, 1s, ReceiveState::unused, 2);
+    const auto chosen = chooseForConnections(samples, 4);
+    CHECK(chosen == std::vector<std::uint64_t>{4, 5, 6, 7});
+}
+
 TEST_CASE("findTimeout_slowButSteadyBody_isNone")
 {
     MessageLimits limits;
