A listener whose accept has failed is opened anew

What callers saw: once an accept had failed for want of a descriptor, the port served no new connection any more, also after descriptors were free again (instance_descriptorsRunOutForAWhile_answersOthers: no answer within a minute, untouched code).

Cause: RESTinio's acceptor does nothing when an accept fails, so no other one is started.

Now each server looks twice a second whether connections wait while none is accepted; at the second look it opens its port anew, until that works, and says so.

--- a/src/net/http-server.cc
+++ b/src/net/http-server.cc
@@ -1,5 +1,7 @@
 #include "ibisnotch/http-server.h"
 
+#include <poll.h>
+
 #include <atomic>
 #include <deque>
 #include <future>
@@ -11,6 +13,7 @@
 
 #include <restinio/all.hpp>
 
+#include "ibisnotch/log.h"
 #include "receive-accounts.h"
 #include "receive-guard.h"
 
@@ -86,6 +89,7 @@
 // slowly, so they are bounded. This is enough for 1 MB/s over a round trip of 100 ms.
 constexpr int sendBufferBytes = 128 * 1024;
 
+constexpr auto acceptCheckInterval = std::chrono::milliseconds(500);
 constexpr auto unlimitedTime = std::chrono::hours(24 * 365);
 
 // Returns what to call when the last byte of a response was sent.
@@ -334,6 +338,9 @@
         senders.push_back(sender);
     }
 
+    // Returns the number of connections accepted so far.
+    std::uint64_t accepted() const { return m_accepted; }
+
     void dropSenders()
     {
         Senders senders;
@@ -344,6 +351,8 @@
     void
     state_changed(const restinio::connection_state::notice_t &notice) // NOLINT: RESTinio's name
     {
+        if (std::holds_alternative<restinio::connection_state::accepted_t>(notice.cause()))
+            ++m_accepted;
         if (!std::holds_alternative<restinio::connection_state::closed_t>(notice.cause()))
             return;
         std::vector<std::weak_ptr<ResponseState>> states;
@@ -370,6 +379,7 @@
     using Senders
         = std::unordered_map<restinio::connection_id_t, std::vector<std::shared_ptr<PacedSender>>>;
 
+    std::atomic<std::uint64_t> m_accepted = 0;
     std::mutex m_mutex;
     std::unordered_map<restinio::connection_id_t, std::vector<std::weak_ptr<ResponseState>>>
         m_states;
@@ -604,7 +614,7 @@
 {
 public:
     Private(const HttpServerSettings &settings, RequestHandler &handler, HttpLoop::Private &loop)
-        : io(loop.io), heldBytes(settings.heldBytes),
+        : io(loop.io), name(settings.name), heldBytes(settings.heldBytes),
           server(*new restinio::http_server_t<ServerTraits>(
               restinio::external_io_context(loop.io),
               [&](restinio::server_settings_t<ServerTraits> &to) {
@@ -616,6 +626,7 @@
         server.open_async([&opened] { opened.set_value(); },
                           [&opened](std::exception_ptr error) { opened.set_exception(error); });
         opened.get_future().get();
+        scheduleAcceptCheck();
     }
 
     // No thread uses the connections any more, but their senders refer to them.
@@ -648,6 +659,7 @@
             if (heldBytes)
                 options.set_option(asio::socket_base::send_buffer_size{sendBufferBytes}, ignored);
         });
+        to.acceptor_post_bind_hook([this](asio::ip::tcp::acceptor &opened) { acceptor = &opened; });
         to.acceptor_options_setter([](restinio::acceptor_options_t &options) {
             options.set_option(asio::ip::tcp::acceptor::reuse_address(true));
         });
@@ -672,9 +684,64 @@
         });
     }
 
+    void scheduleAcceptCheck()
+    {
+        acceptTimer.expires_after(acceptCheckInterval);
+        acceptTimer.async_wait([this](const asio::error_code &error) {
+            if (error || isStopping)
+                return;
+            checkAccepting();
+            scheduleAcceptCheck();
+        });
+    }
+
+    // RESTinio doesn't accept again once an accept has failed, as it does while the process has no
+    // descriptor left. Connections that wait for two checks while none is accepted show that.
+    void checkAccepting()
+    {
+        const std::uint64_t accepted = m_connections->accepted();
+        const bool isWaiting = hasWaitingConnection();
+        const bool isStuck = isWaiting && wasWaiting && accepted == acceptedBefore;
+        wasWaiting = isWaiting;
+        acceptedBefore = accepted;
+        if (isStuck || !isOpen)
+            reopen();
+    }
+
+    bool hasWaitingConnection() const
+    {
+        if (!isOpen)
+            return false;
+        pollfd listening{acceptor->native_handle(), POLLIN, 0};
+        return ::poll(&listening, 1, 0) > 0;
+    }
+
+    // Tried again at the next check if it fails.
+    void reopen()
+    {
+        if (isOpen)
+            logLine(LogPart::entry, LogLevel::error, "Listener stopped accepting, opened anew.",
+                    {{"listener", name}});
+        isOpen = false;
+        wasWaiting = false;
+        server.close_async(
+            [this] {
+                if (!isStopping)
+                    server.open_async([this] { isOpen = true; }, [](std::exception_ptr) {});
+            },
+            [](std::exception_ptr) {});
+    }
+
     asio::io_context &io;
+    const std::string name;
     const std::shared_ptr<ByteCount> heldBytes; // null if not counted
     std::atomic<bool> closeAfterResponse = false;
+    std::atomic<bool> isStopping = false;
+    std::atomic<bool> isOpen = true;
+    asio::steady_timer acceptTimer{io};
+    asio::ip::tcp::acceptor *acceptor = nullptr; // of the server, once it was opened
+    std::uint64_t acceptedBefore = 0;
+    bool wasWaiting = false;
     std::shared_ptr<ConnectionRegistry> m_connections = std::make_shared<ConnectionRegistry>();
     // Never destroyed. Connections that are still open are destroyed with the loop and then access
     // the server's connection limiter, which would be freed if the server were destroyed first. In
@@ -697,6 +764,7 @@
 
 void HttpServer::stopAccepting()
 {
+    m_d->isStopping = true;
     asio::post(m_d->io,
                [d = m_d.get()] { d->server.close_async([] {}, [](std::exception_ptr) {}); });
 }
