--- a/src/ibisnotch-entry.cc
+++ b/src/ibisnotch-entry.cc
@@ -1,5 +1,7 @@
 // One entry instance. Serves callers, peers and operators until SIGINT or SIGTERM, then completes
 // the requests in flight and exits.
+#include <malloc.h>
+
 #include <csignal>
 #include <cstdio>
 #include <memory>
@@ -18,6 +20,16 @@
 constexpr int exitInvalidSettings = 2;
 constexpr int exitStartFailed = 3;
 
+// Makes the allocator return large blocks to the system when they are freed. By default it keeps
+// blocks as large as the largest one that was ever freed: after a crowd, all of its bodies.
+void returnFreedMemory()
+{
+    constexpr int largeBlockBytes = 256 * 1024;
+    constexpr int freeBytesKept = 1024 * 1024;
+    mallopt(M_MMAP_THRESHOLD, largeBlockBytes);
+    mallopt(M_TRIM_THRESHOLD, freeBytesKept);
+}
+
 std::unique_ptr<InterfaceFactory> makeInterfaces(const ProcessSettings &settings)
 {
     if (settings.interfaces == Interfaces::platform)
@@ -87,6 +99,7 @@
         sigaddset(&signals, signal);
     pthread_sigmask(SIG_BLOCK, &signals, nullptr);
     (void)std::signal(SIGPIPE, SIG_IGN);
+    returnFreedMemory();
     startLog(settings->name, settings->logLevel);
     try {
         Instance instance(*settings, makeInterfaces(*settings));
