Closing connections are counted once; long pages wait for room; limits have tests

- While connections are about to be closed for memory, or for others, each further byte and each new connection looked at all of them again.
What is about to be closed is counted, so that the look is taken only if more has to go.
Nobody saw this; it is by reading, for 3,000 connections.
- A page above 64 KiB (/metrics of a large deployment) is refused while there is no room for it: its bytes are counted but no reader of pages is ended for slowness.

--- a/src/entry/gateway.cc
+++ b/src/entry/gateway.cc
@@ -17,6 +17,14 @@
 
 } // namespace
 
+HttpResponse withinBuffers(HttpResponse page, const BufferAccounts &buffers)
+{
+    const std::size_t size = page.body.size();
+    if (size <= buffers.limits().exchangeBytesWhenShort || buffers.accepts(size))
+        return page;
+    return {statusOf(ReceiveFault::memoryShort), {{"Retry-After", "1"}}, "overloaded\n"};
+}
+
 Gateway::Gateway(DispatchServices services, std::vector<HttpClient *> clients, PageHandler &pages,
                  bool forPeers)
     : m_state(services.state), m_services(services), m_clients(std::move(clients)), m_pages(pages),
@@ -31,7 +39,7 @@
         if (m_services.protocol.needsBackendServer(request, m_forPeers))
             serve(std::move(request), std::move(responder));
         else
-            responder->reply(m_pages.respond(request));
+            responder->reply(withinBuffers(m_pages.respond(request), m_state.buffers));
     } catch (const std::exception &error) {
         logLine(LogPart::entry, LogLevel::error, "Request handler threw an exception.",
                 {{"error", error.what()}});
--- a/src/entry/gateway.h
+++ b/src/entry/gateway.h
@@ -22,6 +22,10 @@
     virtual HttpResponse respond(const HttpRequest &request) = 0;
 };
 
+// Returns the page, or a refusal in place of a long one while there is no room for it: its reader
+// may be slow.
+HttpResponse withinBuffers(HttpResponse page, const BufferAccounts &buffers);
+
 // Serves pages, and checks and dispatches requests. An instance has one gateway for the callers'
 // port and one for the peers' port, which operators use as well.
 class Gateway final : public RequestHandler
--- a/src/entry/instance.cc
+++ b/src/entry/instance.cc
@@ -37,15 +37,19 @@
 class Instance::PageServer final : public RequestHandler
 {
 public:
-    explicit PageServer(std::unique_ptr<PageHandler> pages) : m_pages(std::move(pages)) { }
+    PageServer(std::unique_ptr<PageHandler> pages, const BufferAccounts &buffers)
+        : m_pages(std::move(pages)), m_buffers(buffers)
+    {
+    }
 
     void handle(HttpRequest request, std::shared_ptr<Responder> responder) override
     {
-        responder->reply(m_pages->respond(request));
+        responder->reply(withinBuffers(m_pages->respond(request), m_buffers));
     }
 
 private:
     std::unique_ptr<PageHandler> m_pages;
+    const BufferAccounts &m_buffers;
 };
 
 // Once this constructor has returned, an exception in the other one runs the destructor, which
@@ -88,7 +92,8 @@
                                                         m_receiveLog.get()});
     listen("peers", settings.peerAddress, *m_peerGateway);
     for (PagePort &port : m_interfaces->pagePorts(services)) {
-        m_pageServers.push_back(std::make_unique<PageServer>(std::move(port.pages)));
+        m_pageServers.push_back(
+            std::make_unique<PageServer>(std::move(port.pages), m_state.buffers));
         listen("pages", port.address, *m_pageServers.back());
     }
     // The callers' port is opened last, so that the other ports are open once it accepts.
--- a/src/net/receive-accounts.cc
+++ b/src/net/receive-accounts.cc
@@ -106,13 +106,16 @@
                                                     const asio::any_io_executor &executor)
 {
     std::shared_ptr<ReceiveGuard> guard;
+    bool isTooMany = false;
     {
         const std::lock_guard lock(m_mutex);
         const Listener &listener = m_listeners.at(socket.local_endpoint().port());
         guard = std::make_shared<ReceiveGuard>(*this, ++m_lastId, listener, socket, executor);
         m_guards.emplace(guard->id(), guard);
+        isTooMany = m_guards.size() > m_limits.maxConnections + m_closingConnections;
     }
-    makeRoomForConnections();
+    if (isTooMany)
+        makeRoomForConnections();
     return guard;
 }
 
@@ -130,10 +133,22 @@
         *count += after;
         *count -= before;
     }
-    if (after > before && m_receiving > m_limits.totalBytes)
+    if (after > before && m_receiving > m_limits.totalBytes + m_closingBytes)
         makeRoom();
 }
 
+void ReceiveAccounts::addClosing(std::size_t bytes)
+{
+    m_closingBytes += bytes;
+    ++m_closingConnections;
+}
+
+void ReceiveAccounts::removeClosing(std::size_t bytes)
+{
+    m_closingBytes -= bytes;
+    --m_closingConnections;
+}
+
 std::vector<std::shared_ptr<ReceiveGuard>> ReceiveAccounts::guards() const
 {
     const std::lock_guard lock(m_mutex);
--- a/src/net/receive-accounts.h
+++ b/src/net/receive-accounts.h
@@ -51,6 +51,9 @@
 
     // Changes what is held of requests that are being received.
     void changeReceiving(std::size_t before, std::size_t after);
+    // Count a connection that is about to be closed, and what its request holds.
+    void addClosing(std::size_t bytes);
+    void removeClosing(std::size_t bytes);
     // Reports a connection that was closed for a fault, with the response to it if it gets one.
     void report(const ReceiveGuard &guard, ReceiveFault fault, std::size_t heldBytes);
     // Sends the last response of a connection, and closes it once its client has had time to read.
@@ -81,6 +84,8 @@
     const std::size_t m_maxClosing;
     std::shared_ptr<std::atomic<std::size_t>> m_closing; // by closeAfter()
     std::atomic<std::size_t> m_receiving = 0;
+    std::atomic<std::size_t> m_closingBytes = 0;
+    std::atomic<std::size_t> m_closingConnections = 0;
     // Empty once the loop has stopped, as this object outlives it.
     std::optional<asio::steady_timer> m_timer;
     mutable std::mutex m_mutex; // guards all below
--- a/src/net/receive-guard.cc
+++ b/src/net/receive-guard.cc
@@ -49,7 +49,7 @@
     : m_accounts(accounts), m_id(id), m_listener(std::move(listener)), m_socket(&socket),
       m_executor(std::move(executor)), m_port(socket.local_endpoint().port()),
       m_remote(socket.remote_endpoint()), m_lastActivity(accounts.now()),
-      m_headBegan(accounts.now()), m_receiver(limits())
+      m_headBegan(accounts.now())
 {
     socket.non_blocking(true);
 }
@@ -167,7 +167,7 @@
     }
     m_head = m_receiver.takeHead();
     m_headDelivered = 0;
-    m_receiver.begin(limits());
+    m_receiver.begin({});
     m_state = ReceiveState::handling;
     setReceiving(0);
     deliver();
@@ -203,15 +203,19 @@
 
 void ReceiveGuard::requestClose(ReceiveFault fault)
 {
-    m_isClosing = true;
+    if (m_isClosing.exchange(true))
+        return;
+    m_closingBytes = m_receiving.load();
+    m_accounts.addClosing(m_closingBytes);
     asio::post(m_executor, [self = shared_from_this(), fault] { self->closeFor(fault); });
 }
 
 void ReceiveGuard::closeFor(ReceiveFault fault)
 {
+    if (m_isClosing.exchange(false))
+        m_accounts.removeClosing(m_closingBytes);
     // A request that became complete in the meantime is served.
-    m_isClosing = m_handler && m_socket != nullptr && m_state != ReceiveState::handling;
-    if (!m_isClosing)
+    if (!m_handler || m_socket == nullptr || m_state == ReceiveState::handling)
         return;
     m_accounts.report(*this, fault, m_receiving);
     if (isAnswered(m_state)) {
@@ -222,6 +226,7 @@
         m_accounts.closeAfter(std::move(socket), response);
     }
     m_socket = nullptr;
+    m_accounts.remove(*this);
     dropRequest();
     // RESTinio closes the connection as if its client had.
     complete(asio::error::eof, 0);
@@ -240,7 +245,7 @@
 
 void ReceiveGuard::dropRequest()
 {
-    m_receiver.begin(limits());
+    m_receiver.begin({});
     m_unparsed = {};
     setReceiving(0);
 }
--- a/src/net/receive-guard.h
+++ b/src/net/receive-guard.h
@@ -91,7 +91,8 @@
     std::atomic<std::size_t> m_receiving = 0; // bytes held of the request that is being received
     std::atomic<TimePoint> m_lastActivity;
     std::atomic<TimePoint> m_headBegan;
-    std::atomic<bool> m_isClosing = false;
+    std::atomic<bool> m_isClosing = false; // requestClose() is not done yet
+    std::atomic<std::size_t> m_closingBytes = 0; // what was held when it was called
 
     RequestReceiver m_receiver;
     std::string m_unparsed; // bytes that follow a complete request
--- a/src/net/request-receiver.h
+++ b/src/net/request-receiver.h
@@ -28,7 +28,7 @@
 class RequestReceiver
 {
 public:
-    explicit RequestReceiver(const MessageLimits &limits) : m_limits(limits) { begin(limits); }
+    explicit RequestReceiver(const MessageLimits &limits = {}) { begin(limits); }
     RequestReceiver(const RequestReceiver &) = delete;
     RequestReceiver &operator=(const RequestReceiver &) = delete;
 
--- a/test/config-test.cc
+++ b/test/config-test.cc
@@ -158,3 +158,14 @@
     CHECK(requestPriority(config.customers.at("free"), config.services.at("digest")) == 7);
     CHECK(requestPriority(config.customers.at("homed"), config.services.at("digest")) == 1);
 }
+
+TEST_CASE_METHOD(ConfigFixture, "validateDocument_limitsOfRequests_areRead")
+{
+    document.base.text += "limits: {maxBodyBytes: 4096, maxHeaderBytes: 2048, headerTimeout: 5s}\n";
+    const auto sites = validateDocument(document, nullptr);
+    REQUIRE(sites.ok());
+    const Limits &limits = sites->at("a").limits;
+    CHECK(limits.maxBodyBytes == 4096);
+    CHECK(limits.maxHeaderBytes == 2048);
+    CHECK(limits.headerTimeout == std::chrono::seconds(5));
+}
--- a/test/process-settings-test.cc
+++ b/test/process-settings-test.cc
@@ -65,3 +65,20 @@
               .find("is above totalBytes")
           != std::string::npos);
 }
+
+// Guards against listeners that together take the descriptors that connections to servers need.
+TEST_CASE("receiveLimits_fewDescriptors_leaveAThirdToOthers")
+{
+    ProcessSettings settings;
+    settings.buffers.totalBytes = 100U << 20;
+    CHECK(receiveLimits(settings, 1U << 20).totalBytes == 50U << 20);
+    CHECK(receiveLimits(settings, 1U << 20).maxConnections == 20000);
+    settings.maxConnections = 3000;
+    CHECK(receiveLimits(settings, 8192).maxConnections == 3000);
+    for (const std::size_t descriptors : {100U, 1024U, 4100U}) {
+        CAPTURE(descriptors);
+        CHECK(3 * receiveLimits(settings, descriptors).maxConnections <= 2 * descriptors);
+    }
+    CHECK(receiveLimits(settings, 4100).maxConnections > 2000);
+    CHECK(receiveLimits(settings, 10).maxConnections == 1);
+}
