Read as a newcomer: the watch on accepting has a file of its own; ports, not listeners

http-server.cc had grown by the watch; it is a class without RESTinio now. "Listener" is taken in the glossary (an instance that follows a relay), so metric, log line and code say port.

--- a/include/ibisnotch/http-server.h
+++ b/include/ibisnotch/http-server.h
@@ -74,9 +74,6 @@
     virtual HttpResponse refuse(ReceiveFault fault, const Headers &fields);
 };
 
-// Returns the HTTP status that says so.
-int statusOf(ReceiveFault fault);
-
 struct HttpServerSettings
 {
     std::string address = "127.0.0.1";
@@ -97,9 +94,9 @@
 // A connection that was closed by the process, and why.
 struct ClosedConnection
 {
-    std::string listener;
-    std::string address; // of the client
-    std::uint16_t port = 0;
+    std::string portName;
+    std::string clientAddress;
+    std::uint16_t clientPort = 0;
     ReceiveFault fault = ReceiveFault::none;
     std::size_t heldBytes = 0; // of its request
     std::size_t totalBytes = 0; // of all requests that were being received
--- a/include/ibisnotch/metrics.h
+++ b/include/ibisnotch/metrics.h
@@ -55,8 +55,8 @@
     void onRoomRefusal(std::string_view cause, int priority);
     // Counts an exchange that ended because its reader, the caller or a server, is too slow.
     void onSlowReaderEnded(std::string_view reader);
-    // Counts a connection that this instance closed, by its listener and the fault of its client.
-    void onConnectionClosed(std::string_view listener, std::string_view fault);
+    // Counts a connection that this instance closed, by its port and the fault of its client.
+    void onConnectionClosed(std::string_view port, std::string_view fault);
     // Counts a response that was not read from its server for long, as its caller reads slowly.
     void onResponsePaused();
     void setGauge(const std::string &name, double value);
--- a/include/ibisnotch/process-settings.h
+++ b/include/ibisnotch/process-settings.h
@@ -77,7 +77,7 @@
     // than this might not finish before the process is killed.
     Duration drainAcceptTime{};
     int workers = 2;
-    int maxConnections = 20000; // of all listeners together
+    int maxConnections = 20000; // of all ports together
     Duration idleTimeout = std::chrono::seconds(60);
     // Time for which a stopping instance waits for running requests.
     Duration drainTime = std::chrono::seconds(120);
--- a/include/ibisnotch/receive-limits.h
+++ b/include/ibisnotch/receive-limits.h
@@ -59,11 +59,14 @@
 // Returns the name used in metrics and logs.
 std::string_view receiveFaultName(ReceiveFault fault);
 
+// Returns the HTTP status of the response to a request that ends with the fault.
+int statusOf(ReceiveFault fault);
+
 // One connection as the process sees it at a moment.
 struct ReceiveSample
 {
     std::uint64_t id = 0;
-    std::uint16_t port = 0; // of the listener
+    std::uint16_t port = 0; // on which it was accepted
     ReceiveState state = ReceiveState::unused;
     std::size_t heldBytes = 0; // of the request that is being received
     Duration silence{}; // since the last byte, or since the last response
@@ -84,7 +87,7 @@
                                            std::size_t totalBytes);
 
 // Returns up to `count` connections to close so that others can be accepted. They are taken from
-// the listener that has most connections, the longest silence first; silence within a request, or
+// the port that has most connections, the longest silence first; silence within a request, or
 // before the first one, weighs more, as others reuse idle connections. Never those whose request is
 // being handled.
 std::vector<std::uint64_t> chooseForConnections(std::span<const ReceiveSample> samples,
--- a/src/decide/receive-limits.cc
+++ b/src/decide/receive-limits.cc
@@ -31,7 +31,7 @@
     return owesBytes ? owingWeight * sample.silence : sample.silence;
 }
 
-std::uint16_t findFullestListener(std::span<const ReceiveSample> samples)
+std::uint16_t findFullestPort(std::span<const ReceiveSample> samples)
 {
     std::map<std::uint16_t, std::size_t> counts;
     for (const ReceiveSample &sample : samples)
@@ -69,6 +69,27 @@
     return "none";
 }
 
+int statusOf(ReceiveFault fault)
+{
+    switch (fault) {
+    case ReceiveFault::malformed:
+        return 400;
+    case ReceiveFault::headTooLarge:
+        return 431;
+    case ReceiveFault::bodyTooLarge:
+        return 413;
+    case ReceiveFault::headTimeout:
+    case ReceiveFault::bodyTimeout:
+    case ReceiveFault::idleTimeout:
+        return 408;
+    case ReceiveFault::none:
+    case ReceiveFault::memoryShort:
+    case ReceiveFault::connectionsShort:
+        return 503;
+    }
+    return 503;
+}
+
 ReceiveFault findTimeout(ReceiveState state, Duration sinceHeadBegan, Duration silence,
                          const MessageLimits &limits)
 {
@@ -121,7 +142,7 @@
 std::vector<std::uint64_t> chooseForConnections(std::span<const ReceiveSample> samples,
                                                 std::size_t count)
 {
-    const std::uint16_t port = findFullestListener(samples);
+    const std::uint16_t port = findFullestPort(samples);
     std::vector<ReceiveSample> candidates;
     for (const ReceiveSample &sample : samples) {
         if (sample.port == port && sample.state != ReceiveState::handling)
--- a/src/entry/receive-log.cc
+++ b/src/entry/receive-log.cc
@@ -7,12 +7,12 @@
 void ReceiveLog::onConnectionClosed(const ClosedConnection &connection)
 {
     const std::string fault(receiveFaultName(connection.fault));
-    m_metrics.onConnectionClosed(connection.listener, fault);
+    m_metrics.onConnectionClosed(connection.portName, fault);
     // Idle connections are closed all the time.
     const bool isOrdinary = connection.fault == ReceiveFault::idleTimeout;
     logLine(LogPart::request, isOrdinary ? LogLevel::debug : LogLevel::warn, "Connection closed.",
-            {{"listener", connection.listener},
-             {"client", connection.address + ":" + std::to_string(connection.port)},
+            {{"port", connection.portName},
+             {"client", connection.clientAddress + ":" + std::to_string(connection.clientPort)},
              {"fault", fault},
              {"heldBytes", std::to_string(connection.heldBytes)},
              {"totalBytes", std::to_string(connection.totalBytes)},
--- a/src/net/http-server.cc
+++ b/src/net/http-server.cc
@@ -1,7 +1,5 @@
 #include "ibisnotch/http-server.h"
 
-#include <poll.h>
-
 #include <atomic>
 #include <deque>
 #include <future>
@@ -13,7 +11,7 @@
 
 #include <restinio/all.hpp>
 
-#include "ibisnotch/log.h"
+#include "accept-watch.h"
 #include "receive-accounts.h"
 #include "receive-guard.h"
 
@@ -89,7 +87,6 @@
 // slowly, so they are bounded. This is enough for 1 MB/s over a round trip of 100 ms.
 constexpr int sendBufferBytes = 128 * 1024;
 
-constexpr auto acceptCheckInterval = std::chrono::milliseconds(500);
 constexpr auto unlimitedTime = std::chrono::hours(24 * 365);
 
 // Returns what to call when the last byte of a response was sent.
@@ -322,6 +319,8 @@
 class ConnectionRegistry
 {
 public:
+    explicit ConnectionRegistry(AcceptWatch &acceptWatch) : m_acceptWatch(acceptWatch) { }
+
     void add(restinio::connection_id_t id, const std::shared_ptr<ResponseState> &state)
     {
         const std::lock_guard lock(m_mutex);
@@ -338,9 +337,6 @@
         senders.push_back(sender);
     }
 
-    // Returns the number of connections accepted so far.
-    std::uint64_t accepted() const { return m_accepted; }
-
     void dropSenders()
     {
         Senders senders;
@@ -352,7 +348,7 @@
     state_changed(const restinio::connection_state::notice_t &notice) // NOLINT: RESTinio's name
     {
         if (std::holds_alternative<restinio::connection_state::accepted_t>(notice.cause()))
-            ++m_accepted;
+            m_acceptWatch.onAccepted();
         if (!std::holds_alternative<restinio::connection_state::closed_t>(notice.cause()))
             return;
         std::vector<std::weak_ptr<ResponseState>> states;
@@ -379,7 +375,7 @@
     using Senders
         = std::unordered_map<restinio::connection_id_t, std::vector<std::shared_ptr<PacedSender>>>;
 
-    std::atomic<std::uint64_t> m_accepted = 0;
+    AcceptWatch &m_acceptWatch;
     std::mutex m_mutex;
     std::unordered_map<restinio::connection_id_t, std::vector<std::weak_ptr<ResponseState>>>
         m_states;
@@ -584,27 +580,6 @@
     m_d->stop();
 }
 
-int statusOf(ReceiveFault fault)
-{
-    switch (fault) {
-    case ReceiveFault::malformed:
-        return 400;
-    case ReceiveFault::headTooLarge:
-        return 431;
-    case ReceiveFault::bodyTooLarge:
-        return 413;
-    case ReceiveFault::headTimeout:
-    case ReceiveFault::bodyTimeout:
-    case ReceiveFault::idleTimeout:
-        return 408;
-    case ReceiveFault::none:
-    case ReceiveFault::memoryShort:
-    case ReceiveFault::connectionsShort:
-        return 503;
-    }
-    return 503;
-}
-
 HttpResponse RequestHandler::refuse(ReceiveFault fault, const Headers &)
 {
     return {statusOf(fault), {}, std::string(receiveFaultName(fault)) + "\n"};
@@ -614,19 +589,22 @@
 {
 public:
     Private(const HttpServerSettings &settings, RequestHandler &handler, HttpLoop::Private &loop)
-        : io(loop.io), name(settings.name), heldBytes(settings.heldBytes),
+        : io(loop.io), heldBytes(settings.heldBytes),
+          acceptWatch(loop.io, settings.name,
+                      [this](const std::function<void()> &opened) { reopen(opened); }),
+          m_connections(std::make_shared<ConnectionRegistry>(acceptWatch)),
           server(*new restinio::http_server_t<ServerTraits>(
               restinio::external_io_context(loop.io),
               [&](restinio::server_settings_t<ServerTraits> &to) {
                   configure(to, settings, handler);
               }))
     {
-        loop.accounts->addListener(settings.port, {settings.name, &handler, settings.limits});
+        loop.accounts->addPort(settings.port, {settings.name, &handler, settings.limits});
         std::promise<void> opened;
         server.open_async([&opened] { opened.set_value(); },
                           [&opened](std::exception_ptr error) { opened.set_exception(error); });
         opened.get_future().get();
-        scheduleAcceptCheck();
+        acceptWatch.start();
     }
 
     // No thread uses the connections any more, but their senders refer to them.
@@ -659,7 +637,8 @@
             if (heldBytes)
                 options.set_option(asio::socket_base::send_buffer_size{sendBufferBytes}, ignored);
         });
-        to.acceptor_post_bind_hook([this](asio::ip::tcp::acceptor &opened) { acceptor = &opened; });
+        to.acceptor_post_bind_hook(
+            [this](asio::ip::tcp::acceptor &opened) { acceptWatch.setAcceptor(opened); });
         to.acceptor_options_setter([](restinio::acceptor_options_t &options) {
             options.set_option(asio::ip::tcp::acceptor::reuse_address(true));
         });
@@ -684,69 +663,25 @@
         });
     }
 
-    void scheduleAcceptCheck()
-    {
-        acceptTimer.expires_after(acceptCheckInterval);
-        acceptTimer.async_wait([this](const asio::error_code &error) {
-            if (error || isStopping)
-                return;
-            checkAccepting();
-            scheduleAcceptCheck();
-        });
-    }
-
-    // RESTinio doesn't accept again once an accept has failed, as it does while the process has no
-    // descriptor left. Connections that wait for two checks while none is accepted show that.
-    void checkAccepting()
-    {
-        const std::uint64_t accepted = m_connections->accepted();
-        const bool isWaiting = hasWaitingConnection();
-        const bool isStuck = isWaiting && wasWaiting && accepted == acceptedBefore;
-        wasWaiting = isWaiting;
-        acceptedBefore = accepted;
-        if (isStuck || !isOpen)
-            reopen();
-    }
-
-    bool hasWaitingConnection() const
-    {
-        if (!isOpen)
-            return false;
-        pollfd listening{acceptor->native_handle(), POLLIN, 0};
-        return ::poll(&listening, 1, 0) > 0;
-    }
-
-    // Tried again at the next check if it fails.
-    void reopen()
+    void reopen(const std::function<void()> &opened)
     {
-        if (isOpen)
-            logLine(LogPart::entry, LogLevel::error, "Listener stopped accepting, opened anew.",
-                    {{"listener", name}});
-        isOpen = false;
-        wasWaiting = false;
         server.close_async(
-            [this] {
-                if (!isStopping)
-                    server.open_async([this] { isOpen = true; }, [](std::exception_ptr) {});
+            [this, opened] {
+                if (!acceptWatch.isStopped())
+                    server.open_async(opened, [](std::exception_ptr) {});
             },
             [](std::exception_ptr) {});
     }
 
     asio::io_context &io;
-    const std::string name;
     const std::shared_ptr<ByteCount> heldBytes; // null if not counted
     std::atomic<bool> closeAfterResponse = false;
-    std::atomic<bool> isStopping = false;
-    std::atomic<bool> isOpen = true;
-    asio::steady_timer acceptTimer{io};
-    asio::ip::tcp::acceptor *acceptor = nullptr; // of the server, once it was opened
-    std::uint64_t acceptedBefore = 0;
-    bool wasWaiting = false;
-    std::shared_ptr<ConnectionRegistry> m_connections = std::make_shared<ConnectionRegistry>();
-    // Never destroyed. Connections that are still open are destroyed with the loop and then access
-    // the server's connection limiter, which would be freed if the server were destroyed first. In
-    // the other order, the server's acceptor would access a freed loop. The leak is bounded, since
-    // a process has few servers and uses them until it ends.
+    AcceptWatch acceptWatch;
+    const std::shared_ptr<ConnectionRegistry> m_connections;
+    // Never destroyed. Connections that are still open are destroyed with the loop and may access
+    // the server, which must not be freed before. In the other order, the server's acceptor would
+    // access a freed loop. The leak is bounded, since a process has few servers and uses them until
+    // it ends.
     restinio::http_server_t<ServerTraits> &server;
 };
 
@@ -764,7 +699,7 @@
 
 void HttpServer::stopAccepting()
 {
-    m_d->isStopping = true;
+    m_d->acceptWatch.stop();
     asio::post(m_d->io,
                [d = m_d.get()] { d->server.close_async([] {}, [](std::exception_ptr) {}); });
 }
--- a/src/net/metrics.cc
+++ b/src/net/metrics.cc
@@ -101,7 +101,7 @@
     std::atomic<std::uint64_t> m_sharedTokensKept = 0;
     std::map<std::string, std::uint64_t> m_slowReaders; // counts by reader
     std::map<std::pair<std::string, std::string>, std::uint64_t>
-        m_closedConnections; // counts by listener and fault
+        m_closedConnections; // counts by port and fault
     std::atomic<std::uint64_t> m_responsesPaused = 0;
 };
 
@@ -164,10 +164,10 @@
     ++m_d->m_slowReaders[std::string(reader)];
 }
 
-void Metrics::onConnectionClosed(std::string_view listener, std::string_view fault)
+void Metrics::onConnectionClosed(std::string_view port, std::string_view fault)
 {
     const std::lock_guard lock(m_d->m_mutex);
-    ++m_d->m_closedConnections[{std::string(listener), std::string(fault)}];
+    ++m_d->m_closedConnections[{std::string(port), std::string(fault)}];
 }
 
 void Metrics::onResponsePaused()
@@ -222,9 +222,8 @@
         out += fmt::format("ibisnotch_slow_readers_ended_total{{reader=\"{}\"}} {}\n", reader,
                            count);
     for (const auto &[key, count] : m_d->m_closedConnections)
-        out += fmt::format(
-            "ibisnotch_connections_closed_total{{listener=\"{}\",fault=\"{}\"}} {}\n", key.first,
-            key.second, count);
+        out += fmt::format("ibisnotch_connections_closed_total{{port=\"{}\",fault=\"{}\"}} {}\n",
+                           key.first, key.second, count);
     for (const auto &[end, count] : m_d->m_attempts)
         out += fmt::format("ibisnotch_attempts_total{{end=\"{}\"}} {}\n", end, count);
     for (const auto &[knownBy, count] : m_d->m_continued)
--- a/src/net/receive-accounts.cc
+++ b/src/net/receive-accounts.cc
@@ -96,10 +96,10 @@
     scheduleCheck();
 }
 
-void ReceiveAccounts::addListener(std::uint16_t port, Listener listener)
+void ReceiveAccounts::addPort(std::uint16_t number, ServedPort port)
 {
     const std::lock_guard lock(m_mutex);
-    m_listeners[port] = std::move(listener);
+    m_ports[number] = std::move(port);
 }
 
 std::shared_ptr<ReceiveGuard> ReceiveAccounts::open(asio::ip::tcp::socket &socket,
@@ -109,8 +109,8 @@
     bool isTooMany = false;
     {
         const std::lock_guard lock(m_mutex);
-        const Listener &listener = m_listeners.at(socket.local_endpoint().port());
-        guard = std::make_shared<ReceiveGuard>(*this, ++m_lastId, listener, socket, executor);
+        const ServedPort &port = m_ports.at(socket.local_endpoint().port());
+        guard = std::make_shared<ReceiveGuard>(*this, ++m_lastId, port, socket, executor);
         m_guards.emplace(guard->id(), guard);
         isTooMany = m_guards.size() > m_limits.maxConnections + m_closingConnections;
     }
@@ -211,7 +211,7 @@
     if (m_observer == nullptr)
         return;
     const ReceiveSample sample = guard.sample(now());
-    m_observer->onConnectionClosed({guard.listener().name, guard.remote().address().to_string(),
+    m_observer->onConnectionClosed({guard.servedPort().name, guard.remote().address().to_string(),
                                     guard.remote().port(), fault, heldBytes, m_receiving,
                                     sample.silence});
 }
--- a/src/net/receive-accounts.h
+++ b/src/net/receive-accounts.h
@@ -1,4 +1,4 @@
-// All connections of a process to its listeners: what is being received on them, and which of them
+// All connections to the ports of a process: what is being received on them, and which of them
 // are closed when that is too much, takes too long or leaves no room for others.
 #pragma once
 
@@ -26,7 +26,7 @@
 
 class ReceiveGuard;
 
-struct Listener
+struct ServedPort
 {
     std::string name;
     RequestHandler *handler = nullptr;
@@ -42,7 +42,7 @@
     ReceiveAccounts &operator=(const ReceiveAccounts &) = delete;
 
     // Must be called before the port accepts connections.
-    void addListener(std::uint16_t port, Listener listener);
+    void addPort(std::uint16_t number, ServedPort port);
 
     // Opens the account of a new connection. Closes others if there are too many.
     std::shared_ptr<ReceiveGuard> open(asio::ip::tcp::socket &socket,
@@ -89,7 +89,7 @@
     // Empty once the loop has stopped, as this object outlives it.
     std::optional<asio::steady_timer> m_timer;
     mutable std::mutex m_mutex; // guards all below
-    std::map<std::uint16_t, Listener> m_listeners;
+    std::map<std::uint16_t, ServedPort> m_ports;
     Guards m_guards;
     std::uint64_t m_lastId = 0;
 };
--- a/src/net/receive-guard.cc
+++ b/src/net/receive-guard.cc
@@ -44,9 +44,9 @@
 
 } // namespace
 
-ReceiveGuard::ReceiveGuard(ReceiveAccounts &accounts, std::uint64_t id, Listener listener,
+ReceiveGuard::ReceiveGuard(ReceiveAccounts &accounts, std::uint64_t id, ServedPort port,
                            asio::ip::tcp::socket &socket, asio::any_io_executor executor)
-    : m_accounts(accounts), m_id(id), m_listener(std::move(listener)), m_socket(&socket),
+    : m_accounts(accounts), m_id(id), m_servedPort(std::move(port)), m_socket(&socket),
       m_executor(std::move(executor)), m_port(socket.local_endpoint().port()),
       m_remote(socket.remote_endpoint()), m_lastActivity(accounts.now()),
       m_headBegan(accounts.now())
@@ -62,7 +62,7 @@
 
 MessageLimits ReceiveGuard::limits() const
 {
-    return m_listener.handler->messageLimits().value_or(m_listener.limits);
+    return m_servedPort.handler->messageLimits().value_or(m_servedPort.limits);
 }
 
 std::shared_ptr<ReceiveGuard> ReceiveGuard::current()
@@ -234,7 +234,7 @@
 
 std::string ReceiveGuard::responseTo(ReceiveFault fault) const
 {
-    const HttpResponse response = m_listener.handler->refuse(fault, m_receiver.fieldsSoFar());
+    const HttpResponse response = m_servedPort.handler->refuse(fault, m_receiver.fieldsSoFar());
     std::string text = fmt::format("HTTP/1.1 {} Refused\r\n", response.status);
     for (const auto &[name, value] : response.headers.fields())
         text += fmt::format("{}: {}\r\n", name, value);
--- a/src/net/receive-guard.h
+++ b/src/net/receive-guard.h
@@ -32,7 +32,7 @@
 public:
     using ReadHandler = std::function<void(const asio::error_code &, std::size_t)>;
 
-    ReceiveGuard(ReceiveAccounts &accounts, std::uint64_t id, Listener listener,
+    ReceiveGuard(ReceiveAccounts &accounts, std::uint64_t id, ServedPort port,
                  asio::ip::tcp::socket &socket, asio::any_io_executor executor);
     ~ReceiveGuard();
     ReceiveGuard(const ReceiveGuard &) = delete;
@@ -59,7 +59,7 @@
     void release() { m_handler = {}; }
 
     std::uint64_t id() const { return m_id; }
-    const Listener &listener() const { return m_listener; }
+    const ServedPort &servedPort() const { return m_servedPort; }
     const asio::ip::tcp::endpoint &remote() const { return m_remote; }
 
 private:
@@ -81,7 +81,7 @@
 
     ReceiveAccounts &m_accounts;
     const std::uint64_t m_id;
-    const Listener m_listener;
+    const ServedPort m_servedPort;
     asio::ip::tcp::socket *m_socket; // null once it was closed
     const asio::any_io_executor m_executor;
     const std::uint16_t m_port;
--- a/test/crowd-fleet-test.cc
+++ b/test/crowd-fleet-test.cc
@@ -176,7 +176,7 @@
     meet({100, withoutLastByte(chunkedRequest(maxBodyBytes, [] { return 64 * 1024; }))});
 }
 
-// Guards against bodies that are read to the listener's own limit, far above the configured one.
+// Guards against bodies that are read to the port's own limit, far above the configured one.
 TEST_CASE_METHOD(CrowdFixture, "instance_crowdSendsChunkedBodiesAboveTheLimit_staysWithinItsMemory")
 {
     const std::string begin = head("Transfer-Encoding: chunked\r\n");
@@ -222,13 +222,13 @@
     meet({100, head("Transfer-Encoding: chunked\r\n") + "0\r\n" + shortFields(70 * 1024)});
 }
 
-// Guards against a listener that isn't limited as the callers' one is.
+// Guards against a port that isn't limited as the callers' one is.
 TEST_CASE_METHOD(CrowdFixture, "instance_crowdUsesThePortOfPeers_staysWithinItsMemory")
 {
     meet(fleet.peers("a1"), {100, withoutLastByte(wholeRequest(maxBodyBytes))});
 }
 
-// Guards against a listener that accepts nobody while all its connections are taken by clients that
+// Guards against a port that accepts nobody while all its connections are taken by clients that
 // send nothing.
 TEST_CASE_METHOD(CrowdFixture, "instance_silentCrowdTakesAllConnections_answersOthers")
 {
@@ -255,7 +255,7 @@
     checkInstance();
 }
 
-// Guards against a listener that takes each connection for its own that is reset before it is
+// Guards against a port that takes each connection for its own that is reset before it is
 // accepted, and accepts nobody once it counts as many as it may have.
 TEST_CASE_METHOD(CrowdFixture, "instance_crowdResetsItsConnections_answersOthers")
 {
@@ -283,7 +283,7 @@
     meet(fleet.address("a1", 2), {2 * maxConnections, ""});
 }
 
-// Guards against a listener that never accepts again once an accept has failed.
+// Guards against a port that never accepts again once an accept has failed.
 TEST_CASE_METHOD(CrowdFixture, "instance_descriptorsRunOutForAWhile_answersOthers")
 {
     {
@@ -318,7 +318,7 @@
 
 } // namespace
 
-// Guards against a listener that never accepts again once the process has had no descriptor left,
+// Guards against a port that never accepts again once the process has had no descriptor left,
 // also after the crowd has gone.
 TEST_CASE_METHOD(FewDescriptorsFixture, "instance_crowdTakesAllDescriptors_answersOthers")
 {
--- a/test/receive-limits-test.cc
+++ b/test/receive-limits-test.cc
@@ -117,8 +117,8 @@
     CHECK(chooseForConnections(samples, 3) == std::vector<std::uint64_t>{6});
 }
 
-// Guards against a crowd at one listener that closes the connections of another.
-TEST_CASE_METHOD(ReceivingFixture, "chooseForConnections_crowdAtOneListener_paysItself")
+// Guards against a crowd at one port that closes the connections of another.
+TEST_CASE_METHOD(ReceivingFixture, "chooseForConnections_crowdAtOnePort_paysItself")
 {
     add(3, 0, 30s, ReceiveState::idle, 1);
     add(8, 0, 1s, ReceiveState::unused, 2);
