Lists in messages of peers are no longer than the bytes that follow

What was seen: one datagram with a right checksum and a list's length of 4 million takes 1.09 GB, bound 80 MiB (instance_datagramsAnnounceLongLists_staysWithinItsMemory, new, failed on the untouched product; with a larger number the process would be killed).

Cause: cereal makes room for as many entries as the length says, before it reads the first one; the checksum, which is the sender's, guards against damage only.

Now messages are read by an archive of the same format that refuses a length above the number of bytes left, as each entry takes one at least.

--- a/src/net/peer-link.cc
+++ b/src/net/peer-link.cc
@@ -25,6 +25,7 @@
 #include <cereal/types/utility.hpp>
 #include <cereal/types/vector.hpp>
 
+#include "bounded-archive.h"
 #include "ibisnotch/hash.h"
 
 namespace ibisnotch {
@@ -154,16 +155,14 @@
 
 template <typename Message> std::optional<Message> decode(const std::string &bytes)
 {
-    // The checksum is verified before decoding: with a damaged length field, cereal would reserve
-    // gigabytes before it finds that the bytes are missing.
+    // The checksum shows damage on the way. Lengths are checked as well: the sender may be anyone.
     if (bytes.size() < checksumBytes)
         return std::nullopt;
-    const std::string body = bytes.substr(checksumBytes);
+    const std::string_view body = std::string_view(bytes).substr(checksumBytes);
     if (checksumOf(body) != bytes.substr(0, checksumBytes))
         return std::nullopt;
     try {
-        std::istringstream in(body, std::ios::binary);
-        cereal::PortableBinaryInputArchive archive(in);
+        BoundedInputArchive archive(body);
         Message message;
         serializeFields(archive, message);
         return message;
--- a/test/crowd-fleet-test.cc
+++ b/test/crowd-fleet-test.cc
@@ -1,10 +1,13 @@
 // Crowds of clients that stay outside the limits, or that stop inside them, against a real process:
 // it lives, keeps to its memory and its descriptors, and answers an ordinary caller.
 #include <csignal>
+#include <cstring>
 #include <functional>
+#include <thread>
 
 #include <asio/buffer.hpp>
 #include <asio/ip/tcp.hpp>
+#include <asio/ip/udp.hpp>
 #include <asio/read.hpp>
 #include <asio/write.hpp>
 
@@ -13,6 +16,7 @@
 
 #include "crowd.h"
 #include "fleet.h"
+#include "ibisnotch/peer-link.h"
 
 using namespace ibisnotch;
 
@@ -277,6 +281,29 @@
     meet(fleet.address("a1", 2), {40, almostEightMebibytes});
 }
 
+// Guards against a datagram of a few hundred bytes for whose lists, by the number of entries that
+// it announces, gigabytes are set aside: the checksum is right, as it is the sender's.
+TEST_CASE_METHOD(CrowdFixture, "instance_datagramsAnnounceLongLists_staysWithinItsMemory")
+{
+    constexpr std::uint64_t entries = 1U << 22;
+    constexpr std::size_t checksumBytes = 8;
+    GossipMessage message;
+    message.probe.sender.name = "a9";
+    const std::string body = encodeGossip(message).substr(checksumBytes);
+    asio::io_context io;
+    asio::ip::udp::socket socket(io, asio::ip::udp::v4());
+    const Address address = *parseAddress(fleet.address("a1", 2));
+    const asio::ip::udp::endpoint instance(asio::ip::make_address(address.host), address.port);
+    // One after the other, each of these bytes may be the first one of a list's length.
+    for (std::size_t at = 0; at + sizeof entries <= body.size(); ++at) {
+        std::string changed = body;
+        std::memcpy(changed.data() + at, &entries, sizeof entries);
+        socket.send_to(asio::buffer(withChecksum(changed)), instance);
+        std::this_thread::sleep_for(std::chrono::milliseconds(2));
+    }
+    checkInstance();
+}
+
 // Guards against silent connections at that port, which are counted nowhere.
 TEST_CASE_METHOD(CrowdFixture, "instance_silentCrowdAtThePortOfGossip_keepsToItsDescriptors")
 {
