What follows a request in progress is counted, and an exception ends one connection

- Bytes that follow a request in progress were kept up to 16 KiB a connection and counted nowhere: 48 MB for 3,000 connections.

--- a/src/net/receive-guard.cc
+++ b/src/net/receive-guard.cc
@@ -7,6 +7,8 @@
 #include <asio/post.hpp>
 #include <fmt/format.h>
 
+#include "ibisnotch/log.h"
+
 namespace ibisnotch {
 
 namespace {
@@ -15,7 +17,7 @@
 constexpr std::size_t readBytes = 16 * 1024;
 // While a response is in progress, its connection is read on, as that shows when its client leaves.
 // What it sends meanwhile is not parsed, and only so much of it is taken.
-constexpr std::size_t readAheadBytes = 16 * 1024;
+constexpr std::size_t readAheadBytes = 4 * 1024;
 // What a head takes up to this size belongs to the fixed cost of a connection.
 constexpr std::size_t ordinaryHeadCost = 4 * 1024;
 
@@ -49,7 +51,7 @@
     : m_accounts(accounts), m_id(id), m_servedPort(std::move(port)), m_socket(&socket),
       m_executor(std::move(executor)), m_port(socket.local_endpoint().port()),
       m_remote(socket.remote_endpoint()), m_lastActivity(accounts.now()),
-      m_headBegan(accounts.now())
+      m_headBegan(accounts.now()), m_heldUnparsed(accounts.heldBytes())
 {
     socket.non_blocking(true);
 }
@@ -89,6 +91,11 @@
 }
 
 void ReceiveGuard::proceed()
+{
+    endOnException([this] { handOverOrWait(); });
+}
+
+void ReceiveGuard::handOverOrWait()
 {
     if (!m_handler || m_socket == nullptr)
         return;
@@ -96,13 +103,14 @@
         return deliver();
     if (m_state == ReceiveState::handling || m_unparsed.empty())
         return waitForBytes();
-    parse(std::exchange(m_unparsed, {}));
+    const std::string bytes = std::exchange(m_unparsed, {});
+    m_heldUnparsed.set(0);
+    parse(bytes);
 }
 
 void ReceiveGuard::waitForBytes()
 {
-    const bool isFull = m_unparsed.size() >= readAheadBytes;
-    if (m_isWaiting || isFull || m_socket == nullptr)
+    if (m_isWaiting || hasReadAhead() || m_socket == nullptr)
         return;
     m_isWaiting = true;
     m_socket->async_wait(
@@ -119,24 +127,46 @@
         return;
     if (error || m_socket == nullptr)
         return complete(error ? error : asio::error::operation_aborted, 0);
-    receive();
+    if (!hasReadAhead())
+        endOnException([this] { receive(); });
+}
+
+bool ReceiveGuard::hasReadAhead() const
+{
+    return m_unparsed.size() >= readAheadBytes;
+}
+
+// An exception, as for want of memory, ends the connection and not the process.
+template <typename Task> void ReceiveGuard::endOnException(const Task &task)
+{
+    try {
+        task();
+    } catch (const std::exception &error) {
+        logLine(LogPart::entry, LogLevel::error, "Request could not be received.",
+                {{"port", m_servedPort.name}, {"error", error.what()}});
+        dropRequest();
+        if (m_handler)
+            complete(asio::error::connection_aborted, 0);
+    }
 }
 
 void ReceiveGuard::receive()
 {
     static thread_local std::array<char, readBytes> buffer;
     asio::error_code error;
-    const std::size_t size = m_socket->read_some(asio::buffer(buffer), error);
+    const bool isAhead = m_state == ReceiveState::handling;
+    const std::size_t most = isAhead ? readAheadBytes - m_unparsed.size() : readBytes;
+    const std::size_t size = m_socket->read_some(asio::buffer(buffer, most), error);
     if (error == asio::error::would_block)
         return waitForBytes();
     if (error)
         return complete(error, 0);
     touch();
-    if (m_state == ReceiveState::handling) {
-        m_unparsed.append(buffer.data(), size);
-        return waitForBytes();
-    }
-    parse({buffer.data(), size});
+    if (!isAhead)
+        return parse({buffer.data(), size});
+    m_unparsed.append(buffer.data(), size);
+    m_heldUnparsed.set(m_unparsed.size());
+    waitForBytes();
 }
 
 void ReceiveGuard::parse(std::string_view bytes)
@@ -151,6 +181,7 @@
         return closeFor(m_receiver.fault());
     if (m_receiver.isComplete()) {
         m_unparsed.assign(bytes.substr(taken));
+        m_heldUnparsed.set(m_unparsed.size());
         return handOver();
     }
     setReceiving(countedHeadCost(m_receiver.headCost()) + m_receiver.bodyBytes());
@@ -247,6 +278,7 @@
 {
     m_receiver.begin({});
     m_unparsed = {};
+    m_heldUnparsed.set(0);
     setReceiving(0);
 }
 
--- a/src/net/receive-guard.h
+++ b/src/net/receive-guard.h
@@ -65,7 +65,11 @@
 private:
     // Goes on with what is due: handing over, parsing or waiting for bytes.
     void proceed();
+    void handOverOrWait();
+    template <typename Task> void endOnException(const Task &task);
     void waitForBytes();
+    // Returns whether as much was read as may be kept unparsed.
+    bool hasReadAhead() const;
     void onReadable(const asio::error_code &error);
     void receive();
     void parse(std::string_view bytes);
@@ -96,6 +100,7 @@
 
     RequestReceiver m_receiver;
     std::string m_unparsed; // bytes that follow a complete request
+    HeldBytes m_heldUnparsed;
     std::string m_head; // to be handed over
     std::size_t m_headDelivered = 0;
     ReceivedRequest m_request;
