What a refused client still sends is read up to 1 MiB

Reading and dropping it for two seconds costs processor time as long as the client sends at full speed; its answer is there after the first bytes.

--- a/src/net/receive-accounts.cc
+++ b/src/net/receive-accounts.cc
@@ -18,6 +18,8 @@
 // Time for which a client whose request isn't read to its end may still send, and read the
 // response. A connection that is closed with unread bytes is reset, which may cost the response.
 constexpr auto closingTime = std::chrono::seconds(2);
+// What such a client may send; reading it costs processor time.
+constexpr std::size_t maxDroppedBytes = 1U << 20;
 // Share of the connections that may be in that state beside the others.
 constexpr std::size_t closingShare = 16;
 
@@ -57,22 +59,23 @@
                 m_strand, [self = shared_from_this()](const auto &error, std::size_t) {
                     asio::error_code ignored;
                     self->m_socket.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
-                    self->onRead(error);
+                    self->onRead(error, 0);
                 }));
     }
 
 private:
-    void onRead(const asio::error_code &error)
+    void onRead(const asio::error_code &error, std::size_t size)
     {
-        if (error) {
+        m_dropped += size;
+        if (error || m_dropped > maxDroppedBytes) {
             m_timer.cancel();
             return;
         }
         m_socket.async_read_some(
             asio::buffer(m_buffer),
             asio::bind_executor(m_strand,
-                                [self = shared_from_this()](const auto &next, std::size_t) {
-                                    self->onRead(next);
+                                [self = shared_from_this()](const auto &next, std::size_t n) {
+                                    self->onRead(next, n);
                                 }));
     }
 
@@ -81,6 +84,7 @@
     asio::ip::tcp::socket m_socket;
     std::string m_response;
     std::array<char, 4096> m_buffer{};
+    std::size_t m_dropped = 0;
     std::shared_ptr<std::atomic<std::size_t>> m_count;
 };
 
