Test: crowds drawn at random, several at once, at all ports

Later crowds will differ from those of the other tests, so this one draws them: bodies, chunks, heads, upgrades and other bytes, whole or cut anywhere, behind another request or not, in pieces of any size, some reset, at the ports of callers, peers and gossip, coming and going.

--- a/test/crowd-fleet-test.cc
+++ b/test/crowd-fleet-test.cc
@@ -2,7 +2,10 @@
 // it lives, keeps to its memory and its descriptors, and answers an ordinary caller.
 #include <csignal>
 #include <cstring>
+#include <deque>
 #include <functional>
+#include <memory>
+#include <random>
 #include <thread>
 
 #include <asio/buffer.hpp>
@@ -386,6 +389,78 @@
 
 namespace {
 
+// Draws crowds of any kind.
+class CrowdDraw
+{
+public:
+    explicit CrowdDraw(unsigned seed) : m_random(seed) { }
+
+    std::size_t below(std::size_t bound)
+    {
+        return std::uniform_int_distribution<std::size_t>(0, bound - 1)(m_random);
+    }
+
+    CrowdShape shape()
+    {
+        std::string bytes = below(4) == 0 ? request(0) : "";
+        for (std::size_t more = 1 + below(2); more > 0; --more)
+            bytes += request(below(2 * maxBodyBytes));
+        if (below(4) != 0)
+            bytes.resize(bytes.size() - std::min(bytes.size(), 1 + below(1 + below(bytes.size()))));
+        const int connections = static_cast<int>(1 + below(120));
+        const std::size_t pieceBytes = std::size_t(256) << below(10);
+        return {connections, bytes, pieceBytes, 1, below(10) == 0};
+    }
+
+private:
+    std::string request(std::size_t size)
+    {
+        const std::size_t chunk = std::size_t(1) << below(18);
+        switch (below(6)) {
+        case 0:
+            return head(fmt::format("Content-Length: {}\r\n", size + 100)) + chatBody(size + 100);
+        case 1:
+            return chunkedRequest(size + 100, [chunk] { return chunk; });
+        case 2:
+            return chunkedRequest(size + 100, [this, chunk] { return 1 + below(chunk); });
+        case 3:
+            return head(shortFields(below(80 * 1024)));
+        case 4:
+            return head("Upgrade: x\r\nConnection: Upgrade\r\n", "/metrics");
+        default:
+            return std::string(size, static_cast<char>(below(256)));
+        }
+    }
+
+    std::mt19937 m_random;
+};
+
+} // namespace
+
+// Guards against crowds that nobody has thought of: several at once, at all ports, that come and
+// go. Other seeds by hand: --rng-seed N.
+TEST_CASE_METHOD(CrowdFixture, "instance_anyCrowdsOverlap_staysWithinItsMemory")
+{
+    constexpr int rounds = 6;
+    CrowdDraw draw(Catch::rngSeed());
+    std::deque<std::unique_ptr<Crowd>> crowds;
+    for (int round = 0; round < rounds; ++round) {
+        for (std::size_t more = 1 + draw.below(3); more > 0; --more) {
+            const int port = static_cast<int>(draw.below(3));
+            crowds.push_back(
+                std::make_unique<Crowd>(*parseAddress(fleet.address("a1", port)), draw.shape()));
+        }
+        crowds.back()->waitUntilStill();
+        checkInstance(2 * maxConnections);
+        while (!crowds.empty() && draw.below(2) == 0)
+            crowds.pop_front();
+    }
+    crowds.clear();
+    checkInstance(2 * maxConnections);
+}
+
+namespace {
+
 constexpr std::size_t controlMemory = 64 * mib; // what a node may take for control
 
 Fleet startWithMoreMemory()
