An exception while a request is refused by the clock ends one connection, too

Evidence: server_exceptionWhileItRefuses_endsOneConnection, new, ends with SIGABRT without this line and passes with it (three runs).

--- a/src/net/receive-guard.cc
+++ b/src/net/receive-guard.cc
@@ -238,7 +238,9 @@
         return;
     m_closingBytes = m_receiving.load();
     m_accounts.addClosing(m_closingBytes);
-    asio::post(m_executor, [self = shared_from_this(), fault] { self->closeFor(fault); });
+    asio::post(m_executor, [self = shared_from_this(), fault] {
+        self->endOnException([&] { self->closeFor(fault); });
+    });
 }
 
 void ReceiveGuard::closeFor(ReceiveFault fault)
--- a/test/receive-guard-test.cc
+++ b/test/receive-guard-test.cc
@@ -3,6 +3,7 @@
 #include <atomic>
 #include <functional>
 #include <mutex>
+#include <new>
 #include <thread>
 
 #include <asio/buffer.hpp>
@@ -38,6 +39,12 @@
             reply(request, *responder);
     }
     std::optional<MessageLimits> messageLimits() const override { return limits; }
+    HttpResponse refuse(ReceiveFault fault, const Headers &fields) override
+    {
+        if (hasNoMemory)
+            throw std::bad_alloc();
+        return RequestHandler::refuse(fault, fields);
+    }
 
     void releaseAll()
     {
@@ -49,6 +56,7 @@
 
     MessageLimits limits;
     std::atomic<bool> holdsBack = false;
+    std::atomic<bool> hasNoMemory = false; // for refusals
     std::atomic<int> handled = 0;
     std::atomic<int> closed = 0;
 
@@ -338,6 +346,54 @@
     CHECK(answers.find("POST first") < answers.find("HTTP/1.1 413 "));
 }
 
+// Guards against bytes behind a request in progress that are held and counted nowhere.
+TEST_CASE_METHOD(GuardedServerFixture, "server_bytesBehindARequestInProgress_areFewAndCounted")
+{
+    handler.holdsBack = true;
+    Client client(start());
+    client.send(post("first"));
+    REQUIRE(becomesTrue([&] { return handler.handled == 1; }));
+    const std::size_t ofTheFirst = *held;
+    client.send(std::string(200 * kib, 'x'));
+    CHECK(becomesTrue([&] { return *held >= ofTheFirst + 4 * kib; }));
+    std::this_thread::sleep_for(300ms);
+    CHECK(*held == ofTheFirst + 4 * kib);
+    handler.releaseAll();
+}
+
+// Guards against a process that ends with an exception, as for want of memory, while it refuses a
+// request: by what was received, and by the clock.
+TEST_CASE_METHOD(GuardedServerFixture, "server_exceptionWhileItRefuses_endsOneConnection")
+{
+    handler.hasNoMemory = true;
+    const std::uint16_t port = start();
+    Client tooLarge(port);
+    tooLarge.send("POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 10000000000\r\n\r\n");
+    CHECK(tooLarge.readAll().empty());
+    Client tooSlow(port);
+    tooSlow.send("GET /a HTTP/1.1\r\nHost: h\r\n");
+    std::this_thread::sleep_for(200ms);
+    clock.advance(4s);
+    CHECK(tooSlow.readAll().empty());
+    Client other(port);
+    other.send(post("a"));
+    CHECK(other.readTo("POST a").starts_with("HTTP/1.1 200 "));
+}
+
+// Guards against a refused client that keeps the process busy with what it sends on.
+TEST_CASE_METHOD(GuardedServerFixture, "server_refusedClientSendsOn_isDisconnected")
+{
+    // What the server drops, and far more than the system's buffers hold.
+    constexpr std::size_t mostBytes = 64U << 20;
+    Client client(start());
+    client.send("POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 10000000000\r\n\r\n");
+    const std::string piece(64 * kib, 'x');
+    std::size_t sent = 0;
+    while (sent < mostBytes && client.send(piece))
+        sent += piece.size();
+    CHECK(sent < mostBytes);
+}
+
 // Guards against work that goes on for a caller who has left.
 TEST_CASE_METHOD(GuardedServerFixture, "server_clientLeavesBeforeItsAnswer_tellsTheHandler")
 {
