--- a/test/hash-test.cc
+++ b/test/hash-test.cc
@@ -17,6 +17,19 @@
     });
 }
 
+// Guards against instances of two versions that take the same request for two: they tell each other
+// fingerprints of requests.
+TEST_CASE("hash128Hex_ofParts_hasTheValuesOfEarlierVersions")
+{
+    CHECK(hash128Hex("", "", "") == "43a7cdf6ba76c2dba4ac1b8610ed2e79");
+    CHECK(hash128Hex("a", "bc", "") == "1b967afb9849433c1d9785efa9cb5cd8");
+    CHECK(hash128Hex("ab", "c", "def") == "d3ad847608b25fd16d24553e0e4f74b9");
+    CHECK(hash128Hex("customer", "service", std::string(1000, 'x'))
+          == "17895e68e7a612c913cf6891bf991e2f");
+    CHECK(hash128Hex("h/path", "a=b", std::string(1U << 20, 'y'))
+          == "5204e48e668758824c9891996c5d2bbe");
+}
+
 // Guards against moving keys of other nodes when one node is removed.
 TEST_CASE("rendezvousWeight_nodeRemoved_movesOnlyItsKeys")
 {
