--- a/test/crowd-fleet-test.cc
+++ b/test/crowd-fleet-test.cc
@@ -497,6 +497,26 @@
         [&] { return std::to_string(residentMemory(fleet.pid("a1"))) + " bytes are left"; });
 }
 
+// Guards against limits that keep out a single legal request in calm, in whatever form its body
+// comes.
+TEST_CASE_METHOD(LongBodiesFixture, "instance_singleBodyOfLegalSize_isServedInAnyForm")
+{
+    const auto answerTo = [this](const std::string &request) {
+        asio::io_context io;
+        asio::ip::tcp::socket socket(io);
+        const Address address = *parseAddress(fleet.callers("a1"));
+        socket.connect({asio::ip::make_address(address.host), address.port});
+        asio::write(socket, asio::buffer(request));
+        std::string answer(16, '\0');
+        answer.resize(asio::read(socket, asio::buffer(answer)));
+        return answer;
+    };
+    CHECK(answerTo(wholeRequest(4 * mib)).starts_with("HTTP/1.1 200"));
+    CHECK(answerTo(chunkedRequest(4 * mib, [] { return 64 * 1024; })).starts_with("HTTP/1.1 200"));
+    CHECK(answerTo(chunkedRequest(4 * mib, [] { return 1; })).starts_with("HTTP/1.1 200"));
+    checkInstance();
+}
+
 // Guards against a limit that keeps out a single legal request, of the size and the form that cost
 // most.
 TEST_CASE_METHOD(CrowdFixture, "instance_longestBodyInChunksOfOneByte_isServed")
