--- a/src/net/peer-link.cc
+++ b/src/net/peer-link.cc
@@ -27,17 +27,13 @@
 
 #include "bounded-archive.h"
 #include "ibisnotch/hash.h"
+#include "peer-frames.h"
 
 namespace ibisnotch {
 
 namespace {
 
 constexpr std::size_t maxDatagramBytes = 16384;
-constexpr std::uint32_t maxReplyBytes = 8U << 20;
-constexpr std::uint32_t maxRequestBytes = 64U << 10;
-// Set aside for a frame before its bytes have arrived; the frame's size is only announced.
-constexpr std::size_t frameStepBytes = 64U << 10;
-constexpr auto requestTimeout = std::chrono::seconds(3);
 // Bounds of the requests that are served at a time, and of the replies to them that are not sent
 // yet. The oldest give way.
 constexpr std::size_t maxServedRequests = 128;
@@ -174,81 +170,6 @@
 using asio::ip::tcp;
 using asio::ip::udp;
 
-std::array<unsigned char, 4> frameHead(std::size_t size)
-{
-    return {static_cast<unsigned char>(size >> 24), static_cast<unsigned char>(size >> 16),
-            static_cast<unsigned char>(size >> 8), static_cast<unsigned char>(size)};
-}
-
-std::uint32_t frameSize(const std::array<unsigned char, 4> &head)
-{
-    return (std::uint32_t(head[0]) << 24) | (std::uint32_t(head[1]) << 16)
-        | (std::uint32_t(head[2]) << 8) | head[3];
-}
-
-// The TCP connection of one request, on either side, with the buffers of the frame that is received
-// and the frame that is sent.
-struct PeerConnection
-{
-    explicit PeerConnection(asio::io_context &io) : socket(io), timer(io) { }
-    tcp::socket socket;
-    asio::steady_timer timer;
-    std::array<unsigned char, 4> head{};
-    std::string in;
-    std::string out;
-};
-
-using PeerConnectionPtr = std::shared_ptr<PeerConnection>;
-using FrameDone = std::function<void(bool)>;
-
-// Reads the rest of a frame of this size.
-void readFrameBody(const PeerConnectionPtr &connection, std::size_t size, FrameDone done)
-{
-    std::string &in = connection->in;
-    const std::size_t begin = in.size();
-    const std::size_t step = std::min(frameStepBytes, size - begin);
-    in.resize(begin + step);
-    asio::async_read(connection->socket, asio::buffer(in.data() + begin, step),
-                     [connection, size, done = std::move(done)](const asio::error_code &error,
-                                                                std::size_t) mutable {
-                         if (error || connection->in.size() == size)
-                             return done(!error);
-                         readFrameBody(connection, size, std::move(done));
-                     });
-}
-
-void readFrame(const PeerConnectionPtr &connection, std::uint32_t maxBytes, FrameDone done)
-{
-    asio::async_read(connection->socket, asio::buffer(connection->head),
-                     [connection, maxBytes, done = std::move(done)](const asio::error_code &error,
-                                                                    std::size_t) mutable {
-                         const std::uint32_t size = frameSize(connection->head);
-                         if (error || size > maxBytes)
-                             return done(false);
-                         readFrameBody(connection, size, std::move(done));
-                     });
-}
-
-void writeFrame(const PeerConnectionPtr &connection, const std::string &body, FrameDone done)
-{
-    const auto head = frameHead(body.size());
-    connection->out.assign(head.begin(), head.end());
-    connection->out += body;
-    asio::async_write(connection->socket, asio::buffer(connection->out),
-                      [connection, done = std::move(done)](const asio::error_code &error,
-                                                           std::size_t) { done(!error); });
-}
-
-void closeAfterTimeout(const PeerConnectionPtr &connection)
-{
-    connection->timer.expires_after(requestTimeout);
-    connection->timer.async_wait([weak = std::weak_ptr(connection)](const asio::error_code &error) {
-        asio::error_code ignored;
-        if (const auto alive = weak.lock(); alive && !error)
-            alive->socket.close(ignored);
-    });
-}
-
 } // namespace
 
 std::string encodeGossip(const GossipMessage &message)
@@ -342,7 +263,7 @@
                 writeFrame(connection, bytes, [this, connection, done](bool written) {
                     if (!written)
                         return done(std::nullopt);
-                    readFrame(connection, maxReplyBytes, [this, connection, done](bool read) {
+                    readReply(connection, [this, connection, done](bool read) {
                         m_received += connection->in.size();
                         done(read ? decode<PeerReply>(connection->in) : std::nullopt);
                     });
@@ -434,7 +355,7 @@
         closeAfterTimeout(connection);
         m_served.push_back(connection);
         makeRoom();
-        readFrame(connection, maxRequestBytes, [this, connection](bool read) {
+        readRequest(connection, [this, connection](bool read) {
             const auto request = read ? decode<PeerRequest>(connection->in) : std::nullopt;
             if (!request)
                 return;
