--- a/include/ibisnotch/metrics.h
+++ b/include/ibisnotch/metrics.h
@@ -40,6 +40,8 @@
     void onRequest(const RequestRecord &record);
     // Counts one attempt at a backend server or a peer. `end` names how it ended.
     void onAttempt(std::string_view end);
+    // Counts a response that was not taken for the answer to its request.
+    void onMismatch(std::string_view cause);
     void onRetry();
     // Counts an attempt that continues a stream. `knownBy` names how the stream's origin is known.
     void onStreamContinued(std::string_view knownBy);
--- a/include/ibisnotch/retry.h
+++ b/include/ibisnotch/retry.h
@@ -29,6 +29,23 @@
 // Returns the name used in logs and metrics.
 std::string_view attemptOutcomeName(AttemptOutcome outcome);
 
+// Why a response is not taken for the answer to its request.
+enum class MismatchCause {
+    none,
+    otherRequest, // it names another request
+    noRequest, // it names none
+    unsignedSuccess, // a success without the server's signature
+    encoded, // a success in an encoding that nobody asked for
+    otherVersion, // a stream that doesn't continue at its software version
+    malformedEvents,
+};
+
+// Returns the name used in logs and metrics.
+std::string_view mismatchCauseName(MismatchCause cause);
+
+// Returns whether the response may be the answer to another request on its connection.
+bool isForeign(MismatchCause cause);
+
 // Returns whether the receiver certainly didn't act on the request.
 bool certainlyNotRun(AttemptOutcome outcome);
 
--- a/src/decide/retry.cc
+++ b/src/decide/retry.cc
@@ -33,6 +33,32 @@
     return "";
 }
 
+std::string_view mismatchCauseName(MismatchCause cause)
+{
+    switch (cause) {
+    case MismatchCause::none:
+        return "none";
+    case MismatchCause::otherRequest:
+        return "otherRequest";
+    case MismatchCause::noRequest:
+        return "noRequest";
+    case MismatchCause::unsignedSuccess:
+        return "unsignedSuccess";
+    case MismatchCause::encoded:
+        return "encoded";
+    case MismatchCause::otherVersion:
+        return "otherVersion";
+    case MismatchCause::malformedEvents:
+        return "malformedEvents";
+    }
+    return "";
+}
+
+bool isForeign(MismatchCause cause)
+{
+    return cause == MismatchCause::otherRequest || cause == MismatchCause::noRequest;
+}
+
 bool certainlyNotRun(AttemptOutcome outcome)
 {
     return outcome == AttemptOutcome::notConnected || outcome == AttemptOutcome::refusedNotRun
--- a/src/entry/chat-protocol.cc
+++ b/src/entry/chat-protocol.cc
@@ -22,8 +22,10 @@
     std::optional<AttemptOutcome> onHead(int status, const Headers &headers) override
     {
         m_statement.leaving = !m_fromPeer && headers.get("X-Engine-Draining").has_value();
-        if (m_check.onHead(status, headers) != ResponseVerdict::valid)
+        if (m_check.onHead(status, headers) != ResponseVerdict::valid) {
+            m_mismatch = MismatchCause::otherRequest;
             return AttemptOutcome::mismatched;
+        }
         const std::string type = headers.get("Content-Type").value_or("");
         m_isStreaming
             = m_format == ResponseFormat::eventStream && type.rfind("text/event-stream", 0) == 0;
@@ -43,6 +45,7 @@
         case ResponseVerdict::valid:
             return std::nullopt;
         case ResponseVerdict::wrongRequest:
+            m_mismatch = MismatchCause::otherRequest;
             return AttemptOutcome::mismatched;
         case ResponseVerdict::malformed:
             break;
@@ -56,6 +59,7 @@
     }
 
     bool isStreaming() const override { return m_isStreaming; }
+    MismatchCause mismatchCause() const override { return m_mismatch; }
     ResultCode resultCode() const override { return m_resultCode; }
     int reportedAttempts() const override { return m_reportedAttempts; }
     ServerStatement statement() const override { return m_statement; }
@@ -73,6 +77,7 @@
     ResponseCheck m_check;
     ResponseFormat m_format;
     bool m_fromPeer;
+    MismatchCause m_mismatch = MismatchCause::none;
     bool m_isStreaming = false;
     ServerStatement m_statement;
     ResultCode m_resultCode = ResultCode::served;
--- a/src/entry/dispatch.cc
+++ b/src/entry/dispatch.cc
@@ -327,6 +327,8 @@
 void Dispatch::recordAttempt(const Target &target, AttemptOutcome outcome, const Attempt &attempt)
 {
     m_state.metrics.onAttempt(attemptOutcomeName(outcome));
+    if (const MismatchCause cause = attempt.reader().mismatchCause(); cause != MismatchCause::none)
+        m_state.metrics.onMismatch(mismatchCauseName(cause));
     m_lastTransfer = transferText(attempt.transfer());
     trace(
         fmt::format("attempt {} at {}: {}", m_attempts, target.name, attemptOutcomeName(outcome)));
@@ -373,6 +375,7 @@
              {"server", target.name},
              {"end", std::string(attemptOutcomeName(outcome))},
              {"transfer", m_lastTransfer},
+             {"mismatch", std::string(mismatchCauseName(attempt.reader().mismatchCause()))},
              {"begun", fmt::to_string(attempt.hasBegun())},
              {"parts", sharedPartsText(m_exchange->prompt)},
              {"ms", millisecondsText(m_state.clock.now() - m_attemptStartedAt)}});
--- a/src/entry/protocol.h
+++ b/src/entry/protocol.h
@@ -70,6 +70,8 @@
 
     // Returns true if data goes to the caller as it arrives. Known after onHead().
     virtual bool isStreaming() const = 0;
+    // Returns why the response was found to be mismatched.
+    virtual MismatchCause mismatchCause() const { return MismatchCause::none; }
     // Returns the id of the last event passed on, from which another server can resume the stream.
     // Empty if the response is not a resumable stream.
     virtual std::string lastEventId() const { return {}; }
--- a/src/net/metrics.cc
+++ b/src/net/metrics.cc
@@ -100,6 +100,7 @@
     std::atomic<std::uint64_t> m_sharedTokens = 0;
     std::atomic<std::uint64_t> m_sharedTokensKept = 0;
     std::map<std::string, std::uint64_t> m_slowReaders; // counts by reader
+    std::map<std::string, std::uint64_t> m_mismatches; // counts by cause
     std::map<std::pair<std::string, std::string>, std::uint64_t>
         m_closedConnections; // counts by port and fault
     std::atomic<std::uint64_t> m_responsesPaused = 0;
@@ -158,6 +159,12 @@
     ++m_d->m_serversSilent;
 }
 
+void Metrics::onMismatch(std::string_view cause)
+{
+    const std::lock_guard lock(m_d->m_mutex);
+    ++m_d->m_mismatches[std::string(cause)];
+}
+
 void Metrics::onSlowReaderEnded(std::string_view reader)
 {
     const std::lock_guard lock(m_d->m_mutex);
@@ -218,6 +225,9 @@
     out += fmt::format("ibisnotch_shared_tokens_expected_kept_total {}\n",
                        m_d->m_sharedTokensKept.load());
     out += fmt::format("ibisnotch_responses_paused_total {}\n", m_d->m_responsesPaused.load());
+    for (const auto &[cause, count] : m_d->m_mismatches)
+        out += fmt::format("ibisnotch_mismatched_responses_total{{cause=\"{}\"}} {}\n", cause,
+                           count);
     for (const auto &[reader, count] : m_d->m_slowReaders)
         out += fmt::format("ibisnotch_slow_readers_ended_total{{reader=\"{}\"}} {}\n", reader,
                            count);
