A response has to name its request, and no other

Class: the position on a connection taken as proof of what belongs to whom. What such a response says of its server (load, rest, leaving) is no longer believed.

--- a/include/ibisnotch/response-check.h
+++ b/include/ibisnotch/response-check.h
@@ -5,6 +5,7 @@
 #include <string_view>
 
 #include "ibisnotch/http.h"
+#include "ibisnotch/retry.h"
 
 namespace ibisnotch {
 
@@ -18,6 +19,13 @@
 
 enum class ResponseVerdict { valid, wrongRequest, malformed };
 
+// Returns whether a response with these fields answers the request with this id. It has to name
+// that id and no other: the position on a connection proves nothing, as a server may answer twice,
+// the second time where the next response is expected. The response to a request without an id,
+// which is empty here, names none.
+MismatchCause findForeign(const Headers &headers, std::string_view idField,
+                          std::string_view requestId);
+
 // Checks one response as it arrives. The server must echo the request's id, and all chunks of a
 // stream must have the same completion id.
 class ResponseCheck
--- a/src/decide/response-check.cc
+++ b/src/decide/response-check.cc
@@ -1,5 +1,6 @@
 #include "ibisnotch/response-check.h"
 
+#include <absl/strings/match.h>
 #include <nlohmann/json.hpp>
 
 namespace ibisnotch {
@@ -12,8 +13,28 @@
 constexpr std::size_t maxEventBytes = 1U << 20;
 constexpr std::size_t maxJsonBytes = 8U << 20;
 
+bool isField(std::string_view a, std::string_view b)
+{
+    return absl::EqualsIgnoreCase(absl::string_view(a.data(), a.size()),
+                                  absl::string_view(b.data(), b.size()));
+}
+
 } // namespace
 
+MismatchCause findForeign(const Headers &headers, std::string_view idField,
+                          std::string_view requestId)
+{
+    bool isNamed = requestId.empty();
+    for (const auto &[name, value] : headers.fields()) {
+        if (!isField(name, idField))
+            continue;
+        if (value != requestId)
+            return MismatchCause::otherRequest;
+        isNamed = true;
+    }
+    return isNamed ? MismatchCause::none : MismatchCause::noRequest;
+}
+
 ResponseCheck::ResponseCheck(std::string requestId, ResponseFormat format)
     : m_requestId(std::move(requestId)), m_format(format)
 {
@@ -22,8 +43,7 @@
 ResponseVerdict ResponseCheck::onHead(int status, const Headers &headers)
 {
     m_status = status;
-    const auto echoed = headers.get(requestIdHeader);
-    if (!echoed || *echoed != m_requestId)
+    if (findForeign(headers, requestIdHeader, m_requestId) != MismatchCause::none)
         return ResponseVerdict::wrongRequest;
     const auto type = headers.get("Content-Type").value_or("");
     const bool streamed = type.rfind("text/event-stream", 0) == 0;
--- a/src/entry/attempt.cc
+++ b/src/entry/attempt.cc
@@ -42,7 +42,9 @@
     m_response.headers = headers;
     const auto outcome = m_reader->onHead(status, headers);
     m_lastReceivedAt = m_dispatch->m_state.clock.now();
-    m_dispatch->onServerResponse(m_target, *m_reader);
+    // What the answer to another request says of its server may be long past.
+    if (outcome != AttemptOutcome::mismatched)
+        m_dispatch->onServerResponse(m_target, *m_reader);
     return outcome ? stopWith(*outcome) : true;
 }
 
--- a/test/response-check-test.cc
+++ b/test/response-check-test.cc
@@ -89,3 +89,20 @@
     check.onData("1}", forwarded);
     CHECK(check.isComplete());
 }
+
+// An answer to another request was taken for the answer to the request in progress.
+TEST_CASE("findForeign_idsOfResponse_mustAllNameTheRequest")
+{
+    const auto find = [](const Headers &headers, std::string_view id) {
+        return findForeign(headers, "X-Request-Id", id);
+    };
+    CHECK(find({{"X-Request-Id", "r1"}}, "r1") == MismatchCause::none);
+    CHECK(find({{"x-request-id", "r1"}, {"X-Request-Id", "r1"}}, "r1") == MismatchCause::none);
+    CHECK(find({}, "") == MismatchCause::none);
+    CHECK(find({}, "r1") == MismatchCause::noRequest);
+    CHECK(find({{"X-Request-Id", "r2"}}, "r1") == MismatchCause::otherRequest);
+    CHECK(find({{"X-Request-Id", "r1"}, {"x-request-id", "r2"}}, "r1")
+          == MismatchCause::otherRequest);
+    CHECK(find({{"X-Request-Id", ""}}, "r1") == MismatchCause::otherRequest);
+    CHECK(find({{"X-Request-Id", "r1"}}, "") == MismatchCause::otherRequest);
+}
