A request that comes again with its id uses a connection of its own

Cause: a response names its request by id only, and an id can be sent to one server twice over kept connections: forwarded here, sent back, forwarded anew, or chosen by two callers. Only further attempts of one Dispatch used new connections; the first attempt of the second Dispatch took the pooled one on which the server still owed its second answer.

--- a/src/entry/dispatch.cc
+++ b/src/entry/dispatch.cc
@@ -162,7 +162,8 @@
         ? m_protocol.makePeerRequest(exchange, target, remaining())
         : m_protocol.makeServerRequest(exchange, target, remaining());
     request.limits = limitsFor(target);
-    request.useNewConnection = request.useNewConnection || m_attempts > 1;
+    // On a connection that was used before, a second response to an earlier run may still come.
+    request.useNewConnection = request.useNewConnection || m_attempts > 1 || m_wasSentBefore;
     request.sendBufferBytes = m_state.buffers.isEnabled() ? sendBufferBytes : 0;
     if (!target.isPeer)
         return request;
@@ -298,6 +299,7 @@
     ++m_attempts;
     m_serverAttempts += target.isPeer ? 0 : 1;
     m_attemptStartedAt = m_state.clock.now();
+    m_wasSentBefore = m_state.sentIds.add(m_exchange->id, m_attemptStartedAt);
     m_triedTargets.insert(target.name);
     m_servedBy = target.name;
     if (target.isPeer)
--- a/src/entry/dispatch.h
+++ b/src/entry/dispatch.h
@@ -299,6 +299,7 @@
     bool m_stayInRegion = false; // another region rejected the request
     int m_coldCheckWaits = 0; // times that the request waited for checks of possibly cold servers
     int m_attempts = 0; // all attempts, also those that did not run
+    bool m_wasSentBefore = false; // a request with the same id, by this or another dispatch
     int m_runs = 0; // attempts that may have run, also those that a peer made for this instance
     // Attempts at backend servers, also those that a peer made for this instance.
     int m_serverAttempts = 0;
--- a/src/entry/state.h
+++ b/src/entry/state.h
@@ -31,6 +31,7 @@
 #include "ibisnotch/region-plan.h"
 #include "ibisnotch/retry.h"
 #include "ibisnotch/room-order.h"
+#include "ibisnotch/sent-ids.h"
 #include "ibisnotch/server-table.h"
 #include "ibisnotch/stream-origin.h"
 #include "ibisnotch/stream-statistics.h"
@@ -71,6 +72,7 @@
     OriginRecords originRecords;
     PromptLengths promptLengths;
     RetryBudget retryBudget;
+    SentIds sentIds;
     UsageCaps usageCaps;
     AffinityPicker picker;
     PrefixCache prefixCache{PrefixCache::Limits{}, startedAt};
