A server that answers twice gets a connection for each request, for ten seconds

What callers saw: beside a server that answers twice, about every second booking failed with 502, as the next request on the connection meets the extra answer. libcurl can't read on to the right answer, so the cause is taken away: after a foreign answer the instance uses a connection of its own for each request to that server for 10 s, and connections established before that answer never again (CURLOPT_MAXLIFETIME_CONN).

--- a/include/ibisnotch/http-client.h
+++ b/include/ibisnotch/http-client.h
@@ -42,6 +42,8 @@
     // A pooled connection that has been idle for longer is not used; 0 for no limit. In whole
     // seconds, as libcurl measures it.
     std::chrono::seconds maxConnectionIdleTime{0};
+    // A pooled connection that was established earlier is not used; 0 for no limit.
+    std::chrono::seconds maxConnectionAge{0};
     // Size of the system's buffer for what is sent on a new connection; 0 for the default. Without
     // a bound it may take a whole request body that the server has not begun to read.
     int sendBufferBytes = 0;
--- a/include/ibisnotch/server-table.h
+++ b/include/ibisnotch/server-table.h
@@ -118,8 +118,27 @@
     std::atomic<bool> saidLeaving = false;
     std::atomic<Duration::rep> restsUntil = 0; // it wants no requests of this instance before then
     std::atomic<bool> saidInvalidRest = false;
+
+    // When the server last sent this instance the answer to another request; 0 if never.
+    std::atomic<Duration::rep> foreignAnswerAt = 0;
+};
+
+// Which pooled connections to a server may be used.
+struct ConnectionReuse
+{
+    bool isAllowed = true;
+    std::chrono::seconds maxAge{0}; // since they were established; 0 for any
+    bool operator==(const ConnectionReuse &) const = default;
 };
 
+// A server that has answered twice probably does so again, and each second answer fails the request
+// that is next on its connection. For this time each request uses a connection of its own, and
+// connections that were established before are never used again.
+constexpr Duration foreignAnswerTime = std::chrono::seconds(10);
+
+void recordForeignAnswer(ServerCounters &counters, TimePoint now);
+ConnectionReuse connectionReuse(const ServerCounters &counters, TimePoint now);
+
 // Returns whether the server has asked this instance to send nothing now.
 bool isResting(const ServerCounters &counters, TimePoint now);
 
--- a/src/decide/server-view.cc
+++ b/src/decide/server-view.cc
@@ -27,6 +27,23 @@
     return now.time_since_epoch().count() < counters.restsUntil;
 }
 
+void recordForeignAnswer(ServerCounters &counters, TimePoint now)
+{
+    counters.foreignAnswerAt = now.time_since_epoch().count();
+}
+
+ConnectionReuse connectionReuse(const ServerCounters &counters, TimePoint now)
+{
+    const Duration::rep at = counters.foreignAnswerAt;
+    if (at == 0)
+        return {};
+    const Duration elapsed = now - TimePoint(Duration(at));
+    if (elapsed < foreignAnswerTime)
+        return {false, {}};
+    // Ages count in whole seconds.
+    return {true, std::chrono::floor<std::chrono::seconds>(elapsed) - std::chrono::seconds(1)};
+}
+
 double correctedLoad(const ServerView &view, double trafficFactor)
 {
     // In a region of a hundred instances, one request of this instance says almost nothing about
--- a/src/entry/dispatch.cc
+++ b/src/entry/dispatch.cc
@@ -164,6 +164,11 @@
     request.limits = limitsFor(target);
     // On a connection that was used before, a second response to an earlier run may still come.
     request.useNewConnection = request.useNewConnection || m_attempts > 1 || m_wasSentBefore;
+    if (target.counters) {
+        const ConnectionReuse reuse = connectionReuse(*target.counters, m_state.clock.now());
+        request.useNewConnection = request.useNewConnection || !reuse.isAllowed;
+        request.maxConnectionAge = reuse.maxAge;
+    }
     request.sendBufferBytes = m_state.buffers.isEnabled() ? sendBufferBytes : 0;
     if (!target.isPeer)
         return request;
@@ -329,8 +334,7 @@
 void Dispatch::recordAttempt(const Target &target, AttemptOutcome outcome, const Attempt &attempt)
 {
     m_state.metrics.onAttempt(attemptOutcomeName(outcome));
-    if (const MismatchCause cause = attempt.reader().mismatchCause(); cause != MismatchCause::none)
-        m_state.metrics.onMismatch(mismatchCauseName(cause));
+    recordMismatch(target, attempt.reader().mismatchCause());
     m_lastTransfer = transferText(attempt.transfer());
     trace(
         fmt::format("attempt {} at {}: {}", m_attempts, target.name, attemptOutcomeName(outcome)));
@@ -363,6 +367,24 @@
     }
 }
 
+void Dispatch::recordMismatch(const Target &target, MismatchCause cause)
+{
+    if (cause == MismatchCause::none)
+        return;
+    m_state.metrics.onMismatch(mismatchCauseName(cause));
+    if (!isForeign(cause) || !target.counters)
+        return;
+    const TimePoint now = m_state.clock.now();
+    const bool wasAllowed = connectionReuse(*target.counters, now).isAllowed;
+    recordForeignAnswer(*target.counters, now);
+    if (wasAllowed)
+        logLine(LogPart::request, LogLevel::warn, "Backend server answers twice.",
+                {{"request", m_exchange->id},
+                 {"server", target.name},
+                 {"mismatch", std::string(mismatchCauseName(cause))},
+                 {"newConnectionsMs", millisecondsText(foreignAnswerTime)}});
+}
+
 void Dispatch::logFailedAttempt(const Target &target, AttemptOutcome outcome,
                                 const Attempt &attempt) const
 {
--- a/src/entry/dispatch.h
+++ b/src/entry/dispatch.h
@@ -236,6 +236,7 @@
     void onAttemptFinished(const Target &target, AttemptOutcome outcome, Attempt &attempt);
     void routeRetry(AttemptOutcome outcome);
     void recordAttempt(const Target &target, AttemptOutcome outcome, const Attempt &attempt);
+    void recordMismatch(const Target &target, MismatchCause cause);
     void countRuns(const Target &target, AttemptOutcome outcome, const Attempt &attempt);
     // Adds the numbers of runs and attempts to a response if it goes to the peer that forwarded the
     // request.
--- a/src/net/http-client.cc
+++ b/src/net/http-client.cc
@@ -155,6 +155,9 @@
         if (request.maxConnectionIdleTime.count() > 0)
             curl_easy_setopt(easy, CURLOPT_MAXAGE_CONN,
                              static_cast<long>(request.maxConnectionIdleTime.count()));
+        if (request.maxConnectionAge.count() > 0)
+            curl_easy_setopt(easy, CURLOPT_MAXLIFETIME_CONN,
+                             static_cast<long>(request.maxConnectionAge.count()));
         curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, &Private::onSend);
         curl_easy_setopt(easy, CURLOPT_PREREQDATA, &transfer);
         curl_easy_setopt(easy, CURLOPT_PROXY, "");
--- a/test/server-table-test.cc
+++ b/test/server-table-test.cc
@@ -384,3 +384,16 @@
     CHECK(meanLoadError(30, random) < 3);
     CHECK(meanLoadError(100, random) < 3);
 }
+
+// Connections that were established before a server answered twice failed one request each.
+TEST_CASE("connectionReuse_afterAForeignAnswer_excludesEarlierConnections")
+{
+    const TimePoint at{1h};
+    ServerCounters counters;
+    CHECK(connectionReuse(counters, at) == ConnectionReuse{});
+    recordForeignAnswer(counters, at);
+    CHECK_FALSE(connectionReuse(counters, at).isAllowed);
+    CHECK_FALSE(connectionReuse(counters, at + foreignAnswerTime - 1us).isAllowed);
+    CHECK(connectionReuse(counters, at + foreignAnswerTime) == ConnectionReuse{true, 9s});
+    CHECK(connectionReuse(counters, at + 75s + 900ms) == ConnectionReuse{true, 74s});
+}
