A planned stop sends answers that are read slowly to their end

Cause: Instance::isBusy counted requests until their answer was handed to the responder; what PacedSender and RESTinio still held for the caller, or for a peer, was dropped with the process. Fix: each server counts the responses that are not passed on whole to their connection (OpenResponse: from the request until RESTinio's last write has ended or the connection is gone), and the stop waits for them, on all ports, until drainTime. What the system's socket buffer holds is sent on after the process has ended. SizedResponse's size of a write became a parameter; its other test keeps one byte.

--- a/include/ibisnotch/http-server.h
+++ b/include/ibisnotch/http-server.h
@@ -161,6 +161,10 @@
     // From now on, each response asks its client to close the connection.
     void closeAfterResponses();
 
+    // Returns the number of complete requests whose response has not been passed on whole to the
+    // client's connection, for want of an answer or because the client reads slowly.
+    std::size_t openResponses() const;
+
 private:
     class Private;
     std::unique_ptr<Private> m_d;
--- a/src/entry/instance.cc
+++ b/src/entry/instance.cc
@@ -2,6 +2,7 @@
 
 #include <sys/resource.h>
 
+#include <algorithm>
 #include <limits>
 #include <thread>
 
@@ -158,7 +159,9 @@
 
 bool Instance::isBusy()
 {
-    return m_state.inFlight > 0 || (m_claimService && m_claimService->hasPendingOutcomes());
+    return m_state.inFlight > 0 || (m_claimService && m_claimService->hasPendingOutcomes())
+        || std::any_of(m_servers.begin(), m_servers.end(),
+                       [](const auto &server) { return server->openResponses() > 0; });
 }
 
 bool Instance::drain()
--- a/src/net/http-server.cc
+++ b/src/net/http-server.cc
@@ -125,10 +125,11 @@
 public:
     RestinioResponder(restinio::request_handle_t request,
                       const std::atomic<bool> &closeAfterResponse,
-                      std::weak_ptr<ReceiveGuard> guard, std::shared_ptr<const HeldBytes> head)
+                      std::weak_ptr<ReceiveGuard> guard, std::shared_ptr<const HeldBytes> head,
+                      std::shared_ptr<const OpenResponse> open)
         : m_connection(restinio::impl::access_req_connection(*request)),
           m_request(std::move(request)), m_closeAfterResponse(closeAfterResponse),
-          m_guard(std::move(guard)), m_heldHead(std::move(head)),
+          m_guard(std::move(guard)), m_heldHead(std::move(head)), m_open(std::move(open)),
           m_state(std::make_shared<ResponseState>())
     {
     }
@@ -151,7 +152,7 @@
         if (m_closeAfterResponse)
             builder.connection_close();
         builder.set_body(std::move(response.body));
-        builder.done(responseEnd(m_guard));
+        builder.done(responseEnd(m_guard, std::move(m_open)));
     }
 
     void start(int status, const Headers &headers) override
@@ -185,16 +186,16 @@
     void finish() override
     {
         if (m_sender)
-            return m_sender->finish();
+            return m_sender->finish(std::move(m_open));
         if (m_chunked)
-            m_chunked->done(responseEnd(m_guard));
+            m_chunked->done(responseEnd(m_guard, std::move(m_open)));
         m_chunked.reset();
     }
 
     void abort() override
     {
         if (m_sender)
-            return m_sender->abort();
+            return m_sender->abort(std::move(m_open));
         m_chunked.reset();
         closeIncomplete(m_connection, m_request->request_id());
     }
@@ -223,7 +224,7 @@
         m_sender->begin(std::move(builder));
         if (!response.body.empty())
             m_sender->write(std::move(response.body));
-        m_sender->finish();
+        m_sender->finish(std::move(m_open));
     }
 
     restinio::impl::connection_handle_t m_connection;
@@ -232,6 +233,7 @@
     const std::atomic<bool> &m_closeAfterResponse;
     const std::weak_ptr<ReceiveGuard> m_guard;
     const std::shared_ptr<const HeldBytes> m_heldHead; // of the request
+    std::shared_ptr<const OpenResponse> m_open; // null once the response has been ended
     std::shared_ptr<ResponseState> m_state;
     std::shared_ptr<PacedSender> m_sender; // null if responses are passed on as they come
 };
@@ -366,8 +368,9 @@
             ReceivedRequest received = guard->takeRequest();
             HttpRequest plain = toHttpRequest(request, std::move(received.body));
             const auto connection = request->connection_id();
-            auto responder = std::make_shared<RestinioResponder>(request, closeAfterResponse, guard,
-                                                                 std::move(received.head));
+            auto responder = std::make_shared<RestinioResponder>(
+                request, closeAfterResponse, guard, std::move(received.head),
+                std::make_shared<const OpenResponse>(openResponses));
             m_connections->add(connection, responder->state());
             if (heldBytes) {
                 auto sender = std::make_shared<PacedSender>(io, responder->state(), heldBytes,
@@ -393,6 +396,8 @@
     asio::io_context &io;
     const std::shared_ptr<ByteCount> heldBytes; // null if not counted
     std::atomic<bool> closeAfterResponse = false;
+    const std::shared_ptr<std::atomic<std::size_t>> openResponses
+        = std::make_shared<std::atomic<std::size_t>>(0);
     AcceptWatch acceptWatch;
     const std::shared_ptr<ConnectionRegistry> m_connections;
     // Never destroyed. Connections that are still open are destroyed with the loop and may access
@@ -414,6 +419,11 @@
     m_d->closeAfterResponse = true;
 }
 
+std::size_t HttpServer::openResponses() const
+{
+    return *m_d->openResponses;
+}
+
 void HttpServer::stopAccepting()
 {
     m_d->acceptWatch.stop();
--- a/src/net/paced-sender.h
+++ b/src/net/paced-sender.h
@@ -33,10 +33,11 @@
         restinio::write_group_t{restinio::writable_items_container_t{}});
 }
 
-// Returns what to call when the last byte of a response was sent.
-inline auto responseEnd(const std::weak_ptr<ReceiveGuard> &guard)
+// Returns what to call when the last byte of a response was sent. Until then the response is open.
+inline auto responseEnd(const std::weak_ptr<ReceiveGuard> &guard,
+                        std::shared_ptr<const OpenResponse> open)
 {
-    return [guard](const asio::error_code &) {
+    return [guard, open = std::move(open)](const asio::error_code &) {
         if (const auto alive = guard.lock())
             alive->onResponseEnd();
     };
@@ -100,15 +101,8 @@
         });
     }
 
-    void finish()
-    {
-        runNext([this] { m_end = End::complete; });
-    }
-
-    void abort()
-    {
-        runNext([this] { m_end = End::aborted; });
-    }
+    void finish(std::shared_ptr<const OpenResponse> open) { end(End::complete, std::move(open)); }
+    void abort(std::shared_ptr<const OpenResponse> open) { end(End::aborted, std::move(open)); }
 
     // Returns whether nothing of the response is left to be sent.
     bool isDone() const
@@ -134,6 +128,15 @@
 
     static constexpr std::size_t pieceBytes = 16 * 1024;
 
+    void end(End end, std::shared_ptr<const OpenResponse> open)
+    {
+        runNext([&] {
+            m_end = end;
+            if (!m_hasEnded)
+                m_open = std::move(open);
+        });
+    }
+
     template <typename Change> void runNext(const Change &change)
     {
         Action next;
@@ -202,6 +205,7 @@
     Action takeEnd(End end)
     {
         m_hasEnded = true;
+        std::shared_ptr<const OpenResponse> open = std::exchange(m_open, nullptr);
         const Builder builder = std::exchange(m_builder, {});
         const auto connection = std::exchange(m_connection, nullptr);
         if (end == End::aborted && connection)
@@ -209,9 +213,10 @@
         if (end != End::complete)
             return {};
         if (const auto *chunked = std::get_if<std::shared_ptr<ChunkedResponse>>(&builder))
-            return [one = *chunked, guard = m_guard] { one->done(responseEnd(guard)); };
+            return
+                [one = *chunked, end = responseEnd(m_guard, std::move(open))] { one->done(end); };
         if (const auto *whole = std::get_if<std::shared_ptr<PiecewiseResponse>>(&builder))
-            return [one = *whole, guard = m_guard] { one->done(responseEnd(guard)); };
+            return [one = *whole, end = responseEnd(m_guard, std::move(open))] { one->done(end); };
         return {};
     }
 
@@ -254,6 +259,7 @@
     bool m_isSending = false; // RESTinio has a piece
     bool m_hasEnded = false; // nothing follows the piece that RESTinio has
     End m_end = End::none; // once the queue is sent
+    std::shared_ptr<const OpenResponse> m_open; // null until m_end is known
 };
 
 } // namespace ibisnotch
--- a/src/net/response-state.h
+++ b/src/net/response-state.h
@@ -2,12 +2,32 @@
 #pragma once
 
 #include <atomic>
+#include <cstddef>
 #include <functional>
+#include <memory>
 #include <mutex>
 #include <utility>
 
 namespace ibisnotch {
 
+// Counts a response from its request until all of it is passed on to the client's connection, or
+// that is gone.
+class OpenResponse
+{
+public:
+    explicit OpenResponse(std::shared_ptr<std::atomic<std::size_t>> count)
+        : m_count(std::move(count))
+    {
+        ++*m_count;
+    }
+    ~OpenResponse() { --*m_count; }
+    OpenResponse(const OpenResponse &) = delete;
+    OpenResponse &operator=(const OpenResponse &) = delete;
+
+private:
+    const std::shared_ptr<std::atomic<std::size_t>> m_count;
+};
+
 // The state of a response in progress, shared between its responder, the callbacks of its writes
 // and the registry of connections.
 class ResponseState
--- a/test/http-server-test.cc
+++ b/test/http-server-test.cc
@@ -78,16 +78,21 @@
 class SizedResponse final : public RequestHandler
 {
 public:
+    explicit SizedResponse(std::size_t writeBytes = 1) : m_writeBytes(writeBytes) { }
+
     void handle(HttpRequest request, std::shared_ptr<Responder> responder) override
     {
         const std::size_t size = std::stoul(request.path.substr(1));
         if (!request.path.ends_with('s'))
             return responder->reply({200, {}, std::string(size, 'x')});
         responder->start(200, {});
-        for (std::size_t sent = 0; sent < size; ++sent)
-            responder->write("x");
+        for (std::size_t sent = 0; sent < size; sent += m_writeBytes)
+            responder->write(std::string(m_writeBytes, 'x'));
         responder->finish();
     }
+
+private:
+    const std::size_t m_writeBytes;
 };
 
 // A server that counts what it holds.
@@ -196,3 +201,46 @@
     CHECK(handler.closedCalls == 0);
     CHECK(*held == 0);
 }
+
+// Guards against a process that ends while a client has not read its response: it is open until the
+// client has taken all of it or has left, whether the server counts bytes or not.
+TEST_CASE("server_responsesAreReadSlowlyOrLeft_areOpenUntilTheirEnd")
+{
+    constexpr std::size_t longBytes = 8U << 20;
+    const bool counts = GENERATE(false, true);
+    const bool isStream = GENERATE(false, true);
+    CAPTURE(counts, isStream);
+    SizedResponse handler(64 * 1024);
+    HttpServerSettings settings;
+    settings.port = freePorts(1).front();
+    if (counts)
+        settings.heldBytes = std::make_shared<ByteCount>(0);
+    HttpLoop loop(1);
+    const HttpServer server(settings, handler, loop);
+    CHECK(server.openResponses() == 0);
+    const std::string path = std::to_string(longBytes) + (isStream ? "s" : "");
+    const std::string text = "GET /" + path + " HTTP/1.1\r\nHost: a\r\n\r\n";
+    asio::io_context io;
+    const auto connect = [&] {
+        asio::ip::tcp::socket socket(io, asio::ip::tcp::v4());
+        socket.set_option(asio::socket_base::receive_buffer_size(4096));
+        socket.connect({asio::ip::address_v4::loopback(), settings.port});
+        asio::write(socket, asio::buffer(text));
+        return socket;
+    };
+    asio::ip::tcp::socket reader = connect();
+    {
+        const asio::ip::tcp::socket leaver = connect();
+        CHECK(becomesTrue([&] { return server.openResponses() == 2; }));
+    }
+    CHECK(becomesTrue([&] { return server.openResponses() == 1; }));
+    std::this_thread::sleep_for(100ms);
+    CHECK(server.openResponses() == 1);
+    std::string got(64 * 1024, '\0');
+    asio::error_code error;
+    while (!error && server.openResponses() > 0)
+        reader.read_some(asio::buffer(got), error);
+    CHECK_FALSE(error);
+    CHECK(server.openResponses() == 0);
+    loop.stop();
+}
