At the end of a planned stop every request gets an answer before the process ends

Cause: Instance::drain returned when the time was over, and the process ended with its connections; no request was told. Fix: the gateways keep their requests in progress, and drain ends each one: its attempt is cancelled, so that the server stops, and the caller hears what is true: 4001 (502) for a booking that was sent, 5001 (502, with Retry-After 0.05) for what may be sent again, 3008 (503) for what was never sent; a begun stream is ended as incomplete. Such an attempt (cutByStop) accuses neither the request nor the server of a crash.

--- a/include/ibisnotch/retry.h
+++ b/include/ibisnotch/retry.h
@@ -24,6 +24,7 @@
     mismatched, // the response belongs to another request
     serverError, // the response has a status of 500 or above
     callerLeft, // the caller no longer waits for the response
+    cutByStop, // the instance stops and can't wait for the response
 };
 
 // Returns the name used in logs and metrics.
--- a/src/decide/retry.cc
+++ b/src/decide/retry.cc
@@ -29,6 +29,8 @@
         return "server error";
     case AttemptOutcome::callerLeft:
         return "caller left";
+    case AttemptOutcome::cutByStop:
+        return "cut by stop";
     }
     return "";
 }
@@ -83,7 +85,8 @@
 RetryDecision decideRetry(const RetryInput &input)
 {
     const bool isFinal = input.outcome == AttemptOutcome::answered
-        || input.outcome == AttemptOutcome::rejected || input.outcome == AttemptOutcome::callerLeft;
+        || input.outcome == AttemptOutcome::rejected || input.outcome == AttemptOutcome::callerLeft
+        || input.outcome == AttemptOutcome::cutByStop;
     if (isFinal || input.runsMade >= input.maxRuns)
         return RetryDecision::abandon;
     if (input.callerHasSeenBytes || input.attemptsMade >= maxAttempts)
@@ -110,6 +113,7 @@
     switch (outcome) {
     case AttemptOutcome::truncated:
     case AttemptOutcome::silent:
+    case AttemptOutcome::cutByStop:
         return ResultCode::answerCutShort;
     case AttemptOutcome::mismatched:
         return ResultCode::answerNotOurs;
--- a/src/entry/attempt.cc
+++ b/src/entry/attempt.cc
@@ -137,6 +137,8 @@
     if (m_dispatch->m_exchange->responder->isClosed()
         && result.outcome != TransferOutcome::complete)
         return AttemptOutcome::callerLeft;
+    if (m_dispatch->m_isCut && result.outcome == TransferOutcome::cancelled)
+        return AttemptOutcome::cutByStop;
     switch (result.outcome) {
     case TransferOutcome::complete:
         return m_reader->outcome();
--- a/src/entry/dispatch-booking.cc
+++ b/src/entry/dispatch-booking.cc
@@ -94,6 +94,10 @@
 
 void Dispatch::onClaim(const ClaimResult &result)
 {
+    if (m_hasFinished) {
+        m_sendRight = result.outcome == ClaimOutcome::granted ? SendRight::claim : m_sendRight;
+        return settleNotRun();
+    }
     switch (result.outcome) {
     case ClaimOutcome::granted:
         break;
--- a/src/entry/dispatch-end.cc
+++ b/src/entry/dispatch-end.cc
@@ -9,6 +9,12 @@
 
 namespace ibisnotch {
 
+namespace {
+
+constexpr Duration cutInterval = std::chrono::milliseconds(20);
+
+} // namespace
+
 void Dispatch::deliver(Attempt &attempt)
 {
     if (m_isQuarantineTrial)
@@ -101,6 +107,8 @@
     else
         settleUnknown();
     const bool mayRetry = m_exchange->service->idempotent || notRun;
+    if (m_isCut)
+        return refuse({code, "", mayRetry ? stoppingRefusal().retryAfter : Duration(0)});
     refuse(
         {code, "", mayRetry ? retryAfterWithoutServer(*m_state.routing.read(), 1) : Duration(0)});
 }
@@ -170,9 +178,29 @@
     m_exchange->trace.resultCode = static_cast<int>(code);
     m_state.traces.add(m_exchange->trace);
     logFinished(code, good);
+    m_hasFinished = true;
     --m_state.inFlight;
 }
 
+void Dispatch::cut()
+{
+    m_client.post([self = shared_from_this()] { self->cutNow(); });
+}
+
+void Dispatch::cutNow()
+{
+    if (m_hasFinished)
+        return;
+    m_isCut = true;
+    trace("cut by the stop of the instance");
+    // The client may not have begun the attempt yet.
+    m_client.postAfter(cutInterval, [self = shared_from_this()] { self->cutNow(); });
+    if (const auto attempt = m_currentAttempt.lock())
+        return m_client.cancel(attempt.get());
+    settleNotRun();
+    refuse(stoppingRefusal("cut"));
+}
+
 // Returns the inputs of the routing decision for the log, separated by ";":
 // - "home:LOAD/SLOTS+DELAY" of the local region; the same for the other region that was chosen,
 //   under its name, and for the chosen server, both with the age of the report, and "cold" with the
--- a/src/entry/dispatch-origin.cc
+++ b/src/entry/dispatch-origin.cc
@@ -51,7 +51,7 @@
 // events of its stream don't fit together. A refusal tells it that it has to begin anew.
 void Dispatch::onOriginFound(const OriginFinding &finding)
 {
-    if (!std::exchange(m_findsOrigin, false))
+    if (!std::exchange(m_findsOrigin, false) || m_hasFinished)
         return;
     logLine(LogPart::request, finding.origin ? LogLevel::info : LogLevel::warn,
             finding.origin ? "Origin of the stream found." : "Origin of the stream unknown.",
--- a/src/entry/dispatch-retry.cc
+++ b/src/entry/dispatch-retry.cc
@@ -214,7 +214,7 @@
 // that can be resumed waits for the retry budget.
 void Dispatch::retryOrEnd(const Target &target, AttemptOutcome outcome)
 {
-    if (waitForCaller(target, outcome))
+    if (m_hasFinished || (!m_isCut && waitForCaller(target, outcome)))
         return;
     const bool acquiredBefore = std::exchange(m_retryAcquired, false);
     if (!mayRetry(target, outcome, m_runs)) {
--- a/src/entry/dispatch.cc
+++ b/src/entry/dispatch.cc
@@ -92,6 +92,8 @@
 
 void Dispatch::route()
 {
+    if (m_hasFinished)
+        return;
     if (m_callerLeft) {
         settleNotRun();
         return finish(ResultCode::callerLeft);
@@ -344,7 +346,7 @@
     const bool refused
         = outcome == AttemptOutcome::refusedNotRun || outcome == AttemptOutcome::rejected;
     const bool failed = outcome != AttemptOutcome::answered && !refused;
-    if (outcome == AttemptOutcome::callerLeft)
+    if (outcome == AttemptOutcome::callerLeft || outcome == AttemptOutcome::cutByStop)
         return;
     AttemptHealth health = failed ? AttemptHealth::failed : AttemptHealth::good;
     if (outcome == AttemptOutcome::notConnected || outcome == AttemptOutcome::otherServer)
@@ -364,7 +366,7 @@
 {
     const bool failed = outcome != AttemptOutcome::answered
         && outcome != AttemptOutcome::refusedNotRun && outcome != AttemptOutcome::rejected
-        && outcome != AttemptOutcome::callerLeft;
+        && outcome != AttemptOutcome::callerLeft && outcome != AttemptOutcome::cutByStop;
     if (!failed)
         return;
     logLine(LogPart::request, LogLevel::warn, "Attempt failed.",
--- a/src/entry/dispatch.h
+++ b/src/entry/dispatch.h
@@ -61,6 +61,10 @@
 
     void start();
 
+    // Ends the request with what can be told about it, as the instance stops. Does nothing if it
+    // has ended. May be called from any thread.
+    void cut();
+
 private:
     class Attempt;
 
@@ -266,6 +270,7 @@
     ResultCode finalCode(AttemptOutcome outcome) const;
     void refuse(const Refusal &refusal);
     void finish(ResultCode code);
+    void cutNow();
 
     void logFinished(ResultCode code, bool good) const;
     std::string routeInputsText() const;
@@ -308,6 +313,8 @@
     std::weak_ptr<Attempt> m_currentAttempt;
     bool m_serverReadsSlowly = false; // the exchange ends without another attempt
     bool m_callerLeft = false; // the caller closed its connection
+    bool m_isCut = false; // the instance stops and can't wait for the response
+    bool m_hasFinished = false; // the request has ended; timers may still refer to it
     bool m_findsOrigin = false; // other instances are asked for the stream's origin
     std::uint32_t m_recoveryEpoch = 0; // of the current attempt's server (silence.h)
     bool m_streamRecorded = false; // whether that server's counters include the stream
--- a/src/entry/exchange.h
+++ b/src/entry/exchange.h
@@ -85,6 +85,13 @@
     bool operator==(const Refusal &) const = default;
 };
 
+// Returns the refusal of a stopping instance. Another instance accepts the request at once.
+inline Refusal stoppingRefusal(std::string detail = {})
+{
+    constexpr Duration retryAfter = std::chrono::milliseconds(50);
+    return {ResultCode::stopping, std::move(detail), retryAfter};
+}
+
 void addTraceStep(Exchange &exchange, const Clock &clock, std::string description);
 
 // Returns the headers that every response carries.
--- a/src/entry/gateway.cc
+++ b/src/entry/gateway.cc
@@ -12,8 +12,7 @@
 namespace {
 
 constexpr std::size_t maxRequestIdLength = 64;
-// Retry-after of a stopping instance. Another instance accepts the request at once.
-constexpr Duration retryOtherInstanceAfter = std::chrono::milliseconds(50);
+constexpr std::size_t minCleanup = 64;
 
 } // namespace
 
@@ -178,7 +177,7 @@
     if (!exchange->table || !exchange->table->config)
         return refuse(*exchange, {ResultCode::notReady, "", jitteredRetryAfter(1, m_state.random)});
     if (m_state.stopping && m_state.clock.now() >= m_state.acceptsRequestsUntil.load())
-        return refuse(*exchange, {ResultCode::stopping, "", retryOtherInstanceAfter});
+        return refuse(*exchange, stoppingRefusal());
     for (const auto &filter : m_filters) {
         if (const auto refusal = filter->apply(*exchange))
             return refuse(*exchange, *refusal);
@@ -189,7 +188,31 @@
     holdBuffers(*exchange);
     HttpClient &client = *m_clients[m_nextClient++ % m_clients.size()];
     auto dispatch = std::make_shared<Dispatch>(m_services, exchange, client);
+    keep(dispatch);
     client.post([dispatch] { dispatch->start(); });
 }
 
+void Gateway::keep(const std::shared_ptr<Dispatch> &dispatch)
+{
+    const std::lock_guard lock(m_mutex);
+    if (m_dispatches.size() >= m_nextCleanup) {
+        std::erase_if(m_dispatches, [](const auto &one) { return one.expired(); });
+        m_nextCleanup = std::max(minCleanup, 2 * m_dispatches.size());
+    }
+    m_dispatches.push_back(dispatch);
+}
+
+void Gateway::cutRequests()
+{
+    std::vector<std::weak_ptr<Dispatch>> dispatches;
+    {
+        const std::lock_guard lock(m_mutex);
+        dispatches.swap(m_dispatches);
+    }
+    for (const auto &one : dispatches) {
+        if (const auto dispatch = one.lock())
+            dispatch->cut();
+    }
+}
+
 } // namespace ibisnotch
--- a/src/entry/gateway.h
+++ b/src/entry/gateway.h
@@ -3,6 +3,7 @@
 
 #include <atomic>
 #include <memory>
+#include <mutex>
 #include <optional>
 #include <vector>
 
@@ -38,7 +39,11 @@
     std::optional<MessageLimits> messageLimits() const override;
     HttpResponse refuse(ReceiveFault fault, const Headers &fields) override;
 
+    // Ends all requests in progress with what can be told about them, as the instance stops.
+    void cutRequests();
+
 private:
+    void keep(const std::shared_ptr<Dispatch> &dispatch);
     void serve(HttpRequest request, std::shared_ptr<Responder> responder);
     std::string requestId(const HttpRequest &request);
     std::string otherInstanceAddresses();
@@ -55,6 +60,9 @@
     bool m_forPeers;
     std::vector<std::unique_ptr<Filter>> m_filters;
     std::atomic<std::size_t> m_nextClient = 0;
+    std::mutex m_mutex; // guards all below
+    std::vector<std::weak_ptr<Dispatch>> m_dispatches; // in progress, and some that have ended
+    std::size_t m_nextCleanup = 0; // number of these at which those that have ended are removed
 };
 
 } // namespace ibisnotch
--- a/src/entry/instance.cc
+++ b/src/entry/instance.cc
@@ -21,6 +21,8 @@
 // and use another instance; waiting longer for them would leave the region without this instance
 // for longer.
 constexpr Duration extraServeTime = std::chrono::milliseconds(300);
+// Time in which the answers to requests that the end of a stop cuts leave this process.
+constexpr Duration lastAnswersTime = std::chrono::milliseconds(300);
 // The system's buffers of connections that send faster than they are read count as memory. This is
 // enough for 400 KB/s over a round trip of 160 ms.
 constexpr int receiveBufferBytes = 64 * 1024;
@@ -181,13 +183,26 @@
     std::this_thread::sleep_for(acceptTime.count() > 0 ? acceptTime + extraServeTime
                                                        : minNoticeTime);
     callers.stopAccepting();
+    const bool isComplete = waitUntilIdle(drainEnd);
+    if (!isComplete) {
+        logLine(LogPart::entry, LogLevel::warn, "Cutting what still runs.",
+                {{"inFlight", std::to_string(m_state.inFlight)}});
+        m_callerGateway->cutRequests();
+        m_peerGateway->cutRequests();
+        waitUntilIdle(drainEnd + lastAnswersTime);
+    }
+    // The last bytes of the last responses may still be in this process.
+    std::this_thread::sleep_for(drainPollInterval * 5);
+    return isComplete;
+}
+
+bool Instance::waitUntilIdle(TimePoint end)
+{
     while (isBusy()) {
-        if (m_state.clock.now() >= drainEnd)
+        if (m_state.clock.now() >= end)
             return false;
         std::this_thread::sleep_for(drainPollInterval);
     }
-    // The last bytes of the last responses may still be in this process.
-    std::this_thread::sleep_for(drainPollInterval * 5);
     return true;
 }
 
--- a/src/entry/instance.h
+++ b/src/entry/instance.h
@@ -28,8 +28,8 @@
     // the next start.
     void reload(const ProcessSettings &settings);
 
-    // Announces the stop and waits for the requests in flight. Returns false if the drain time
-    // expired first.
+    // Announces the stop and waits for the requests in flight and until their answers are read.
+    // Returns false if the drain time expired first; what still runs then is ended with an answer.
     bool drain();
 
 private:
@@ -40,6 +40,8 @@
     void stopThreads();
     void listen(const std::string &name, const Address &address, RequestHandler &handler);
     bool isBusy();
+    // Returns false if the instance is still busy at this time.
+    bool waitUntilIdle(TimePoint end);
 
     std::unique_ptr<InterfaceFactory> m_interfaces;
     EntryState m_state;
