A stopping instance passes on only what can end before it ends

Seen: what came during serveOn was passed on whatever its run takes, and cut at the end of the stop; a booking is lost then. A further attempt, too, was made up to the last moment. Cause: Gateway::serve knows only until when requests are taken, not when the process ends. Fix: before each attempt of a stopping instance, Dispatch asks canEndBeforeStop: a deadline before the end is fine; else a typical run (of a booking, half as much again; of a stream that can't be resumed, its usual length too) must fit. What doesn't fit is refused with 3008, not run, Retry-After 0.05 and the other instances' addresses; a peer goes on elsewhere at once.

--- a/src/entry/dispatch-end.cc
+++ b/src/entry/dispatch-end.cc
@@ -138,6 +138,8 @@
     }
     trace("refused: " + std::string(resultInfo(refusal.code).name));
     HttpResponse response = m_protocol.makeRefusal(*m_exchange, refusal, servedBy({}));
+    if (refusal.code == ResultCode::stopping)
+        response.headers.add("X-Entry-Instances", otherInstanceAddresses(m_state));
     addCountsToPeer(response.headers, m_exchange->previousRuns + m_runs);
     m_statusSent = response.status;
     m_exchange->responder->reply(std::move(response));
--- a/src/entry/dispatch.cc
+++ b/src/entry/dispatch.cc
@@ -6,6 +6,7 @@
 
 #include "attempt.h"
 #include "ibisnotch/log.h"
+#include "ibisnotch/planned-stop.h"
 #include "ibisnotch/read-delay.h"
 #include "ibisnotch/server-speed.h"
 #include "ibisnotch/silence.h"
@@ -289,13 +290,45 @@
                                   isForwarded ? share / 2 : share);
 }
 
+Duration Dispatch::typicalRun() const
+{
+    const Service &service = *m_exchange->service;
+    const bool mayBeResumed = service.isResumable || !service.isStreaming;
+    if (mayBeResumed)
+        return minAttemptTime();
+    const std::chrono::duration<double> streaming(
+        m_state.engineStatistics.meanEvents(service.name)
+        * m_state.engineStatistics.facts(loadKey(*m_exchange)).meanEventSeconds);
+    return minAttemptTime() + std::chrono::duration_cast<Duration>(streaming);
+}
+
+bool Dispatch::passesStop()
+{
+    if (!m_state.stopping)
+        return true;
+    const Duration untilEnd = m_state.cutsRequestsAt.load() - m_state.clock.now();
+    const Duration expected = typicalRun();
+    if (canEndBeforeStop({untilEnd, remaining(), expected, m_exchange->service->idempotent}))
+        return true;
+    const Refusal refusal = stoppingRefusal();
+    logLine(LogPart::request, LogLevel::info, "Not sent.",
+            {{"request", m_exchange->id},
+             {"code", std::to_string(static_cast<int>(refusal.code))},
+             {"by",
+              fmt::format("stopsInMs:{},expectedMs:{}", millisecondsText(untilEnd),
+                          millisecondsText(expected))}});
+    settleNotRun();
+    refuse(refusal);
+    return false;
+}
+
 void Dispatch::send(const Target &target)
 {
     if (remaining().count() <= 0) {
         settleNotRun();
         return refuse({ResultCode::deadlineTooShort, "", jitteredRetryAfter(1, m_state.random)});
     }
-    if (!passesPartCheck(target) || (!target.isPeer && !passesQuarantine()))
+    if (!passesStop() || !passesPartCheck(target) || (!target.isPeer && !passesQuarantine()))
         return;
     ++m_attempts;
     m_serverAttempts += target.isPeer ? 0 : 1;
--- a/src/entry/dispatch.h
+++ b/src/entry/dispatch.h
@@ -161,6 +161,11 @@
     void logRetryDecision(std::string_view sentence, std::string_view cause);
     bool isRemote(const Target &target) const;
     void addRetryShare(const Target &target);
+    // Returns true if the request may be sent to a server or peer while the instance stops, or
+    // refuses it and returns false.
+    bool passesStop();
+    // Returns how long a run takes typically; of a stream that can't be resumed, all of it.
+    Duration typicalRun() const;
     void send(const Target &target);
     // Starts a trial of the request if it is due.
     QuarantineDecision checkQuarantine();
--- a/src/entry/gateway.cc
+++ b/src/entry/gateway.cc
@@ -4,7 +4,6 @@
 
 #include <fmt/format.h>
 
-#include "ibisnotch/entry-list.h"
 #include "ibisnotch/log.h"
 
 namespace ibisnotch {
@@ -104,19 +103,6 @@
     return given.empty() || given.size() > maxRequestIdLength ? newRequestId(m_state) : given;
 }
 
-std::string Gateway::otherInstanceAddresses()
-{
-    std::vector<Member> members = *m_state.members.read();
-    std::erase_if(members,
-                  [this](const Member &member) { return member.name == m_state.settings.name; });
-    const EntryList list = makeEntryList(members, m_state.settings.region,
-                                         {m_state.settings.region}, m_state.random);
-    std::string text;
-    for (const Member &member : list.instances)
-        text += (text.empty() ? "" : ",") + member.callerAddress;
-    return text;
-}
-
 void Gateway::refuse(Exchange &exchange, const Refusal &refusal)
 {
     addTraceStep(exchange, m_state.clock, "refused: " + std::string(resultInfo(refusal.code).name));
@@ -127,7 +113,7 @@
     const bool shouldUseOtherInstance
         = refusal.code == ResultCode::stopping || refusal.code == ResultCode::notReady;
     if (shouldUseOtherInstance)
-        response.headers.add("X-Entry-Instances", otherInstanceAddresses());
+        response.headers.add("X-Entry-Instances", otherInstanceAddresses(m_state));
     exchange.responder->reply(std::move(response));
     if (exchange.customer != nullptr && exchange.service != nullptr)
         recordRefusal(exchange, refusal.code);
--- a/src/entry/gateway.h
+++ b/src/entry/gateway.h
@@ -46,7 +46,6 @@
     void keep(const std::shared_ptr<Dispatch> &dispatch);
     void serve(HttpRequest request, std::shared_ptr<Responder> responder);
     std::string requestId(const HttpRequest &request);
-    std::string otherInstanceAddresses();
     void recordRefusal(const Exchange &exchange, ResultCode code);
     // Opens the account of what is held for the exchange.
     void holdBuffers(Exchange &exchange);
--- a/src/entry/instance.cc
+++ b/src/entry/instance.cc
@@ -173,6 +173,7 @@
     const TimePoint startedAt = m_state.clock.now();
     const TimePoint drainEnd = startedAt + m_state.settings.drainTime;
     m_state.acceptsRequestsUntil = startedAt + m_state.settings.drainAcceptTime;
+    m_state.cutsRequestsAt = drainEnd;
     m_state.stopping = true;
     m_control->leave();
     HttpServer &callers = *m_servers.back();
--- a/src/entry/state.cc
+++ b/src/entry/state.cc
@@ -2,6 +2,8 @@
 
 #include <fmt/format.h>
 
+#include "ibisnotch/entry-list.h"
+
 namespace ibisnotch {
 
 namespace {
@@ -41,6 +43,19 @@
     return state.activeConfig.version() > 0 && !state.stopping;
 }
 
+std::string otherInstanceAddresses(EntryState &state)
+{
+    std::vector<Member> members = *state.members.read();
+    std::erase_if(members,
+                  [&state](const Member &member) { return member.name == state.settings.name; });
+    const EntryList list
+        = makeEntryList(members, state.settings.region, {state.settings.region}, state.random);
+    std::string text;
+    for (const Member &member : list.instances)
+        text += (text.empty() ? "" : ",") + member.callerAddress;
+    return text;
+}
+
 std::string newRequestId(EntryState &state)
 {
     return fmt::format("{}-{:016x}", state.settings.name, state.random.next());
--- a/src/entry/state.h
+++ b/src/entry/state.h
@@ -91,12 +91,16 @@
     std::atomic<TimePoint> configValidUntil = TimePoint::max();
     std::atomic<bool> stopping = false;
     std::atomic<TimePoint> acceptsRequestsUntil{}; // set when a stop begins
+    std::atomic<TimePoint> cutsRequestsAt{}; // those that still run; set when a stop begins
     std::atomic<int> inFlight = 0;
 };
 
 // Returns whether the instance serves callers: a configuration is in force and it is not stopping.
 bool isReady(const EntryState &state);
 
+// Returns the addresses of other instances of the region, for callers of one that can't serve.
+std::string otherInstanceAddresses(EntryState &state);
+
 // Returns a new id for a request that came without one.
 std::string newRequestId(EntryState &state);
 
