A stop's time for late requests never outlasts the stop

serveOn above killedAfter would keep the instance from ending, and from answering what it cuts, before the kill. No deployment has such settings; no test.

--- a/src/entry/instance.cc
+++ b/src/entry/instance.cc
@@ -172,7 +172,9 @@
             {{"inFlight", std::to_string(m_state.inFlight)}});
     const TimePoint startedAt = m_state.clock.now();
     const TimePoint drainEnd = startedAt + m_state.settings.drainTime;
-    m_state.acceptsRequestsUntil = startedAt + m_state.settings.drainAcceptTime;
+    const Duration acceptTime
+        = std::min(m_state.settings.drainAcceptTime, m_state.settings.drainTime);
+    m_state.acceptsRequestsUntil = startedAt + acceptTime;
     m_state.cutsRequestsAt = drainEnd;
     m_state.stopping = true;
     m_control->leave();
@@ -180,7 +182,6 @@
     callers.closeAfterResponses();
     // Callers that still connect are served or directed to another instance at once, rather than
     // finding the port closed.
-    const Duration acceptTime = m_state.settings.drainAcceptTime;
     std::this_thread::sleep_for(acceptTime.count() > 0 ? acceptTime + extraServeTime
                                                        : minNoticeTime);
     callers.stopAccepting();
