--- a/src/entry/dispatch.cc
+++ b/src/entry/dispatch.cc
@@ -6,6 +6,7 @@
 
 #include "attempt.h"
 #include "ibisnotch/log.h"
+#include "ibisnotch/planned-stop.h"
 #include "ibisnotch/read-delay.h"
 #include "ibisnotch/server-speed.h"
 #include "ibisnotch/silence.h"
@@ -92,6 +93,8 @@
 
 void Dispatch::route()
 {
+    if (m_hasFinished)
+        return;
     if (m_callerLeft) {
         settleNotRun();
         return finish(ResultCode::callerLeft);
@@ -293,13 +296,45 @@
                                   isForwarded ? share / 2 : share);
 }
 
+Duration Dispatch::typicalRun() const
+{
+    const Service &service = *m_exchange->service;
+    const bool mayBeResumed = service.isResumable || !service.isStreaming;
+    if (mayBeResumed)
+        return minAttemptTime();
+    const std::chrono::duration<double> streaming(
+        m_state.engineStatistics.meanEvents(service.name)
+        * m_state.engineStatistics.facts(loadKey(*m_exchange)).meanEventSeconds);
+    return minAttemptTime() + std::chrono::duration_cast<Duration>(streaming);
+}
+
+bool Dispatch::passesStop()
+{
+    if (!m_state.stopping)
+        return true;
+    const Duration untilEnd = m_state.cutsRequestsAt.load() - m_state.clock.now();
+    const Duration expected = typicalRun();
+    if (canEndBeforeStop({untilEnd, remaining(), expected, m_exchange->service->idempotent}))
+        return true;
+    const Refusal refusal = stoppingRefusal();
+    logLine(LogPart::request, LogLevel::info, "Not sent.",
+            {{"request", m_exchange->id},
+             {"code", std::to_string(static_cast<int>(refusal.code))},
+             {"by",
+              fmt::format("stopsInMs:{},expectedMs:{}", millisecondsText(untilEnd),
+                          millisecondsText(expected))}});
+    settleNotRun();
+    refuse(refusal);
+    return false;
+}
+
 void Dispatch::send(const Target &target)
 {
     if (remaining().count() <= 0) {
         settleNotRun();
         return refuse({ResultCode::deadlineTooShort, "", jitteredRetryAfter(1, m_state.random)});
     }
-    if (!passesPartCheck(target) || (!target.isPeer && !passesQuarantine()))
+    if (!passesStop() || !passesPartCheck(target) || (!target.isPeer && !passesQuarantine()))
         return;
     ++m_attempts;
     m_serverAttempts += target.isPeer ? 0 : 1;
@@ -352,7 +387,7 @@
     const bool refused
         = outcome == AttemptOutcome::refusedNotRun || outcome == AttemptOutcome::rejected;
     const bool failed = outcome != AttemptOutcome::answered && !refused;
-    if (outcome == AttemptOutcome::callerLeft)
+    if (outcome == AttemptOutcome::callerLeft || outcome == AttemptOutcome::cutByStop)
         return;
     AttemptHealth health = failed ? AttemptHealth::failed : AttemptHealth::good;
     if (outcome == AttemptOutcome::notConnected || outcome == AttemptOutcome::otherServer)
@@ -390,7 +425,7 @@
 {
     const bool failed = outcome != AttemptOutcome::answered
         && outcome != AttemptOutcome::refusedNotRun && outcome != AttemptOutcome::rejected
-        && outcome != AttemptOutcome::callerLeft;
+        && outcome != AttemptOutcome::callerLeft && outcome != AttemptOutcome::cutByStop;
     if (!failed)
         return;
     logLine(LogPart::request, LogLevel::warn, "Attempt failed.",
--- a/src/entry/dispatch.h
+++ b/src/entry/dispatch.h
@@ -61,6 +61,10 @@
 
     void start();
 
+    // Ends the request with what can be told about it, as the instance stops. Does nothing if it
+    // has ended. May be called from any thread.
+    void cut();
+
 private:
     class Attempt;
 
@@ -157,6 +161,11 @@
     void logRetryDecision(std::string_view sentence, std::string_view cause);
     bool isRemote(const Target &target) const;
     void addRetryShare(const Target &target);
+    // Returns true if the request may be sent to a server or peer while the instance stops, or
+    // refuses it and returns false.
+    bool passesStop();
+    // Returns how long a run takes typically; of a stream that can't be resumed, all of it.
+    Duration typicalRun() const;
     void send(const Target &target);
     // Starts a trial of the request if it is due.
     QuarantineDecision checkQuarantine();
@@ -267,6 +276,7 @@
     ResultCode finalCode(AttemptOutcome outcome) const;
     void refuse(const Refusal &refusal);
     void finish(ResultCode code);
+    void cutNow();
 
     void logFinished(ResultCode code, bool good) const;
     std::string routeInputsText() const;
@@ -310,6 +320,8 @@
     std::weak_ptr<Attempt> m_currentAttempt;
     bool m_serverReadsSlowly = false; // the exchange ends without another attempt
     bool m_callerLeft = false; // the caller closed its connection
+    bool m_isCut = false; // the instance stops and can't wait for the response
+    bool m_hasFinished = false; // the request has ended; timers may still refer to it
     bool m_findsOrigin = false; // other instances are asked for the stream's origin
     std::uint32_t m_recoveryEpoch = 0; // of the current attempt's server (silence.h)
     bool m_streamRecorded = false; // whether that server's counters include the stream
--- a/src/entry/gateway.cc
+++ b/src/entry/gateway.cc
@@ -4,7 +4,6 @@
 
 #include <fmt/format.h>
 
-#include "ibisnotch/entry-list.h"
 #include "ibisnotch/log.h"
 
 namespace ibisnotch {
@@ -12,8 +11,7 @@
 namespace {
 
 constexpr std::size_t maxRequestIdLength = 64;
-// Retry-after of a stopping instance. Another instance accepts the request at once.
-constexpr Duration retryOtherInstanceAfter = std::chrono::milliseconds(50);
+constexpr std::size_t minCleanup = 64;
 
 } // namespace
 
@@ -105,19 +103,6 @@
     return given.empty() || given.size() > maxRequestIdLength ? newRequestId(m_state) : given;
 }
 
-std::string Gateway::otherInstanceAddresses()
-{
-    std::vector<Member> members = *m_state.members.read();
-    std::erase_if(members,
-                  [this](const Member &member) { return member.name == m_state.settings.name; });
-    const EntryList list = makeEntryList(members, m_state.settings.region,
-                                         {m_state.settings.region}, m_state.random);
-    std::string text;
-    for (const Member &member : list.instances)
-        text += (text.empty() ? "" : ",") + member.callerAddress;
-    return text;
-}
-
 void Gateway::refuse(Exchange &exchange, const Refusal &refusal)
 {
     addTraceStep(exchange, m_state.clock, "refused: " + std::string(resultInfo(refusal.code).name));
@@ -128,7 +113,7 @@
     const bool shouldUseOtherInstance
         = refusal.code == ResultCode::stopping || refusal.code == ResultCode::notReady;
     if (shouldUseOtherInstance)
-        response.headers.add("X-Entry-Instances", otherInstanceAddresses());
+        response.headers.add("X-Entry-Instances", otherInstanceAddresses(m_state));
     exchange.responder->reply(std::move(response));
     if (exchange.customer != nullptr && exchange.service != nullptr)
         recordRefusal(exchange, refusal.code);
@@ -178,7 +163,7 @@
     if (!exchange->table || !exchange->table->config)
         return refuse(*exchange, {ResultCode::notReady, "", jitteredRetryAfter(1, m_state.random)});
     if (m_state.stopping && m_state.clock.now() >= m_state.acceptsRequestsUntil.load())
-        return refuse(*exchange, {ResultCode::stopping, "", retryOtherInstanceAfter});
+        return refuse(*exchange, stoppingRefusal());
     for (const auto &filter : m_filters) {
         if (const auto refusal = filter->apply(*exchange))
             return refuse(*exchange, *refusal);
@@ -189,7 +174,31 @@
     holdBuffers(*exchange);
     HttpClient &client = *m_clients[m_nextClient++ % m_clients.size()];
     auto dispatch = std::make_shared<Dispatch>(m_services, exchange, client);
+    keep(dispatch);
     client.post([dispatch] { dispatch->start(); });
 }
 
+void Gateway::keep(const std::shared_ptr<Dispatch> &dispatch)
+{
+    const std::lock_guard lock(m_mutex);
+    if (m_dispatches.size() >= m_nextCleanup) {
+        std::erase_if(m_dispatches, [](const auto &one) { return one.expired(); });
+        m_nextCleanup = std::max(minCleanup, 2 * m_dispatches.size());
+    }
+    m_dispatches.push_back(dispatch);
+}
+
+void Gateway::cutRequests()
+{
+    std::vector<std::weak_ptr<Dispatch>> dispatches;
+    {
+        const std::lock_guard lock(m_mutex);
+        dispatches.swap(m_dispatches);
+    }
+    for (const auto &one : dispatches) {
+        if (const auto dispatch = one.lock())
+            dispatch->cut();
+    }
+}
+
 } // namespace ibisnotch
--- a/src/entry/instance.cc
+++ b/src/entry/instance.cc
@@ -2,6 +2,7 @@
 
 #include <sys/resource.h>
 
+#include <algorithm>
 #include <limits>
 #include <thread>
 
@@ -20,6 +21,8 @@
 // and use another instance; waiting longer for them would leave the region without this instance
 // for longer.
 constexpr Duration extraServeTime = std::chrono::milliseconds(300);
+// Time in which the answers to requests that the end of a stop cuts leave this process.
+constexpr Duration lastAnswersTime = std::chrono::milliseconds(300);
 // The system's buffers of connections that send faster than they are read count as memory. This is
 // enough for 400 KB/s over a round trip of 160 ms.
 constexpr int receiveBufferBytes = 64 * 1024;
@@ -158,7 +161,9 @@
 
 bool Instance::isBusy()
 {
-    return m_state.inFlight > 0 || (m_claimService && m_claimService->hasPendingOutcomes());
+    return m_state.inFlight > 0 || (m_claimService && m_claimService->hasPendingOutcomes())
+        || std::any_of(m_servers.begin(), m_servers.end(),
+                       [](const auto &server) { return server->openResponses() > 0; });
 }
 
 bool Instance::drain()
@@ -167,24 +172,39 @@
             {{"inFlight", std::to_string(m_state.inFlight)}});
     const TimePoint startedAt = m_state.clock.now();
     const TimePoint drainEnd = startedAt + m_state.settings.drainTime;
-    m_state.acceptsRequestsUntil = startedAt + m_state.settings.drainAcceptTime;
+    const Duration acceptTime
+        = std::min(m_state.settings.drainAcceptTime, m_state.settings.drainTime);
+    m_state.acceptsRequestsUntil = startedAt + acceptTime;
+    m_state.cutsRequestsAt = drainEnd;
     m_state.stopping = true;
     m_control->leave();
     HttpServer &callers = *m_servers.back();
     callers.closeAfterResponses();
     // Callers that still connect are served or directed to another instance at once, rather than
     // finding the port closed.
-    const Duration acceptTime = m_state.settings.drainAcceptTime;
     std::this_thread::sleep_for(acceptTime.count() > 0 ? acceptTime + extraServeTime
                                                        : minNoticeTime);
     callers.stopAccepting();
+    const bool isComplete = waitUntilIdle(drainEnd);
+    if (!isComplete) {
+        logLine(LogPart::entry, LogLevel::warn, "Cutting what still runs.",
+                {{"inFlight", std::to_string(m_state.inFlight)}});
+        m_callerGateway->cutRequests();
+        m_peerGateway->cutRequests();
+        waitUntilIdle(drainEnd + lastAnswersTime);
+    }
+    // The last bytes of the last responses may still be in this process.
+    std::this_thread::sleep_for(drainPollInterval * 5);
+    return isComplete;
+}
+
+bool Instance::waitUntilIdle(TimePoint end)
+{
     while (isBusy()) {
-        if (m_state.clock.now() >= drainEnd)
+        if (m_state.clock.now() >= end)
             return false;
         std::this_thread::sleep_for(drainPollInterval);
     }
-    // The last bytes of the last responses may still be in this process.
-    std::this_thread::sleep_for(drainPollInterval * 5);
     return true;
 }
 
