Streams are taken up without a record only once the store has confirmed that one version is listed

Callers saw streams with events of two versions, answered 200 and whole: begun at servers of a new version, broken, and taken up at an instance that was cut off (or stood still) when these joined.

Cause: that no other version can have begun the stream was concluded from a list that counted as current for up to five seconds after the store had confirmed it. That one more instance had to agree did not help where both lists were old, or where no other instance was known.

Now the store has to confirm the lists of servers and of services after the caller came: watches that don't wait, shared by those who ask within 100 ms. Others are asked if the store doesn't answer within 90 ms, and have the store confirm that they know of one version before they say so. With several versions nothing is read. Unless somebody's list is confirmed, the caller is refused (3017). An answer to a read that began after the caller came can't lack a version whose streams this caller may have, as the store's answers are linearizable and an instance uses only servers that the store listed.

Tests: originExchange_onlyInstance_reliesOnItsOwnList demanded the fault (an only instance relies on its list unconfirmed); two tests stand in its place, of which one demands a refusal unless the store confirms, the other that the list counts once it is confirmed. The fake of the transport can't read the store unless a test says so.

--- a/include/ibisnotch/origin-message.h
+++ b/include/ibisnotch/origin-message.h
@@ -42,7 +42,9 @@
     std::uint64_t stream = 0;
     std::optional<StreamOrigin> origin; // empty if the sender has no record of the stream
     std::uint32_t ageMs = 0; // of that record
-    PossibleOrigins possible; // for the stream's service, as the sender knows them
+    // For the stream's service, as the sender knows them. Without a record, complete only if the
+    // sender has read its lists anew since the question came.
+    PossibleOrigins possible;
 
     template <typename Archive> void serialize(Archive &archive)
     {
--- a/src/entry/control.h
+++ b/src/entry/control.h
@@ -106,6 +106,10 @@
         m_link.sendOrigins(gossipAddress, message);
     }
     std::vector<Member> runningMembers() const override;
+    void refreshLists(std::function<void(bool isCurrent)> done) override
+    {
+        m_source->refreshLists(std::move(done));
+    }
 
     void tick();
     void sendProbes(const std::vector<OutgoingProbe> &probes);
--- a/src/entry/dispatch-origin.cc
+++ b/src/entry/dispatch-origin.cc
@@ -63,7 +63,8 @@
              {"knownBy", std::string(originSourceName(finding.source))},
              {"ageMs", millisecondsText(finding.age)},
              {"asked", std::to_string(finding.asked)},
-             {"answered", std::to_string(finding.answered)}});
+             {"answered", std::to_string(finding.answered)},
+             {"listReadAnew", finding.isListCurrent ? "yes" : "no"}});
     if (!finding.origin) {
         settleNotRun();
         return refuse({ResultCode::streamVersionUnknown, "", {}});
--- a/src/entry/origin-exchange.cc
+++ b/src/entry/origin-exchange.cc
@@ -68,29 +68,69 @@
     });
 }
 
+PossibleOrigins OriginExchange::ownOrigins(const Search &search) const
+{
+    return m_state.originHistory.possibleOrigins(search.question.service, m_state.clock.now());
+}
+
+// Without a record, the stream may go on only if no other origin is possible. Servers of a new
+// version may have begun streams since this instance's list was confirmed, as it may have been cut
+// off or have stood still, so the store has to confirm the list after the caller came.
 void OriginExchange::find(const OriginQuestion &question, Done done)
 {
     const std::uint64_t id = ++m_lastSearch;
     Search &search = m_searches[id];
     search.question = question;
     search.done = std::move(done);
-    search.known.push_back(
-        m_state.originHistory.possibleOrigins(question.service, m_state.clock.now()));
     for (const Member &holder : holdersOf(question.stream))
         search.unanswered.insert(holder.gossipAddress);
     search.asked = search.unanswered.size();
-    if (search.asked == 0)
+    if (!isSole(ownOrigins(search)))
+        return startAsking(id);
+    search.isRefreshing = true;
+    m_transport.postAfter(askDelay, [this, id] { startAsking(id); });
+    m_transport.refreshLists([this, id](bool isCurrent) { onRefreshed(id, isCurrent); });
+}
+
+void OriginExchange::onRefreshed(std::uint64_t id, bool isCurrent)
+{
+    const auto found = m_searches.find(id);
+    if (found == m_searches.end())
+        return;
+    Search &search = found->second;
+    search.isRefreshing = false;
+    search.isCurrent = isCurrent;
+    const bool isCertain = isCurrent && isSole(ownOrigins(search));
+    if (isCertain || search.isAskingOver)
         return finish(id, std::nullopt);
+    startAsking(id);
+}
+
+void OriginExchange::startAsking(std::uint64_t id)
+{
+    const auto found = m_searches.find(id);
+    if (found == m_searches.end() || std::exchange(found->second.hasAsked, true))
+        return;
+    if (found->second.unanswered.empty())
+        return endAsking(id);
     ask(id, Duration(0));
 }
 
+void OriginExchange::endAsking(std::uint64_t id)
+{
+    Search &search = m_searches.at(id);
+    search.isAskingOver = true;
+    if (!search.isRefreshing)
+        finish(id, std::nullopt);
+}
+
 void OriginExchange::ask(std::uint64_t id, Duration elapsed)
 {
     const auto found = m_searches.find(id);
-    if (found == m_searches.end())
+    if (found == m_searches.end() || found->second.isAskingOver)
         return;
     if (elapsed >= maxSearchTime)
-        return finish(id, std::nullopt);
+        return endAsking(id);
     OriginMessage message;
     message.questions.push_back(found->second.question);
     for (const std::string &address : found->second.unanswered)
@@ -109,13 +149,11 @@
     }
     OriginMessage reply;
     for (const OriginQuestion &question : message.questions) {
-        OriginAnswer answer{question.stream, std::nullopt, 0,
-                            m_state.originHistory.possibleOrigins(question.service, now)};
-        if (const auto record = m_state.originRecords.find(question.stream, now)) {
-            answer.origin = record->origin;
-            answer.ageMs = ageInMs(record->knownAt, now);
-        }
-        reply.answers.push_back(std::move(answer));
+        OriginAnswer answer = makeAnswer(question);
+        if (!answer.origin && isSole(answer.possible))
+            answerWhenCurrent(question, from);
+        else
+            reply.answers.push_back(std::move(answer));
     }
     if (!reply.answers.empty())
         m_transport.sendOrigins(from, reply);
@@ -123,48 +161,85 @@
         onAnswer(answer, from);
 }
 
+OriginAnswer OriginExchange::makeAnswer(const OriginQuestion &question) const
+{
+    const TimePoint now = m_state.clock.now();
+    OriginAnswer answer{question.stream, std::nullopt, 0,
+                        m_state.originHistory.possibleOrigins(question.service, now)};
+    if (const auto record = m_state.originRecords.find(question.stream, now)) {
+        answer.origin = record->origin;
+        answer.ageMs = ageInMs(record->knownAt, now);
+    }
+    return answer;
+}
+
+// The asking instance would rely on what may be outdated here, too.
+void OriginExchange::answerWhenCurrent(const OriginQuestion &question, const std::string &from)
+{
+    m_transport.refreshLists([this, question, from](bool isCurrent) {
+        OriginMessage reply;
+        reply.answers.push_back(makeAnswer(question));
+        PossibleOrigins &possible = reply.answers.front().possible;
+        possible.isComplete = possible.isComplete && isCurrent;
+        m_transport.sendOrigins(from, reply);
+    });
+}
+
 void OriginExchange::onAnswer(const OriginAnswer &answer, const std::string &from)
 {
-    std::vector<std::uint64_t> ended;
+    std::vector<std::uint64_t> known;
+    std::vector<std::uint64_t> asked;
     for (auto &[id, search] : m_searches) {
         if (search.question.stream != answer.stream || search.unanswered.erase(from) == 0)
             continue;
-        search.known.push_back(answer.possible);
+        search.told.push_back(answer.possible);
         // Two instances that both know the one possible origin need no third.
-        const bool agrees = isSole(search.known.front()) && answer.possible == search.known.front();
-        if (answer.origin || agrees || search.unanswered.empty())
-            ended.push_back(id);
+        const PossibleOrigins own = ownOrigins(search);
+        const bool agrees = isSole(own) && answer.possible == own;
+        if (answer.origin || agrees)
+            known.push_back(id);
+        else if (search.unanswered.empty())
+            asked.push_back(id);
     }
-    for (const std::uint64_t id : ended)
+    for (const std::uint64_t id : known)
         finish(id, answer.origin ? std::optional(answer) : std::nullopt);
+    for (const std::uint64_t id : asked)
+        endAsking(id);
 }
 
-// The others may not have met the callers that wait for longer than the service's deadline. Then
-// their knowledge is complete too early, and only this instance's own counts.
-bool OriginExchange::mayRelyOnLists(const Search &search) const
+// Returns the only possible origin if an instance whose list is current knows it, and nobody knows
+// another. While callers wait for longer than the service's deadline, the others may not have met
+// them; then their knowledge is complete too early, and this instance's own has to be, too.
+std::optional<StreamOrigin> OriginExchange::soleOriginOf(const Search &search) const
 {
-    const bool hasAnswer = search.asked == 0 || search.unanswered.size() < search.asked;
+    PossibleOrigins own = ownOrigins(search);
     const bool mustKnowItself
         = m_state.originHistory.outlastsDeadline(search.question.service, m_state.clock.now());
-    return hasAnswer && (search.known.front().isComplete || !mustKnowItself);
+    if (mustKnowItself && !own.isComplete)
+        return std::nullopt;
+    own.isComplete = own.isComplete && search.isCurrent;
+    std::vector<PossibleOrigins> known = search.told;
+    known.push_back(std::move(own));
+    return soleOrigin(known);
 }
 
-// Without a record, the stream may be continued only if no other origin is possible. The list that
-// this instance knows may lack the newest changes while it is cut off, so at least one other
-// instance must have answered if there is any.
 void OriginExchange::finish(std::uint64_t id, std::optional<OriginAnswer> told)
 {
-    auto node = m_searches.extract(id);
-    Search &search = node.mapped();
+    const auto node = m_searches.extract(id);
+    const Search &search = node.mapped();
+    // A notice may have waited in the socket while this instance stood still.
+    if (OriginAnswer late = makeAnswer(search.question); !told && late.origin)
+        told = std::move(late);
     OriginFinding finding;
-    finding.asked = search.asked;
-    finding.answered = search.asked - search.unanswered.size();
+    finding.asked = search.hasAsked ? search.asked : 0;
+    finding.answered = search.told.size();
+    finding.isListCurrent = search.isCurrent;
     if (told) {
         finding.origin = told->origin;
         finding.source = OriginSource::told;
         finding.age = std::chrono::milliseconds(told->ageMs);
-    } else if (mayRelyOnLists(search)) {
-        finding.origin = soleOrigin(search.known);
+    } else {
+        finding.origin = soleOriginOf(search);
         finding.source = finding.origin ? OriginSource::sole : OriginSource::unknown;
     }
     search.done(finding);
--- a/src/entry/origin-exchange.h
+++ b/src/entry/origin-exchange.h
@@ -24,6 +24,10 @@
     virtual void postAfter(Duration delay, std::function<void()> task) = 0;
     // Returns the members that may be running, this instance included.
     virtual std::vector<Member> runningMembers() const = 0;
+    // Reads anew from the store which servers and services there are. Calls `done` once, maybe
+    // before it returns, with whether every change is known now that the store had accepted before
+    // this call.
+    virtual void refreshLists(std::function<void(bool isCurrent)> done) = 0;
 };
 
 struct OriginFinding
@@ -33,6 +37,7 @@
     Duration age{}; // of the record that told it
     std::size_t asked = 0; // instances
     std::size_t answered = 0;
+    bool isListCurrent = false; // this instance has read its list anew for the search
     bool operator==(const OriginFinding &) const = default;
 };
 
@@ -45,6 +50,8 @@
     // Time after which the other instances count as not answering. Twice the round trip between
     // two regions.
     static constexpr Duration maxSearchTime = std::chrono::milliseconds(350);
+    // Time that the store has to confirm the only possible origin before others are asked as well.
+    static constexpr Duration askDelay = std::chrono::milliseconds(90);
 
     OriginExchange(EntryState &state, OriginTransport &transport)
         : m_state(state), m_transport(transport)
@@ -57,7 +64,7 @@
     // Does so shortly, for all streams that begin until then.
     void scheduleNotices();
     // Finds the origin of a stream of which this instance has no record. Calls `done` once, at the
-    // latest after maxSearchTime.
+    // latest after askDelay and maxSearchTime, or when its list has been read anew.
     void find(const OriginQuestion &question, Done done);
     void onMessage(const OriginMessage &message, const std::string &from);
 
@@ -68,13 +75,23 @@
         Done done;
         std::set<std::string> unanswered; // addresses
         std::size_t asked = 0;
-        std::vector<PossibleOrigins> known; // by this instance, and by those that answered
+        bool hasAsked = false;
+        bool isAskingOver = false; // all have answered, or the time for it has passed
+        bool isRefreshing = false; // this instance's list is being read anew
+        bool isCurrent = false; // it has been
+        std::vector<PossibleOrigins> told; // by those that answered
     };
 
     std::vector<Member> holdersOf(std::uint64_t stream) const;
+    PossibleOrigins ownOrigins(const Search &search) const;
+    void startAsking(std::uint64_t search);
     void ask(std::uint64_t search, Duration elapsed);
+    void onRefreshed(std::uint64_t search, bool isCurrent);
+    void endAsking(std::uint64_t search);
+    OriginAnswer makeAnswer(const OriginQuestion &question) const;
+    void answerWhenCurrent(const OriginQuestion &question, const std::string &from);
     void onAnswer(const OriginAnswer &answer, const std::string &from);
-    bool mayRelyOnLists(const Search &search) const;
+    std::optional<StreamOrigin> soleOriginOf(const Search &search) const;
     void finish(std::uint64_t search, std::optional<OriginAnswer> told);
 
     EntryState &m_state;
--- a/src/entry/range-source.cc
+++ b/src/entry/range-source.cc
@@ -47,7 +47,9 @@
     : m_state(state), m_control(control), m_store(std::move(store)), m_format(std::move(format)),
       m_suspects(
           *m_store, [this](const SuspectKey &key) { return m_format->suspectKey(key); }, control,
-          state.clock, state.random)
+          state.clock, state.random),
+      m_refreshes(control, state.clock,
+                  [this](RefreshBatcher::Done done) { readChanges(std::move(done)); })
 {
     for (const std::string &prefix : m_format->prefixes()) {
         const bool isSuspects = prefix == m_format->suspectPrefix();
@@ -171,17 +173,18 @@
         return;
     range->toldAt = m_state.clock.now();
     const bool isNewEra = onPeerEra(update.asOf);
-    applyUpdate(*range, update, range->toldAt);
+    applyUpdate(*range, update, range->toldAt, sourcePeer);
     const bool isBehind = update.asOf > range->follower.asOf();
     if (isBehind && (isNewEra || !range->follower.isStoreReachable()))
         requestFromPeer(*range, from);
 }
 
-bool RangeSource::applyUpdate(Range &range, const RangeUpdate &update, TimePoint at)
+bool RangeSource::applyUpdate(Range &range, const RangeUpdate &update, TimePoint at,
+                              std::string_view source)
 {
     const std::vector<StoreItem> changes = range.follower.onUpdate(update, at);
     for (const StoreItem &item : changes)
-        applyItem(item, sourcePeer);
+        applyItem(item, source);
     publishChanges();
     return !changes.empty();
 }
@@ -254,7 +257,7 @@
 {
     const TimePoint at = m_state.clock.now() - std::chrono::milliseconds(reply.ageMs);
     const RangeUpdate &update = reply.update;
-    const bool changed = applyUpdate(range, update, at);
+    const bool changed = applyUpdate(range, update, at, sourcePeer);
     if (changed && update.base > 0 && tellsRegion(range))
         m_control.broadcastRangeUpdate(
             makeRangeUpdate(update.prefix, update.base, update.asOf, update.items));
--- a/src/entry/range-source.h
+++ b/src/entry/range-source.h
@@ -14,6 +14,7 @@
 #include "ibisnotch/prefix-follower.h"
 #include "ibisnotch/server-list.h"
 #include "ibisnotch/store.h"
+#include "refresh-batcher.h"
 #include "state-source.h"
 #include "suspect-writer.h"
 
@@ -75,6 +76,7 @@
     std::vector<RangePosition> positions() const override;
     void onPositions(const std::vector<RangePosition> &positions, const std::string &from) override;
     std::vector<RangeReply> updatesSince(const std::vector<RangeRequest> &requests) const override;
+    void refreshLists(RefreshBatcher::Done done) override { m_refreshes.request(std::move(done)); }
     void recordSuspects(const std::vector<SuspectPart> &suspects) override
     {
         m_suspects.record(suspects);
@@ -110,8 +112,15 @@
     void onPosition(Range &range, const RangePosition &position, const std::string &from);
     void requestFromPeer(Range &range, const std::string &from);
     // Returns true if the update contained changes that were unknown here.
-    bool applyUpdate(Range &range, const RangeUpdate &update, TimePoint at);
+    bool applyUpdate(Range &range, const RangeUpdate &update, TimePoint at,
+                     std::string_view source);
     void applyReply(Range &range, const RangeReply &reply);
+    // Read what has changed without waiting for more. `done` is told whether all of it is known.
+    void readChanges(RefreshBatcher::Done done);
+    void readChanges(Range &range, int callsLeft, RefreshBatcher::Done done);
+    // Applies the changes after revision `base`, of a call that was made at `calledAt`. Returns
+    // whether all of them are known now.
+    bool onChanges(Range &range, StorePage page, std::uint64_t base, TimePoint calledAt);
     // Returns whether to send a change to the region that another instance has sent here.
     bool tellsRegion(const Range &range) const;
     void logReachability(Range &range);
@@ -141,6 +150,7 @@
     bool m_serversChanged = false;
     std::uint64_t m_era = 0; // the store's, as last heard
     SuspectWriter m_suspects;
+    RefreshBatcher m_refreshes;
 };
 
 } // namespace ibisnotch
--- a/src/entry/state-source.h
+++ b/src/entry/state-source.h
@@ -1,6 +1,7 @@
 // The interface of the sources of an instance's configuration and list of backend servers.
 #pragma once
 
+#include <functional>
 #include <string>
 #include <vector>
 
@@ -28,6 +29,10 @@
     {
         return {};
     }
+    // Reads anew from the store which servers and services there are. Calls `done` once, maybe
+    // before it returns, with whether every change is known now that the store had accepted before
+    // this call.
+    virtual void refreshLists(std::function<void(bool isCurrent)> done) { done(false); }
     // Write suspect parts to the store, or remove them from it.
     virtual void recordSuspects(const std::vector<SuspectPart> &) { }
     virtual void removeSuspects(const std::vector<SuspectPart> &) { }
--- a/test/origin-exchange-test.cc
+++ b/test/origin-exchange-test.cc
@@ -12,10 +12,25 @@
 const StreamOrigin newVersion{"p", "v2"};
 constexpr std::uint64_t stream = 7;
 
-// Keeps what is sent and what is to be done later.
+// Keeps what is sent and what is to be done later. The store can't be read unless a test says so.
 class FakeTransport final : public OriginTransport
 {
 public:
+    using Refreshed = std::function<void(bool isCurrent)>;
+
+    void refreshLists(Refreshed done) override
+    {
+        ++refreshes;
+        if (!isStoreSlow)
+            return done(false);
+        m_refreshes.push_back(std::move(done));
+    }
+    // Ends the reads of a slow store.
+    void endRefreshes(bool isCurrent)
+    {
+        for (const Refreshed &done : std::exchange(m_refreshes, {}))
+            done(isCurrent);
+    }
     void sendOrigins(const std::string &address, const OriginMessage &message) override
     {
         sent.emplace_back(address, message);
@@ -38,8 +53,11 @@
 
     std::vector<Member> members;
     std::vector<std::pair<std::string, OriginMessage>> sent;
+    bool isStoreSlow = false;
+    int refreshes = 0;
 
 private:
+    std::vector<Refreshed> m_refreshes;
     std::vector<std::function<void()>> m_tasks;
 };
 
@@ -209,10 +227,109 @@
     CHECK_FALSE(finding->origin);
 }
 
-TEST_CASE_METHOD(OriginExchangeFixture, "originExchange_onlyInstance_reliesOnItsOwnList")
+// Guards against a guess by an instance that is cut off from the store and has lost sight of the
+// others, or has just started, while servers of a new version joined.
+TEST_CASE_METHOD(OriginExchangeFixture, "originExchange_onlyInstanceAndNoStore_doesNotGuess")
+{
+    setInstances(1);
+    find();
+    REQUIRE(finding);
+    CHECK_FALSE(finding->origin);
+}
+
+TEST_CASE_METHOD(OriginExchangeFixture,
+                 "originExchange_onlyInstance_reliesOnItsOwnListOnceItIsReadAnew")
 {
     setInstances(1);
+    transport.isStoreSlow = true;
+    find();
+    CHECK_FALSE(finding);
+    transport.endRefreshes(true);
+    REQUIRE(finding);
+    CHECK(finding->origin == oldVersion);
+    CHECK(finding->isListCurrent);
+}
+
+// Guards against a guess by an instance that stood still and has not heard yet what has changed.
+TEST_CASE_METHOD(OriginExchangeFixture, "originExchange_newVersionIsReadAnew_doesNotGuess")
+{
+    transport.isStoreSlow = true;
+    find();
+    listBothVersions();
+    transport.endRefreshes(true);
+    CHECK_FALSE(finding);
+    answer(std::nullopt, {{oldVersion}, true});
+    transport.runTasks();
+    REQUIRE(finding);
+    CHECK_FALSE(finding->origin);
+}
+
+// Guards against messages and waiting in calm times.
+TEST_CASE_METHOD(OriginExchangeFixture, "originExchange_listIsReadAnew_asksNobody")
+{
+    transport.isStoreSlow = true;
+    find();
+    transport.endRefreshes(true);
+    REQUIRE(finding);
+    CHECK(finding->origin == oldVersion);
+    CHECK(transport.sent.empty());
+}
+
+TEST_CASE_METHOD(OriginExchangeFixture, "originExchange_storeIsSlow_asksOthersMeanwhile")
+{
+    transport.isStoreSlow = true;
     find();
+    transport.runTasks(); // the others have had their time, too
+    CHECK_FALSE(finding);
+    CHECK_FALSE(transport.sent.empty());
+    transport.endRefreshes(true);
     REQUIRE(finding);
     CHECK(finding->origin == oldVersion);
 }
+
+// Guards against calls to the store that can't help, as only a record can.
+TEST_CASE_METHOD(OriginExchangeFixture, "originExchange_severalVersions_readsNothing")
+{
+    listBothVersions();
+    find();
+    exchange.onMessage({{}, {{stream, "s"}}, {}}, "e1");
+    CHECK(transport.refreshes == 0);
+}
+
+// Guards against two instances that agree although both were cut off, or stood still, while servers
+// of a new version joined.
+TEST_CASE_METHOD(OriginExchangeFixture, "originExchange_asked_saysItsListIsCompleteOnlyIfReadAnew")
+{
+    const bool isCurrent = GENERATE(true, false);
+    transport.isStoreSlow = true;
+    exchange.onMessage({{}, {{stream, "s"}}, {}}, "e1");
+    CHECK(transport.sent.empty());
+    transport.endRefreshes(isCurrent);
+    REQUIRE(transport.sent.size() == 1);
+    const OriginAnswer &answer = transport.sent.front().second.answers.front();
+    CHECK(answer.possible == PossibleOrigins{{oldVersion}, isCurrent});
+}
+
+TEST_CASE_METHOD(OriginExchangeFixture, "originExchange_nobodysListIsCurrent_doesNotGuess")
+{
+    setInstances(2);
+    find();
+    answer(std::nullopt, {{oldVersion}, false});
+    REQUIRE(finding);
+    CHECK_FALSE(finding->origin);
+    CHECK(finding->answered == 1);
+}
+
+// Guards against a refusal, or a guess, although a notice waited in the socket while the instance
+// stood still.
+TEST_CASE_METHOD(OriginExchangeFixture, "originExchange_toldDuringTheSearch_findsTheOrigin")
+{
+    setInstances(1);
+    transport.isStoreSlow = true;
+    find();
+    exchange.onMessage({{{newVersion, 5000, {stream}}}, {}, {}}, "e1");
+    transport.endRefreshes(true);
+    REQUIRE(finding);
+    CHECK(finding->origin == newVersion);
+    CHECK(finding->source == OriginSource::told);
+}
