--- a/src/entry/range-refresh.cc
+++ b/src/entry/range-refresh.cc
@@ -21,11 +21,11 @@
 {
     struct Progress
     {
-        int left = 0;
+        std::size_t left = 0;
         bool isCurrent = true;
     };
     const std::vector<std::string> prefixes{m_format->serverPrefix(), m_format->configPrefix()};
-    const auto progress = std::make_shared<Progress>(static_cast<int>(prefixes.size()));
+    const auto progress = std::make_shared<Progress>(Progress{prefixes.size()});
     for (const std::string &prefix : prefixes) {
         const auto onRead = [progress, done](bool isCurrent) {
             progress->isCurrent = progress->isCurrent && isCurrent;
