Versions of servers that came and went between two looks at the list stay possible

Cause: of the changes that the store tells, the last one of each key was kept, and versions were learnt from what was left. Under five seconds, that counted as following the list without a gap.

Versions are now learnt from each write that is told. Where another instance tells the last change of each key alone, the removal of an unknown key shows a write that was not seen and counts as a gap.

The second part is shown by unit tests only.

--- a/include/ibisnotch/origin-history.h
+++ b/include/ibisnotch/origin-history.h
@@ -52,6 +52,8 @@
     // Called several times a second with the time at which the complete list was last known to be
     // current. It counts as current for `maxAge` after that.
     void onConfirmed(TimePoint confirmedAt, Duration maxAge, TimePoint now);
+    // Called when a server of an unknown version may have come and gone.
+    void onGap(TimePoint now);
 
     PossibleOrigins possibleOrigins(const std::string &service, TimePoint now) const;
     // Returns whether callers of the service wait for longer than its deadline.
--- a/src/decide/origin-history.cc
+++ b/src/decide/origin-history.cc
@@ -142,6 +142,12 @@
     m_maxAge = maxAge;
 }
 
+void OriginHistory::onGap(TimePoint now)
+{
+    const std::lock_guard lock(m_mutex);
+    m_currentSince = now;
+}
+
 PossibleOrigins OriginHistory::possibleOrigins(const std::string &service, TimePoint now) const
 {
     const std::lock_guard lock(m_mutex);
--- a/src/decide/prefix-follower.cc
+++ b/src/decide/prefix-follower.cc
@@ -125,6 +125,21 @@
     return changes;
 }
 
+bool PrefixFollower::hidesAWrite(const RangeUpdate &update) const
+{
+    const bool isApplicable = m_watching && update.asOf >= std::max(m_asOf, m_eraStart)
+        && update.base > 0 && update.base <= m_asOf;
+    std::set<std::string> written;
+    for (const StoreItem &item : update.items) {
+        const bool isKnown = m_items.count(item.key) > 0 || written.count(item.key) > 0;
+        if (!item.deleted)
+            written.insert(item.key);
+        else if (isApplicable && !isKnown && item.revision > m_asOf)
+            return true;
+    }
+    return false;
+}
+
 std::vector<StoreItem> PrefixFollower::removeUnnamedKeys(const RangeUpdate &update)
 {
     std::map<std::string, std::uint64_t> changedAt; // revision of the last change of each key
--- a/src/entry/range-source.cc
+++ b/src/entry/range-source.cc
@@ -182,6 +182,15 @@
 bool RangeSource::applyUpdate(Range &range, const RangeUpdate &update, TimePoint at,
                               std::string_view source)
 {
+    noteWritten(range, update.items);
+    // Another instance may tell the last change of each key only.
+    if (range.prefix == m_format->serverPrefix() && range.follower.hidesAWrite(update)) {
+        m_state.originHistory.onGap(m_state.clock.now());
+        logLine(LogPart::store, LogLevel::info, "Server came and went unseen.",
+                {{"known", revisionText(range.follower.asOf())},
+                 {"base", revisionText(update.base)},
+                 {"asOf", revisionText(update.asOf)}});
+    }
     const std::vector<StoreItem> changes = range.follower.onUpdate(update, at);
     for (const StoreItem &item : changes)
         applyItem(item, source);
@@ -315,6 +324,7 @@
         m_format->removeSecrets(item);
     const std::uint64_t base = range.follower.updateBase();
     const bool watched = range.follower.isWatchPending();
+    noteWritten(range, page.items);
     for (const StoreItem &item : range.follower.onResponse(page, m_state.clock.now()))
         applyItem(item, sourceStore);
     // Where all instances watch, each still broadcasts changes: the store may be unreachable for
@@ -474,6 +484,22 @@
     return regionOf(dataCentre) == m_state.settings.region;
 }
 
+// What a server of this version began may still be resumed, whatever the list shows by now.
+void RangeSource::noteWritten(const Range &range, const std::vector<StoreItem> &items)
+{
+    if (range.prefix != m_format->serverPrefix())
+        return;
+    for (const StoreItem &item : items) {
+        if (item.deleted || item.revision <= range.follower.asOf())
+            continue;
+        const Record record = m_format->read(item);
+        if (const auto *server = std::get_if<ListedServer>(&record)) {
+            m_writtenOrigins.insert({server->server.pool, server->server.softwareVersion});
+            m_serversChanged = true;
+        }
+    }
+}
+
 void RangeSource::publishChanges()
 {
     if (!m_serversChanged)
@@ -491,6 +517,8 @@
         else if (!region.empty() && !listed.leaving && m_evacuated.count(dataCentre) == 0)
             remote.push_back({name, region, listed.server.pool, listed.server.softwareVersion});
     }
+    m_writtenOrigins.insert(origins.begin(), origins.end());
+    m_state.originHistory.setListed(std::exchange(m_writtenOrigins, {}), m_state.clock.now());
     m_state.originHistory.setListed(origins, m_state.clock.now());
     m_state.servers.setListed(std::move(local), m_state.clock.now());
     m_state.servers.setRemote(std::move(remote));
--- a/src/entry/range-source.h
+++ b/src/entry/range-source.h
@@ -14,6 +14,7 @@
 #include "ibisnotch/prefix-follower.h"
 #include "ibisnotch/server-list.h"
 #include "ibisnotch/store.h"
+#include "ibisnotch/stream-origin.h"
 #include "refresh-batcher.h"
 #include "state-source.h"
 #include "suspect-writer.h"
@@ -134,6 +135,8 @@
     void removeSuspect(const SuspectKey &key, std::string_view source);
     void removeItem(const StoreItem &item, std::string_view source);
     void expireLostEvacuations();
+    // Remembers the versions of all servers that were written, also of those that are gone by now.
+    void noteWritten(const Range &range, const std::vector<StoreItem> &items);
     void publishChanges();
     std::string regionOf(const std::string &dataCentre) const; // empty if unknown
     bool isLocal(const std::string &dataCentre) const;
@@ -144,6 +147,7 @@
     std::unique_ptr<RecordFormat> m_format;
     std::vector<std::unique_ptr<Range>> m_ranges;
     ServerList m_servers;
+    std::set<StreamOrigin> m_writtenOrigins; // since the list was published, also of servers gone
     std::set<std::string> m_evacuated;
     // Evacuations that the store lost, and when each ends unless it is written again.
     std::map<std::string, TimePoint> m_lostEvacuations;
--- a/test/origin-history-test.cc
+++ b/test/origin-history-test.cc
@@ -152,6 +152,19 @@
     CHECK(isSole(possible()));
 }
 
+// The same after a server of an unknown version may have come and gone.
+TEST_CASE_METHOD(OriginHistoryFixture,
+                 "possibleOrigins_serverCameAndWentUnseen_isNotCompleteForAStreamsLifetime")
+{
+    list({oldVersion});
+    follow(lifetime);
+    history.onGap(clock.now());
+    follow(lifetime - 1s);
+    CHECK_FALSE(isSole(possible()));
+    follow(1s);
+    CHECK(isSole(possible()));
+}
+
 // Guards against a stream that goes on at another pool because a configuration moved its service.
 TEST_CASE_METHOD(OriginHistoryFixture,
                  "possibleOrigins_serviceMoved_keepsTheOldPoolForAStreamsLifetime")
--- a/test/prefix-follower-test.cc
+++ b/test/prefix-follower-test.cc
@@ -318,6 +318,21 @@
     CHECK(follower.nextCall(now));
 }
 
+// Guards against a list that counts as followed without a gap although a server came and went of
+// which another instance tells the removal alone.
+TEST_CASE_METHOD(FollowerFixture, "prefixFollower_updateRemovesAnUnknownKey_hidesAWrite")
+{
+    answer(page({{"a", "1", 5, false}}, 10));
+    const auto hides = [this](std::uint64_t base, std::vector<StoreItem> items) {
+        return follower.hidesAWrite({"", base, 14, std::move(items)});
+    };
+    CHECK(hides(10, {{"b", "", 12, true}}));
+    CHECK_FALSE(hides(10, {{"a", "", 12, true}}));
+    CHECK_FALSE(hides(10, {{"b", "2", 11, false}, {"b", "", 12, true}}));
+    CHECK_FALSE(hides(8, {{"b", "", 9, true}}));
+    CHECK_FALSE(hides(11, {{"b", "", 12, true}})); // not applied, as changes before it are missing
+}
+
 // Random writes, removals, failed calls and lost history.
 TEST_CASE("prefixFollower_anyHistory_endsWithTheStoresKeys")
 {
