--- a/src/entry/range-source.cc
+++ b/src/entry/range-source.cc
@@ -47,7 +47,9 @@
     : m_state(state), m_control(control), m_store(std::move(store)), m_format(std::move(format)),
       m_suspects(
           *m_store, [this](const SuspectKey &key) { return m_format->suspectKey(key); }, control,
-          state.clock, state.random)
+          state.clock, state.random),
+      m_refreshes(control, state.clock,
+                  [this](RefreshBatcher::Done done) { readChanges(std::move(done)); })
 {
     for (const std::string &prefix : m_format->prefixes()) {
         const bool isSuspects = prefix == m_format->suspectPrefix();
@@ -171,17 +173,27 @@
         return;
     range->toldAt = m_state.clock.now();
     const bool isNewEra = onPeerEra(update.asOf);
-    applyUpdate(*range, update, range->toldAt);
+    applyUpdate(*range, update, range->toldAt, sourcePeer);
     const bool isBehind = update.asOf > range->follower.asOf();
     if (isBehind && (isNewEra || !range->follower.isStoreReachable()))
         requestFromPeer(*range, from);
 }
 
-bool RangeSource::applyUpdate(Range &range, const RangeUpdate &update, TimePoint at)
+bool RangeSource::applyUpdate(Range &range, const RangeUpdate &update, TimePoint at,
+                              std::string_view source)
 {
+    noteWritten(range, update.items);
+    // Another instance may tell the last change of each key only.
+    if (range.prefix == m_format->serverPrefix() && range.follower.hidesAWrite(update)) {
+        m_state.originHistory.onGap(m_state.clock.now());
+        logLine(LogPart::store, LogLevel::info, "Server came and went unseen.",
+                {{"known", revisionText(range.follower.asOf())},
+                 {"base", revisionText(update.base)},
+                 {"asOf", revisionText(update.asOf)}});
+    }
     const std::vector<StoreItem> changes = range.follower.onUpdate(update, at);
     for (const StoreItem &item : changes)
-        applyItem(item, sourcePeer);
+        applyItem(item, source);
     publishChanges();
     return !changes.empty();
 }
@@ -254,7 +266,7 @@
 {
     const TimePoint at = m_state.clock.now() - std::chrono::milliseconds(reply.ageMs);
     const RangeUpdate &update = reply.update;
-    const bool changed = applyUpdate(range, update, at);
+    const bool changed = applyUpdate(range, update, at, sourcePeer);
     if (changed && update.base > 0 && tellsRegion(range))
         m_control.broadcastRangeUpdate(
             makeRangeUpdate(update.prefix, update.base, update.asOf, update.items));
@@ -312,6 +324,7 @@
         m_format->removeSecrets(item);
     const std::uint64_t base = range.follower.updateBase();
     const bool watched = range.follower.isWatchPending();
+    noteWritten(range, page.items);
     for (const StoreItem &item : range.follower.onResponse(page, m_state.clock.now()))
         applyItem(item, sourceStore);
     // Where all instances watch, each still broadcasts changes: the store may be unreachable for
@@ -471,6 +484,22 @@
     return regionOf(dataCentre) == m_state.settings.region;
 }
 
+// What a server of this version began may still be resumed, whatever the list shows by now.
+void RangeSource::noteWritten(const Range &range, const std::vector<StoreItem> &items)
+{
+    if (range.prefix != m_format->serverPrefix())
+        return;
+    for (const StoreItem &item : items) {
+        if (item.deleted || item.revision <= range.follower.asOf())
+            continue;
+        const Record record = m_format->read(item);
+        if (const auto *server = std::get_if<ListedServer>(&record)) {
+            m_writtenOrigins.insert({server->server.pool, server->server.softwareVersion});
+            m_serversChanged = true;
+        }
+    }
+}
+
 void RangeSource::publishChanges()
 {
     if (!m_serversChanged)
@@ -488,6 +517,8 @@
         else if (!region.empty() && !listed.leaving && m_evacuated.count(dataCentre) == 0)
             remote.push_back({name, region, listed.server.pool, listed.server.softwareVersion});
     }
+    m_writtenOrigins.insert(origins.begin(), origins.end());
+    m_state.originHistory.setListed(std::exchange(m_writtenOrigins, {}), m_state.clock.now());
     m_state.originHistory.setListed(origins, m_state.clock.now());
     m_state.servers.setListed(std::move(local), m_state.clock.now());
     m_state.servers.setRemote(std::move(remote));
--- a/src/entry/range-source.h
+++ b/src/entry/range-source.h
@@ -14,6 +14,8 @@
 #include "ibisnotch/prefix-follower.h"
 #include "ibisnotch/server-list.h"
 #include "ibisnotch/store.h"
+#include "ibisnotch/stream-origin.h"
+#include "refresh-batcher.h"
 #include "state-source.h"
 #include "suspect-writer.h"
 
@@ -75,6 +77,7 @@
     std::vector<RangePosition> positions() const override;
     void onPositions(const std::vector<RangePosition> &positions, const std::string &from) override;
     std::vector<RangeReply> updatesSince(const std::vector<RangeRequest> &requests) const override;
+    void refreshLists(RefreshBatcher::Done done) override { m_refreshes.request(std::move(done)); }
     void recordSuspects(const std::vector<SuspectPart> &suspects) override
     {
         m_suspects.record(suspects);
@@ -110,8 +113,15 @@
     void onPosition(Range &range, const RangePosition &position, const std::string &from);
     void requestFromPeer(Range &range, const std::string &from);
     // Returns true if the update contained changes that were unknown here.
-    bool applyUpdate(Range &range, const RangeUpdate &update, TimePoint at);
+    bool applyUpdate(Range &range, const RangeUpdate &update, TimePoint at,
+                     std::string_view source);
     void applyReply(Range &range, const RangeReply &reply);
+    // Read what has changed without waiting for more. `done` is told whether all of it is known.
+    void readChanges(RefreshBatcher::Done done);
+    void readChanges(Range &range, int callsLeft, RefreshBatcher::Done done);
+    // Applies the changes after revision `base`, of a call that was made at `calledAt`. Returns
+    // whether all of them are known now.
+    bool onChanges(Range &range, StorePage page, std::uint64_t base, TimePoint calledAt);
     // Returns whether to send a change to the region that another instance has sent here.
     bool tellsRegion(const Range &range) const;
     void logReachability(Range &range);
@@ -125,6 +135,8 @@
     void removeSuspect(const SuspectKey &key, std::string_view source);
     void removeItem(const StoreItem &item, std::string_view source);
     void expireLostEvacuations();
+    // Remembers the versions of all servers that were written, also of those that are gone by now.
+    void noteWritten(const Range &range, const std::vector<StoreItem> &items);
     void publishChanges();
     std::string regionOf(const std::string &dataCentre) const; // empty if unknown
     bool isLocal(const std::string &dataCentre) const;
@@ -135,12 +147,14 @@
     std::unique_ptr<RecordFormat> m_format;
     std::vector<std::unique_ptr<Range>> m_ranges;
     ServerList m_servers;
+    std::set<StreamOrigin> m_writtenOrigins; // since the list was published, also of servers gone
     std::set<std::string> m_evacuated;
     // Evacuations that the store lost, and when each ends unless it is written again.
     std::map<std::string, TimePoint> m_lostEvacuations;
     bool m_serversChanged = false;
     std::uint64_t m_era = 0; // the store's, as last heard
     SuspectWriter m_suspects;
+    RefreshBatcher m_refreshes;
 };
 
 } // namespace ibisnotch
