The answer to a HEAD request is a head alone, also if the instance makes it itself

Seen by callers (by the tests, nobody reported it): behind the head of an answer that the instance makes itself, such as a refusal or a page of its own, and of a stream, a HEAD request's connection carried the body or the last chunk. Its client takes these bytes for the begin of the next answer.

Cause: the server's responder and the refusal beside RESTinio wrote each response's body, whatever the method. Answers of backend servers came without one, as the HTTP client expects none.

connection_headRequest_getsNoBytesBehindTheHeadOfItsAnswer failed in all four of its cases, and connection_headRequestIsRefused_getsNoBytesBehindTheHeadOfItsAnswer in its one; both pass.

--- a/src/net/http-server.cc
+++ b/src/net/http-server.cc
@@ -127,9 +127,10 @@
                       const std::atomic<bool> &closeAfterResponse,
                       std::weak_ptr<ReceiveGuard> guard, std::shared_ptr<const HeldBytes> head)
         : m_connection(restinio::impl::access_req_connection(*request)),
-          m_request(std::move(request)), m_closeAfterResponse(closeAfterResponse),
-          m_guard(std::move(guard)), m_heldHead(std::move(head)),
-          m_state(std::make_shared<ResponseState>())
+          m_request(std::move(request)),
+          m_isHead(m_request->header().method() == restinio::http_method_head()),
+          m_closeAfterResponse(closeAfterResponse), m_guard(std::move(guard)),
+          m_heldHead(std::move(head)), m_state(std::make_shared<ResponseState>())
     {
     }
 
@@ -144,7 +145,7 @@
 
     void reply(HttpResponse response) override
     {
-        if (m_sender)
+        if (m_sender || m_isHead)
             return replyInPieces(std::move(response));
         PlainResponse builder = m_request->create_response(statusLine(response.status));
         addHeaders(builder, response.headers);
@@ -156,6 +157,8 @@
 
     void start(int status, const Headers &headers) override
     {
+        if (m_isHead)
+            return begin(makePiecewise(status, headers, 0));
         m_chunked = std::make_shared<ChunkedResponse>(
             m_request->create_response<restinio::chunked_output_t>(statusLine(status)));
         addHeaders(*m_chunked, headers);
@@ -168,7 +171,7 @@
 
     void write(std::string data) override
     {
-        if (data.empty() || isClosed())
+        if (data.empty() || m_isHead || isClosed())
             return;
         if (m_sender)
             return m_sender->write(std::move(data));
@@ -188,7 +191,10 @@
             return m_sender->finish();
         if (m_chunked)
             m_chunked->done(responseEnd(m_guard));
+        if (m_piecewise)
+            m_piecewise->done(responseEnd(m_guard));
         m_chunked.reset();
+        m_piecewise.reset();
     }
 
     void abort() override
@@ -196,6 +202,7 @@
         if (m_sender)
             return m_sender->abort();
         m_chunked.reset();
+        m_piecewise.reset();
         closeIncomplete(m_connection, m_request->request_id());
     }
 
@@ -211,24 +218,38 @@
     std::shared_ptr<ResponseBuffer> buffer() const override { return m_sender; }
 
 private:
-    void replyInPieces(HttpResponse response)
+    std::shared_ptr<PiecewiseResponse> makePiecewise(int status, const Headers &headers,
+                                                     std::size_t bodyBytes)
     {
         auto builder = std::make_shared<PiecewiseResponse>(
-            m_request->create_response<restinio::user_controlled_output_t>(
-                statusLine(response.status)));
-        addHeaders(*builder, response.headers);
-        builder->set_content_length(response.body.size());
+            m_request->create_response<restinio::user_controlled_output_t>(statusLine(status)));
+        addHeaders(*builder, headers);
+        builder->set_content_length(bodyBytes);
         if (m_closeAfterResponse)
             builder->connection_close();
-        m_sender->begin(std::move(builder));
-        if (!response.body.empty())
-            m_sender->write(std::move(response.body));
-        m_sender->finish();
+        return builder;
+    }
+
+    void begin(std::shared_ptr<PiecewiseResponse> builder)
+    {
+        if (m_sender)
+            m_sender->begin(std::move(builder));
+        else
+            m_piecewise = std::move(builder);
+    }
+
+    void replyInPieces(HttpResponse response)
+    {
+        begin(makePiecewise(response.status, response.headers, response.body.size()));
+        write(std::move(response.body));
+        finish();
     }
 
     restinio::impl::connection_handle_t m_connection;
     restinio::request_handle_t m_request;
+    const bool m_isHead; // the answer to a HEAD request is a head alone
     std::shared_ptr<ChunkedResponse> m_chunked;
+    std::shared_ptr<PiecewiseResponse> m_piecewise;
     const std::atomic<bool> &m_closeAfterResponse;
     const std::weak_ptr<ReceiveGuard> m_guard;
     const std::shared_ptr<const HeldBytes> m_heldHead; // of the request
--- a/src/net/receive-guard.cc
+++ b/src/net/receive-guard.cc
@@ -271,9 +271,8 @@
     std::string text = fmt::format("HTTP/1.1 {} Refused\r\n", response.status);
     for (const auto &[name, value] : response.headers.fields())
         text += fmt::format("{}: {}\r\n", name, value);
-    return text
-        + fmt::format("Connection: close\r\nContent-Length: {}\r\n\r\n", response.body.size())
-        + response.body;
+    text += fmt::format("Connection: close\r\nContent-Length: {}\r\n\r\n", response.body.size());
+    return m_receiver.isHeadRequest() ? text : text + response.body;
 }
 
 void ReceiveGuard::dropRequest()
--- a/src/net/request-receiver.h
+++ b/src/net/request-receiver.h
@@ -42,6 +42,8 @@
     bool hasBegun() const { return m_hasBegun; }
     bool isHeadComplete() const { return m_isHeadComplete; }
     bool isComplete() const { return m_isComplete; }
+    // Returns whether the answer must be a head alone.
+    bool isHeadRequest() const { return m_head.starts_with("HEAD "); }
     // Returns what is wrong with the bytes so far.
     ReceiveFault fault() const { return m_fault; }
 
--- a/test/connection-bytes-test.cc
+++ b/test/connection-bytes-test.cc
@@ -8,6 +8,7 @@
 #include <deque>
 #include <functional>
 #include <mutex>
+#include <optional>
 #include <random>
 #include <set>
 #include <thread>
@@ -473,3 +474,84 @@
     CHECK(seen.cut > 0);
     CHECK(seen.statuses == std::set<int>{400, 408, 413, 431, 503});
 }
+
+namespace {
+
+// A server whose client sends some bytes at once.
+struct AnsweredBytes
+{
+    AnsweredBytes(const std::string &sent, bool countsBytes)
+    {
+        HttpServerSettings settings;
+        settings.port = freePorts(1).front();
+        if (countsBytes)
+            settings.heldBytes = std::make_shared<ByteCount>(0);
+        server.emplace(settings, answerer, loop);
+        socket.connect({asio::ip::address_v4::loopback(), settings.port});
+        asio::write(socket, asio::buffer(sent));
+    }
+    ~AnsweredBytes()
+    {
+        loop.stop();
+        answerer.stop();
+    }
+    AnsweredBytes(const AnsweredBytes &) = delete;
+    AnsweredBytes &operator=(const AnsweredBytes &) = delete;
+
+    // Returns the bytes up to this text, or all of them if the server closes the connection first.
+    std::string readTo(const std::string &end)
+    {
+        std::string text;
+        asio::error_code error;
+        char next = 0;
+        while (!text.ends_with(end) && socket.read_some(asio::buffer(&next, 1), error) > 0)
+            text += next;
+        return text;
+    }
+
+    Answerer answerer{1};
+    HttpLoop loop{2};
+    std::optional<HttpServer> server;
+    asio::io_context io;
+    asio::ip::tcp::socket socket{io};
+};
+
+std::string request(const std::string &method, const std::string &path)
+{
+    return fmt::format("{} {} HTTP/1.1\r\nHost: h\r\n\r\n", method, path);
+}
+
+} // namespace
+
+// Guards against bytes behind the answer to a HEAD request, which its client takes for the begin of
+// the next answer.
+TEST_CASE("connection_headRequest_getsNoBytesBehindTheHeadOfItsAnswer")
+{
+    for (const bool countsBytes : {false, true}) {
+        for (const char *kind : {"whole", "stream"}) {
+            INFO(kind << (countsBytes ? ", in pieces" : ""));
+            const std::string path = fmt::format("/1/{}/60", kind);
+            AnsweredBytes bytes(request("HEAD", path) + request("HEAD", path)
+                                    + request("GET", "/2/whole/5"),
+                                countsBytes);
+            const std::string text = bytes.readTo("2;2;2");
+            CHECK(text.find("1;") == std::string::npos);
+            std::size_t at = 0;
+            for (int i = 0; i < 3; ++i) {
+                CHECK(text.compare(at, 13, "HTTP/1.1 200 ") == 0);
+                at = text.find("\r\n\r\n", at) + 4;
+            }
+            CHECK(text.substr(at) == "2;2;2");
+        }
+    }
+}
+
+// The same for one that is refused before it is read to its end.
+TEST_CASE("connection_headRequestIsRefused_getsNoBytesBehindTheHeadOfItsAnswer")
+{
+    AnsweredBytes bytes("HEAD /1/whole/5 HTTP/1.1\r\nHost: h\r\nContent-Length: 999999999\r\n\r\n",
+                        true);
+    const std::string text = bytes.readTo("the end of the connection");
+    CHECK(text.starts_with("HTTP/1.1 413 "));
+    CHECK(text.ends_with("\r\n\r\n"));
+}
