A response's fields are bounded by the memory that they take, not by their bytes

Cause: up to 256 KB of fields were kept for each response; a field of three bytes takes some hundred in libcurl and in the head, and nothing counted them.

Fix: each field counts 256 bytes beside its text, and a response is given up above 128 KB. Ruled out: heads that never end, which were given up at 256 KB before.

--- a/src/net/http-client.cc
+++ b/src/net/http-client.cc
@@ -1,6 +1,7 @@
 #include "ibisnotch/http-client.h"
 
 #include <algorithm>
+#include <cstring>
 #include <mutex>
 #include <thread>
 #include <unordered_map>
@@ -23,9 +24,11 @@
 constexpr auto congestionCheckInterval = std::chrono::milliseconds(20);
 constexpr auto keepWaitingInterval = std::chrono::milliseconds(100);
 constexpr long maxIdleConnections = 256;
-// A response with more bytes of fields, interim heads and trailers included, is given up: libcurl
-// passes all of them on, and a faulty server may send them without end.
-constexpr std::size_t maxFieldBytes = 256 * 1024;
+// A response whose fields take more memory, interim heads and trailers included, is given up:
+// libcurl keeps all of them and passes them on, and a faulty server may send them without end.
+constexpr std::size_t maxFieldCost = 128 * 1024;
+// What libcurl and the head keep of a field beside its text.
+constexpr std::size_t fieldOverheadBytes = 256;
 // Each transfer in progress has a buffer of its own, and an event of a stream has some hundred
 // bytes.
 constexpr long receiveBufferBytes = 4096;
@@ -59,7 +62,7 @@
         CURL *easy = nullptr;
         curl_slist *headerList = nullptr;
         ResponseHead head;
-        std::size_t fieldBytes = 0;
+        std::size_t fieldCost = 0;
         std::string received; // not passed to the sink yet
         bool headReceived = false;
         bool cancelled = false;
@@ -216,8 +219,9 @@
     static std::size_t onHeader(char *data, std::size_t size, std::size_t count, void *user)
     {
         auto &transfer = *static_cast<Transfer *>(user);
-        transfer.fieldBytes += size * count;
-        if (transfer.fieldBytes > maxFieldBytes)
+        const bool isField = std::memchr(data, ':', size * count) != nullptr;
+        transfer.fieldCost += size * count + (isField ? fieldOverheadBytes : 0);
+        if (transfer.fieldCost > maxFieldCost)
             return 0;
         switch (transfer.head.addLine({data, size * count})) {
         case ResponseHead::Progress::faulty:
