Unfinished events are counted, bounded while memory is short, and searched once

Cause: what a reader keeps of an event that isn't complete, up to 1 MiB for each stream, was counted nowhere, so no bound of all together held; and each piece searched all of it again for its end.

Fix: readers tell what they hold, it counts with the body of the answer (by the memory taken, not by the size), and while buffers are short a stream whose unfinished event exceeds an exchange's share is given up like one that was cut. The check of a JSON answer keeps no copy of its own once the answer is passed on in part; brackets and strings tell from then on whether it is complete.

--- a/include/ibisnotch/event-stream.h
+++ b/include/ibisnotch/event-stream.h
@@ -23,6 +23,8 @@
 
     // Returns the number of complete events so far.
     int eventCount() const { return m_eventCount; }
+    // Returns the memory that the beginning of an unfinished event takes.
+    std::size_t heldBytes() const { return m_partial.empty() ? 0 : m_partial.capacity(); }
     // Returns whether the data ends with a complete event.
     bool isComplete() const { return m_partial.empty(); }
     // Returns what followed the beginning of the last removed comment; empty if there was none.
--- a/include/ibisnotch/response-check.h
+++ b/include/ibisnotch/response-check.h
@@ -18,6 +18,24 @@
 
 enum class ResponseVerdict { valid, wrongRequest, malformed };
 
+// Follows the strings and brackets of a JSON document, of which it keeps nothing.
+class JsonExtent
+{
+public:
+    void add(std::string_view text);
+    // Returns whether the text is one object or array, from its first bracket to the last.
+    bool isComplete() const { return m_hasBegun && m_depth == 0 && !m_isFaulty; }
+
+private:
+    void addCharacter(char c);
+
+    std::size_t m_depth = 0;
+    bool m_isInString = false;
+    bool m_isEscaped = false;
+    bool m_hasBegun = false;
+    bool m_isFaulty = false;
+};
+
 // Checks one response as it arrives. The server must echo the request's id, and all chunks of a
 // stream must have the same completion id.
 class ResponseCheck
@@ -31,6 +49,12 @@
     // of other responses.
     ResponseVerdict onData(std::string_view data, std::string &out);
 
+    // Returns the memory that is held for the check.
+    std::size_t heldBytes() const;
+    // Keeps no copy of a JSON document any more. Whether it is complete is then told by its
+    // brackets alone.
+    void dropCopy();
+
     // Returns, after the last byte, whether the response is complete.
     bool isComplete() const;
 
@@ -43,7 +67,9 @@
     ResponseFormat m_format;
     int m_status = 0;
     std::string m_partial; // the beginning of an event that is not complete yet
-    std::string m_body; // for ResponseFormat::json only, up to the limit
+    std::string m_body; // for ResponseFormat::json only, unless the copy was dropped
+    JsonExtent m_extent; // of what would be the copy
+    bool m_hasCopy = true;
     std::string m_completionId;
     bool m_done = false;
 };
--- a/src/decide/event-stream.cc
+++ b/src/decide/event-stream.cc
@@ -14,6 +14,7 @@
 
 constexpr std::string_view eventSeparator = "\n\n";
 constexpr std::size_t maxEventBytes = 1U << 20;
+constexpr std::size_t keptCapacity = 32U << 10;
 
 // Returns the value of the field "id" of an event; empty if there is none.
 std::string_view eventId(std::string_view event)
@@ -70,10 +71,12 @@
 
 bool EventStreamParser::consume(std::string_view data, std::string &out)
 {
+    // What was searched before isn't searched again, as an event may come byte by byte.
+    const std::size_t searched = m_partial.size() - std::min<std::size_t>(m_partial.size(), 1);
     m_partial.append(data);
     std::size_t begin = 0;
     for (;;) {
-        const std::size_t end = m_partial.find(eventSeparator, begin);
+        const std::size_t end = m_partial.find(eventSeparator, std::max(begin, searched));
         if (end == std::string::npos)
             break;
         const std::size_t next = end + eventSeparator.size();
@@ -84,6 +87,9 @@
         begin = next;
     }
     m_partial.erase(0, begin);
+    // A long event must not leave its memory behind.
+    if (m_partial.capacity() > keptCapacity && m_partial.size() <= keptCapacity / 2)
+        m_partial.shrink_to_fit();
     return m_partial.size() <= maxEventBytes;
 }
 
--- a/src/decide/response-check.cc
+++ b/src/decide/response-check.cc
@@ -1,5 +1,7 @@
 #include "ibisnotch/response-check.h"
 
+#include <algorithm>
+
 #include <nlohmann/json.hpp>
 
 namespace ibisnotch {
@@ -10,10 +12,35 @@
 constexpr std::string_view dataField = "data: ";
 constexpr std::string_view doneData = "[DONE]";
 constexpr std::size_t maxEventBytes = 1U << 20;
-constexpr std::size_t maxJsonBytes = 8U << 20;
+constexpr std::size_t keptCapacity = 32U << 10;
 
 } // namespace
 
+void JsonExtent::add(std::string_view text)
+{
+    for (const char c : text)
+        addCharacter(c);
+}
+
+void JsonExtent::addCharacter(char c)
+{
+    if (m_isInString) {
+        m_isInString = m_isEscaped || c != '"';
+        m_isEscaped = !m_isEscaped && c == '\\';
+        return;
+    }
+    const bool isBlank = c == ' ' || c == '\t' || c == '\r' || c == '\n';
+    const bool isOpening = c == '{' || c == '[';
+    const bool isClosing = c == '}' || c == ']';
+    const bool isOutside = m_depth == 0;
+    if (isOutside && !isBlank && (m_hasBegun || !isOpening))
+        m_isFaulty = true;
+    m_isInString = c == '"';
+    m_hasBegun = m_hasBegun || isOpening;
+    m_depth += isOpening ? 1 : 0;
+    m_depth -= isClosing && !isOutside ? 1 : 0;
+}
+
 ResponseCheck::ResponseCheck(std::string requestId, ResponseFormat format)
     : m_requestId(std::move(requestId)), m_format(format)
 {
@@ -59,14 +86,19 @@
 {
     if (m_format != ResponseFormat::eventStream) {
         out.append(data);
-        if (m_format == ResponseFormat::json && m_body.size() <= maxJsonBytes)
-            m_body.append(data);
+        if (m_format == ResponseFormat::json) {
+            m_extent.add(data);
+            if (m_hasCopy)
+                m_body.append(data);
+        }
         return ResponseVerdict::valid;
     }
+    // What was searched before isn't searched again, as an event may come byte by byte.
+    const std::size_t searched = m_partial.size() - std::min<std::size_t>(m_partial.size(), 1);
     m_partial.append(data);
     std::size_t begin = 0;
     for (;;) {
-        const std::size_t end = m_partial.find(eventSeparator, begin);
+        const std::size_t end = m_partial.find(eventSeparator, std::max(begin, searched));
         if (end == std::string::npos)
             break;
         const ResponseVerdict verdict
@@ -77,16 +109,31 @@
     }
     out.append(m_partial, 0, begin);
     m_partial.erase(0, begin);
+    // A long event must not leave its memory behind.
+    if (m_partial.capacity() > keptCapacity && m_partial.size() <= keptCapacity / 2)
+        m_partial.shrink_to_fit();
     return m_partial.size() > maxEventBytes ? ResponseVerdict::malformed : ResponseVerdict::valid;
 }
 
+std::size_t ResponseCheck::heldBytes() const
+{
+    const std::size_t partial = m_partial.empty() ? 0 : m_partial.capacity();
+    return partial + (m_body.empty() ? 0 : m_body.capacity());
+}
+
+void ResponseCheck::dropCopy()
+{
+    m_hasCopy = false;
+    m_body = {};
+}
+
 bool ResponseCheck::isComplete() const
 {
     switch (m_format) {
     case ResponseFormat::eventStream:
         return m_done && m_partial.empty();
     case ResponseFormat::json:
-        return m_body.size() > maxJsonBytes || nlohmann::json::accept(m_body);
+        return m_hasCopy ? nlohmann::json::accept(m_body) : m_extent.isComplete();
     case ResponseFormat::plain:
         return true;
     }
--- a/src/entry/attempt.cc
+++ b/src/entry/attempt.cc
@@ -1,5 +1,7 @@
 #include "attempt.h"
 
+#include <utility>
+
 #include "ibisnotch/silence.h"
 #include "ibisnotch/stream-statistics.h"
 
@@ -66,24 +68,34 @@
         m_dispatch->onAnswerBegun();
     if (!outcome && !passed.empty() && !m_reader->isStreaming() && !m_exceedsBuffer) {
         m_response.body += passed;
-        m_heldBody.set(m_response.body.size());
+        countHeld();
         if (m_response.body.size() <= bufferBound())
             return true;
         // From here on the caller sees a failure only as a connection that ends early.
         m_exceedsBuffer = true;
-        passed = std::move(m_response.body);
-        m_response.body.clear();
-        m_heldBody.set(0);
+        passed = std::exchange(m_response.body, {});
+        m_reader->onForwardedInPart();
     }
+    countHeld();
     if (!passed.empty()) {
         m_hasWritten = true;
         m_dispatch->writeToCaller(*this, std::move(passed));
     }
     if (outcome)
         return stopWith(*outcome);
+    // An event that isn't complete can't be passed on in part.
+    if (m_reader->isStreaming() && isShortOfBuffers()
+        && m_reader->heldBytes() > m_dispatch->m_state.buffers.limits().exchangeBytesWhenShort)
+        return stopWith(AttemptOutcome::truncated);
     return !m_dispatch->m_exchange->responder->isClosed();
 }
 
+void Dispatch::Attempt::countHeld()
+{
+    const std::size_t body = m_response.body.empty() ? 0 : m_response.body.capacity();
+    m_heldBody.set(body + m_reader->heldBytes());
+}
+
 // The first event arrives after the prompt is read and doesn't show the interval between events.
 void Dispatch::Attempt::recordEventInterval()
 {
@@ -119,13 +131,18 @@
     return isPaused;
 }
 
+bool Dispatch::Attempt::isShortOfBuffers() const
+{
+    const BufferAccounts &buffers = m_dispatch->m_state.buffers;
+    return buffers.isEnabled()
+        && ibisnotch::isShortOfBuffers(buffers.limits(), *buffers.heldBytes());
+}
+
 // An answer that is written before it is complete is held only as far as its caller reads slowly.
 std::size_t Dispatch::Attempt::bufferBound() const
 {
-    const BufferAccounts &buffers = m_dispatch->m_state.buffers;
-    const bool isShort
-        = buffers.isEnabled() && isShortOfBuffers(buffers.limits(), *buffers.heldBytes());
-    return isShort ? buffers.limits().exchangeBytesWhenShort : maxBufferedBytes;
+    return isShortOfBuffers() ? m_dispatch->m_state.buffers.limits().exchangeBytesWhenShort
+                              : maxBufferedBytes;
 }
 
 AttemptOutcome Dispatch::Attempt::outcomeOf(const TransferResult &result) const
--- a/src/entry/attempt.h
+++ b/src/entry/attempt.h
@@ -37,6 +37,8 @@
 
 private:
     void recordEventInterval();
+    void countHeld();
+    bool isShortOfBuffers() const;
     // Returns the size up to which an answer that isn't a stream is kept until it is complete.
     std::size_t bufferBound() const;
     bool stopWith(AttemptOutcome outcome);
@@ -45,7 +47,7 @@
     std::shared_ptr<Dispatch> m_dispatch;
     Target m_target;
     std::unique_ptr<ResponseReader> m_reader;
-    HeldBytes m_heldBody; // of the response
+    HeldBytes m_heldBody; // of the response, and what its reader holds
     mutable ReadPacer m_pacer;
     mutable bool m_pauseRecorded = false;
     HttpResponse m_response; // the body is buffered unless the response is a stream or too long
--- a/src/entry/chat-protocol.cc
+++ b/src/entry/chat-protocol.cc
@@ -50,6 +50,9 @@
         return AttemptOutcome::truncated;
     }
 
+    std::size_t heldBytes() const override { return m_check.heldBytes(); }
+    void onForwardedInPart() override { m_check.dropCopy(); }
+
     AttemptOutcome outcome() const override
     {
         return m_check.isComplete() ? AttemptOutcome::answered : AttemptOutcome::truncated;
--- a/src/entry/protocol.h
+++ b/src/entry/protocol.h
@@ -65,6 +65,12 @@
     // decides it; the transfer then stops.
     virtual std::optional<AttemptOutcome> onData(std::string_view data, std::string &out) = 0;
 
+    // Returns the memory that is held of the answer beside what was passed on, as of an event that
+    // isn't complete.
+    virtual std::size_t heldBytes() const { return 0; }
+    // Called when the answer is too long to be kept until it is complete.
+    virtual void onForwardedInPart() { }
+
     // Returns how the attempt ended. Called after the last byte of a complete transfer.
     virtual AttemptOutcome outcome() const = 0;
 
