--- a/src/decide/response-check.cc
+++ b/src/decide/response-check.cc
@@ -124,7 +124,7 @@
 void ResponseCheck::dropCopy()
 {
     m_hasCopy = false;
-    m_body = {};
+    std::string().swap(m_body); // an assignment would keep its memory
 }
 
 bool ResponseCheck::isComplete() const
--- a/test/event-stream-test.cc
+++ b/test/event-stream-test.cc
@@ -87,3 +87,20 @@
     std::string out;
     CHECK_FALSE(stream.consume(":n=1\n\n" + event(1), out));
 }
+
+// Guards against a long event that is counted nowhere, or whose memory is kept behind it.
+TEST_CASE("eventStream_longEvent_isHeldUntilItIsComplete")
+{
+    EventStreamParser stream("");
+    std::string out;
+    CHECK(stream.consume("id: 1\ndata: " + std::string(500000, 'x'), out));
+    CHECK(stream.heldBytes() >= 500000);
+    CHECK(stream.consume("\n", out));
+    CHECK(stream.consume("\n" + event(2) + "id", out));
+    CHECK(stream.eventCount() == 2);
+    CHECK(stream.heldBytes() < 1000);
+    CHECK(stream.consume(": 3\n", out));
+    CHECK(stream.consume("\n", out));
+    CHECK(stream.heldBytes() == 0);
+    CHECK(stream.isComplete());
+}
--- a/test/response-check-test.cc
+++ b/test/response-check-test.cc
@@ -89,3 +89,27 @@
     check.onData("1}", forwarded);
     CHECK(check.isComplete());
 }
+
+// Guards against a copy of a long answer that is kept for its check though it was passed on, and
+// against a check that finds less without it.
+TEST_CASE("responseCheck_longJsonWithoutACopy_isCompleteAtItsLastBracketOnly")
+{
+    const std::string text = " {\"a\": [\"}\\\"]\", {\"b\": [1, 2]}], \"c\": \"\\\\\"} \n";
+    const std::size_t lastBracket = text.rfind('}');
+    for (std::size_t size = 1; size <= text.size(); ++size) {
+        INFO(text.substr(0, size));
+        ResponseCheck check("r1", ResponseFormat::json);
+        std::string out;
+        check.onData(text.substr(0, size / 2), out);
+        check.dropCopy();
+        check.onData(text.substr(size / 2, size - size / 2), out);
+        CHECK(check.heldBytes() == 0);
+        CHECK(out == text.substr(0, size));
+        CHECK(check.isComplete() == (size > lastBracket));
+    }
+    ResponseCheck twice("r1", ResponseFormat::json);
+    std::string out;
+    twice.dropCopy();
+    twice.onData("{}{}", out);
+    CHECK_FALSE(twice.isComplete());
+}
