A connection keeps nothing of the head of a request that is answered

Up to 20000 connections may be idle.

Cause: an assignment of an empty string keeps the buffer in libstdc++; swapped, it is freed.

--- a/src/net/receive-guard.cc
+++ b/src/net/receive-guard.cc
@@ -209,7 +209,7 @@
     const std::size_t size = asio::buffer_copy(m_buffer, asio::buffer(m_head) + m_headDelivered);
     m_headDelivered += size;
     if (m_headDelivered == m_head.size())
-        m_head = {};
+        std::string().swap(m_head); // an assignment would keep its memory
     complete({}, size);
 }
 
@@ -278,7 +278,7 @@
 void ReceiveGuard::dropRequest()
 {
     m_receiver.begin({});
-    m_unparsed = {};
+    std::string().swap(m_unparsed);
     m_heldUnparsed.set(0);
     setReceiving(0);
 }
--- a/src/net/request-receiver.cc
+++ b/src/net/request-receiver.cc
@@ -80,8 +80,9 @@
     m_limits = limits;
     http_parser_init(&m_parser, HTTP_REQUEST);
     m_parser.data = this;
-    m_head = {};
-    m_body = {};
+    // An assignment would keep their memory.
+    std::string().swap(m_head);
+    std::string().swap(m_body);
     m_name = {};
     m_isNameOpen = false;
     m_framingNames = {};
--- a/test/crowd-fleet-test.cc
+++ b/test/crowd-fleet-test.cc
@@ -1,5 +1,6 @@
 // Crowds of clients that stay outside the limits, or that stop inside them, against a real process:
 // it lives, keeps to its memory and its descriptors, and answers an ordinary caller.
+#include <algorithm>
 #include <csignal>
 #include <cstring>
 #include <deque>
@@ -93,6 +94,28 @@
     meet({100, "GET /v1/services/status HTTP/1.1\r\nHost: a\r\n" + shortFields(70 * 1024)});
 }
 
+// Guards against heads that are kept, counted nowhere, by connections whose requests are answered.
+TEST_CASE_METHOD(CrowdFixture, "instance_crowdStaysIdleAfterLongHeads_keepsNoneOfThem")
+{
+    constexpr std::size_t headBytes = 60 * 1024;
+    constexpr int connections = 180;
+    const Address address = *parseAddress(fleet.callers("a1"));
+    asio::io_context io;
+    std::deque<asio::ip::tcp::socket> sockets;
+    const std::string request
+        = "GET /readyz HTTP/1.1\r\nHost: a\r\nX: " + std::string(headBytes, 'x') + "\r\n\r\n";
+    const std::size_t before = residentMemory(fleet.pid("a1"));
+    for (int i = 0; i < connections; ++i) {
+        sockets.emplace_back(io).connect({asio::ip::make_address(address.host), address.port});
+        asio::write(sockets.back(), asio::buffer(request));
+        char byte = 0;
+        asio::read(sockets.back(), asio::buffer(&byte, 1));
+    }
+    const std::size_t after = residentMemory(fleet.pid("a1"));
+    CHECK(after - std::min(before, after) < connections * headBytes / 2);
+    checkInstance();
+}
+
 // The same for fields after the last chunk.
 TEST_CASE_METHOD(CrowdFixture, "instance_crowdSendsTrailersOfShortFields_staysWithinItsMemory")
 {
--- a/test/endless-fleet-test.cc
+++ b/test/endless-fleet-test.cc
@@ -160,6 +160,8 @@
             fleet.stop(name, SIGKILL);
             faulty.emplace_back(parseAddress(fleet.address(name))->port, report, answer);
         }
+        // The instance has found engines away meanwhile; their next reports bring them back.
+        std::this_thread::sleep_for(3s);
         const std::string body
             = fmt::format(R"({{"model":"m","stream":{},"max_tokens":4,"messages":[]}})", streams);
         const std::string request = head(fmt::format("Content-Length: {}\r\n", body.size())) + body;
