--- a/include/ibisnotch/http-client.h
+++ b/include/ibisnotch/http-client.h
@@ -45,6 +45,8 @@
     // Size of the system's buffer for what is sent on a new connection; 0 for the default. Without
     // a bound it may take a whole request body that the server has not begun to read.
     int sendBufferBytes = 0;
+    // A buffered response with a longer body is cancelled.
+    std::size_t maxBufferedBytes = 4U << 20;
 
     bool operator==(const OutgoingRequest &) const = default;
 };
@@ -133,7 +135,7 @@
     bool operator==(const BufferedResponse &) const = default;
 };
 
-// Sends the request and calls `done` with the whole response. A response above 4 MiB is cancelled.
+// Sends the request and calls `done` with the whole response.
 void sendBuffered(HttpClient &client, OutgoingRequest request,
                   std::function<void(const BufferedResponse &)> done);
 
--- a/src/entry/control-loads.cc
+++ b/src/entry/control-loads.cc
@@ -296,6 +296,7 @@
     request.limits.connect = std::chrono::milliseconds(500);
     request.limits.firstByte = std::chrono::seconds(1);
     request.limits.total = std::chrono::seconds(1);
+    request.maxBufferedBytes = maxReportBytes;
     sendBuffered(m_client, std::move(request),
                  [this, name = server.name](const BufferedResponse &reply) {
                      m_link.post([this, name, reply] { onPollResponse(name, reply); });
--- a/src/entry/dispatch-suspects.cc
+++ b/src/entry/dispatch-suspects.cc
@@ -3,6 +3,7 @@
 #include "attempt.h"
 #include "dispatch.h"
 #include "filters.h"
+#include "health-check.h"
 #include "ibisnotch/log.h"
 #include "statements.h"
 
@@ -60,6 +61,7 @@
             = self->m_protocol.makeHealthCheck(self->m_exchange->config(), server);
         request.limits.total = std::chrono::seconds(1);
         request.useNewConnection = true;
+        request.maxBufferedBytes = maxReportBytes;
         const TimePoint sentAt = self->m_state.clock.now();
         sendBuffered(self->m_client, std::move(request),
                      [self, target, lost, sentAt](const BufferedResponse &reply) {
--- a/src/entry/health-check.cc
+++ b/src/entry/health-check.cc
@@ -15,6 +15,7 @@
     request.limits = {limit, limit, limit, limit};
     // A reused connection may be broken although the server works.
     request.useNewConnection = true;
+    request.maxBufferedBytes = maxReportBytes;
     return request;
 }
 
--- a/src/entry/health-check.h
+++ b/src/entry/health-check.h
@@ -10,6 +10,9 @@
 
 namespace ibisnotch {
 
+// Bound of the body of a server's answer about itself.
+constexpr std::size_t maxReportBytes = 256U << 10;
+
 // Makes a health check with a timeout for servers in the same region. A configuration must be in
 // force.
 OutgoingRequest makeRegionHealthCheck(const EntryState &state, const Protocol &protocol,
--- a/src/entry/placement-controller.cc
+++ b/src/entry/placement-controller.cc
@@ -5,6 +5,7 @@
 #include <absl/strings/numbers.h>
 #include <nlohmann/json.hpp>
 
+#include "health-check.h"
 #include "ibisnotch/log.h"
 
 namespace ibisnotch {
@@ -156,6 +157,7 @@
         OutgoingRequest request;
         request.url = "http://" + server.address + "/v1/models";
         request.limits.total = std::chrono::seconds(1);
+        request.maxBufferedBytes = maxReportBytes;
         sendBuffered(
             m_client, std::move(request),
             [this, name = name](const BufferedResponse &reply) { onObserved(name, reply); });
@@ -213,6 +215,7 @@
              {"model", order.placement.model},
              {"version", order.placement.version},
              {"fence", std::to_string(order.fence)}});
+    request.maxBufferedBytes = maxReportBytes;
     sendBuffered(m_client, std::move(request), [](const BufferedResponse &) {});
 }
 
--- a/src/net/buffered-response.cc
+++ b/src/net/buffered-response.cc
@@ -7,13 +7,11 @@
 
 namespace {
 
-constexpr std::size_t maxBufferedBytes = 4U << 20;
-
 class BufferingSink final : public ResponseSink
 {
 public:
-    explicit BufferingSink(std::function<void(const BufferedResponse &)> done)
-        : m_done(std::move(done))
+    BufferingSink(std::function<void(const BufferedResponse &)> done, std::size_t maxBytes)
+        : m_done(std::move(done)), m_maxBytes(maxBytes)
     {
     }
 
@@ -27,7 +25,10 @@
     bool onData(std::string_view data) override
     {
         m_reply.response.body += data;
-        return m_reply.response.body.size() <= maxBufferedBytes;
+        if (m_reply.response.body.size() <= m_maxBytes)
+            return true;
+        std::string().swap(m_reply.response.body);
+        return false;
     }
 
     void onEnd(const TransferResult &result) override
@@ -38,6 +39,7 @@
 
 private:
     std::function<void(const BufferedResponse &)> m_done;
+    const std::size_t m_maxBytes;
     BufferedResponse m_reply;
 };
 
@@ -46,7 +48,8 @@
 void sendBuffered(HttpClient &client, OutgoingRequest request,
                   std::function<void(const BufferedResponse &)> done)
 {
-    client.send(std::move(request), std::make_shared<BufferingSink>(std::move(done)));
+    auto sink = std::make_shared<BufferingSink>(std::move(done), request.maxBufferedBytes);
+    client.send(std::move(request), std::move(sink));
 }
 
 BufferedResponse sendAndWait(HttpClient &client, OutgoingRequest request)
--- a/test/endless-fleet-test.cc
+++ b/test/endless-fleet-test.cc
@@ -40,6 +40,7 @@
 {
     std::string start;
     std::string rest;
+    bool isReport = false; // the engine answers its reports so, too
 };
 
 // Takes the place of an engine, which it asks for its report before.
@@ -89,7 +90,8 @@
         asio::read_until(socket, asio::dynamic_buffer(request), "\r\n\r\n", error);
         if (error)
             return;
-        if (request.starts_with("GET /metrics")) {
+        const bool isReport = request.starts_with("GET /metrics");
+        if (isReport && !m_answer.isReport) {
             asio::write(socket,
                         asio::buffer(fmt::format("HTTP/1.1 200 OK\r\nConnection: close\r\n"
                                                  "Content-Length: {}\r\n\r\n{}",
@@ -97,14 +99,12 @@
                         error);
             return close(socket);
         }
-        const std::string name = "X-Request-Id: ";
-        const std::size_t begin = request.find(name);
-        const std::size_t end = request.find("\r\n", begin);
+        const std::size_t begin = request.find("X-Request-Id: ");
+        const std::string id = begin == std::string::npos
+            ? ""
+            : request.substr(begin, request.find("\r\n", begin) + 2 - begin);
         ++m_begun;
-        asio::write(socket,
-                    asio::buffer("HTTP/1.1 200 OK\r\n" + request.substr(begin, end - begin) + "\r\n"
-                                 + m_answer.start),
-                    error);
+        asio::write(socket, asio::buffer("HTTP/1.1 200 OK\r\n" + id + m_answer.start), error);
         while (!error && !m_answer.rest.empty() && !m_stopping)
             asio::write(socket, asio::buffer(m_answer.rest), error);
         // Until the instance closes.
@@ -146,20 +146,33 @@
 {
     FaultyEnginesFixture() : CrowdFixture(startWithEngines) { }
 
-    // Lets callers send requests at once while each engine answers so.
-    void meetAnswer(const FaultyAnswer &answer, bool streams)
+    void replaceEngines(const FaultyAnswer &answer)
     {
-        constexpr int callers = 150;
-        constexpr std::size_t descriptors = 2 * callers + spareDescriptors;
-        std::list<FaultyEngine> faulty;
         for (int i = 1; i <= engines; ++i) {
             const std::string name = fmt::format("a-m{}", i);
             OutgoingRequest request;
             request.url = "http://" + fleet.address(name) + "/metrics";
             const std::string report = fleet.send(request).body;
             fleet.stop(name, SIGKILL);
-            faulty.emplace_back(parseAddress(fleet.address(name))->port, report, answer);
+            m_faulty.emplace_back(parseAddress(fleet.address(name))->port, report, answer);
         }
+    }
+
+    // Returns how many answers the engines have begun.
+    int begun() const
+    {
+        int count = 0;
+        for (const FaultyEngine &engine : m_faulty)
+            count += engine.begun();
+        return count;
+    }
+
+    // Lets callers send requests at once while each engine answers so.
+    void meetAnswer(const FaultyAnswer &answer, bool streams)
+    {
+        constexpr int callers = 150;
+        constexpr std::size_t descriptors = 2 * callers + spareDescriptors;
+        replaceEngines(answer);
         // The instance has found engines away meanwhile; their next reports bring them back.
         std::this_thread::sleep_for(3s);
         const std::string body
@@ -172,11 +185,11 @@
             checkInstance(descriptors);
         }
         checkInstance(descriptors);
-        int begun = 0;
-        for (const FaultyEngine &engine : faulty)
-            begun += engine.begun();
-        CHECK(begun > 60);
+        CHECK(begun() > 60);
     }
+
+private:
+    std::list<FaultyEngine> m_faulty;
 };
 
 // Guards against a head that takes far more memory than it has bytes, while it is below its bound.
@@ -218,3 +231,12 @@
         = fmt::format("{:x}\r\n", 64 * kib) + std::string(64 * kib, 'x') + "\r\n";
     meetAnswer({chunkedHead, chunk}, false);
 }
+
+// The same for reports of engines, which need no caller.
+TEST_CASE_METHOD(FaultyEnginesFixture, "instance_enginesSendReportsWithoutEnd_staysWithinItsMemory")
+{
+    replaceEngines({"\r\n", std::string(64 * kib, 'x'), true});
+    std::this_thread::sleep_for(5s);
+    checkInstance();
+    CHECK(begun() >= engines);
+}
--- a/test/http-client-test.cc
+++ b/test/http-client-test.cc
@@ -19,7 +19,8 @@
 class RawAnswerFixture
 {
 public:
-    BufferedResponse answerTo(const std::string &bytes, const std::string &method = "GET")
+    BufferedResponse answerTo(const std::string &bytes, const std::string &method = "GET",
+                              std::size_t maxBytes = 4U << 20)
     {
         {
             const std::lock_guard lock(m_mutex);
@@ -27,6 +28,7 @@
         }
         OutgoingRequest request;
         request.method = method;
+        request.maxBufferedBytes = maxBytes;
         request.url = "http://127.0.0.1:" + std::to_string(m_port) + "/";
         request.limits.total = std::chrono::seconds(5);
         return sendAndWait(m_client, std::move(request));
@@ -151,3 +153,28 @@
         CHECK(got.response == one.expected);
     }
 }
+
+// Guards against a report without end of which megabytes are kept.
+TEST_CASE_METHOD(RawAnswerFixture, "transfer_bufferedBodyExceedsItsBound_isCancelledAndDropped")
+{
+    const std::string head = "HTTP/1.1 200 OK\r\n\r\n";
+    const BufferedResponse whole = answerTo(head + std::string(50000, 'x'), "GET", 50000);
+    CHECK(whole.result.outcome == TransferOutcome::complete);
+    CHECK(whole.response.body.size() == 50000);
+    const BufferedResponse longer = answerTo(head + std::string(50001, 'x'), "GET", 50000);
+    CHECK(longer.result.outcome == TransferOutcome::cancelled);
+    CHECK(longer.response.body.empty());
+}
+
+// Guards against a head whose short fields take far more memory than bytes.
+TEST_CASE_METHOD(RawAnswerFixture, "transfer_headHasThousandsOfShortFields_isLost")
+{
+    std::string fields;
+    for (int i = 0; i < 5000; ++i)
+        fields += "a:\r\n";
+    const std::string end = "Content-Length: 2\r\n\r\nok";
+    CHECK(answerTo("HTTP/1.1 200 OK\r\n" + fields + end).result.outcome
+          == TransferOutcome::connectionLost);
+    CHECK(answerTo("HTTP/1.1 200 OK\r\n" + fields.substr(0, 600) + end).result.outcome
+          == TransferOutcome::complete);
+}
