--- a/src/net/http-server.cc
+++ b/src/net/http-server.cc
@@ -201,8 +201,8 @@
     {
         if (m_sender)
             return m_sender->abort();
-        m_chunked.reset();
         m_piecewise.reset();
+        m_chunked.reset();
         closeIncomplete(m_connection, m_request->request_id());
     }
 
