Crowds that take streams up read the store five times a second at the most at one instance

Each instance that was asked after 90 ms read the store as well, while callers of a crowd wait 100 ms for their read anyway. Bounds by reckoning; no play was measured.

--- a/src/entry/origin-exchange.h
+++ b/src/entry/origin-exchange.h
@@ -51,7 +51,8 @@
     // two regions.
     static constexpr Duration maxSearchTime = std::chrono::milliseconds(350);
     // Time that the store has to confirm the only possible origin before others are asked as well.
-    static constexpr Duration askDelay = std::chrono::milliseconds(90);
+    // Longer than the reads of a crowd of callers are apart, as each that is asked reads, too.
+    static constexpr Duration askDelay = std::chrono::milliseconds(250);
 
     OriginExchange(EntryState &state, OriginTransport &transport)
         : m_state(state), m_transport(transport)
--- a/src/entry/refresh-batcher.h
+++ b/src/entry/refresh-batcher.h
@@ -19,7 +19,7 @@
     using Read = std::function<void(Done)>;
 
     // Between the starts of two reads, as the platform limits and counts calls.
-    static constexpr Duration minInterval = std::chrono::milliseconds(100);
+    static constexpr Duration minInterval = std::chrono::milliseconds(200);
     // Time after which a read counts as failed. The store usually answers within 4 ms, and an
     // overloaded one a hundred times slower.
     static constexpr Duration readTimeout = std::chrono::milliseconds(450);
