--- a/test/http-client-test.cc
+++ b/test/http-client-test.cc
@@ -1,7 +1,13 @@
 #include "ibisnotch/http-client.h"
 
+#include <future>
 #include <mutex>
+#include <thread>
 
+#include <asio/io_context.hpp>
+#include <asio/ip/tcp.hpp>
+#include <asio/read_until.hpp>
+#include <asio/write.hpp>
 #include <catch2/catch.hpp>
 
 #include "test/free-ports.h"
@@ -151,3 +157,50 @@
         CHECK(got.response == one.expected);
     }
 }
+
+// An answer that lay on a pooled connection before the request was sent was taken for its answer.
+TEST_CASE("transfer_pooledConnectionHasBytesToRead_isNotUsed")
+{
+    asio::io_context io;
+    asio::ip::tcp::acceptor acceptor(io, {asio::ip::address_v4::loopback(), 0});
+    const std::uint16_t port = acceptor.local_endpoint().port();
+    const std::string own = "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nown";
+    const std::string extra = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nextra";
+    std::promise<void> mayStutter;
+    std::promise<void> hasStuttered;
+    const auto serve = [&](asio::ip::tcp::socket &socket) {
+        std::string received;
+        asio::error_code error;
+        asio::read_until(socket, asio::dynamic_buffer(received), "\r\n\r\n", error);
+        if (!error)
+            asio::write(socket, asio::buffer(own), error);
+    };
+    std::thread server([&] {
+        asio::ip::tcp::socket first = acceptor.accept();
+        serve(first);
+        mayStutter.get_future().wait();
+        asio::write(first, asio::buffer(extra));
+        hasStuttered.set_value();
+        acceptor.non_blocking(true);
+        for (int i = 0; i < 300; ++i) {
+            asio::error_code error;
+            asio::ip::tcp::socket second = acceptor.accept(error);
+            if (!error) {
+                second.non_blocking(false);
+                return serve(second);
+            }
+            std::this_thread::sleep_for(std::chrono::milliseconds(10));
+        }
+    });
+    HttpClient client;
+    OutgoingRequest request;
+    request.url = "http://127.0.0.1:" + std::to_string(port) + "/";
+    request.limits.total = std::chrono::seconds(5);
+    CHECK(sendAndWait(client, request).response.body == "own");
+    mayStutter.set_value();
+    hasStuttered.get_future().wait();
+    std::this_thread::sleep_for(std::chrono::milliseconds(20));
+    const BufferedResponse reply = sendAndWait(client, request);
+    CHECK(reply.response.body != "extra");
+    server.join();
+}
--- a/test/kept-server.cc
+++ b/test/kept-server.cc
@@ -24,8 +24,9 @@
     return head.substr(0, head.find(" HTTP/"));
 }
 
-KeptServer::KeptServer(std::uint16_t port, Answer answer)
-    : m_answer(std::move(answer)), m_acceptor(m_io, {asio::ip::tcp::v4(), port})
+KeptServer::KeptServer(std::uint16_t port, Answer answer, Answer after)
+    : m_answer(std::move(answer)), m_after(std::move(after)),
+      m_acceptor(m_io, {asio::ip::tcp::v4(), port})
 {
     m_acceptThread = std::thread([this] { run(); });
 }
@@ -81,6 +82,11 @@
         if (bytes.empty())
             break;
         asio::write(socket, asio::buffer(bytes), error);
+        const std::string more = m_after ? m_after(request) : "";
+        if (error || more.empty())
+            continue;
+        std::this_thread::sleep_for(afterDelay);
+        asio::write(socket, asio::buffer(more), error);
     }
     socket.shutdown(Socket::shutdown_both, error);
 }
--- a/test/kept-server.h
+++ b/test/kept-server.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <atomic>
+#include <chrono>
 #include <cstddef>
 #include <cstdint>
 #include <functional>
@@ -38,7 +39,8 @@
     // connection; empty to close it without an answer.
     using Answer = std::function<std::string(const KeptRequest &request)>;
 
-    KeptServer(std::uint16_t port, Answer answer);
+    // `after` returns what is sent in a segment of its own, afterDelay behind an answer.
+    KeptServer(std::uint16_t port, Answer answer, Answer after = {});
     ~KeptServer();
     KeptServer(const KeptServer &) = delete;
     KeptServer &operator=(const KeptServer &) = delete;
@@ -49,7 +51,10 @@
     void run();
     void serve(Socket &socket, std::size_t connection);
 
+    static constexpr std::chrono::milliseconds afterDelay{5};
+
     Answer m_answer;
+    Answer m_after;
     asio::io_context m_io;
     asio::ip::tcp::acceptor m_acceptor;
     std::atomic<bool> m_stopping = false;
