--- a/src/decide/response-head.cc
+++ b/src/decide/response-head.cc
@@ -45,6 +45,21 @@
     return std::string(text);
 }
 
+// Returns whether a status line stands somewhere in the text. A head that breaks off within a field
+// takes the next response's status line into that field.
+bool containsStatusLine(std::string_view text)
+{
+    constexpr std::string_view protocol = "HTTP/1.";
+    for (std::size_t at = text.find(protocol); at != std::string_view::npos;
+         at = text.find(protocol, at + 1)) {
+        const std::string_view rest = text.substr(at + protocol.size());
+        if (rest.size() >= 5 && isDigit(rest[0]) && rest[1] == ' '
+            && std::all_of(rest.begin() + 2, rest.begin() + 5, isDigit))
+            return true;
+    }
+    return false;
+}
+
 // A list of the same number several times counts as that number.
 bool isLength(const std::string &text, std::set<std::int64_t> &lengths)
 {
@@ -133,7 +148,7 @@
     const std::string_view name = line.substr(0, colon);
     const std::string_view value = line.substr(colon + 1);
     if (!std::all_of(name.begin(), name.end(), isTokenCharacter)
-        || !std::all_of(value.begin(), value.end(), isValueCharacter))
+        || !std::all_of(value.begin(), value.end(), isValueCharacter) || containsStatusLine(value))
         return HeadFault::field;
     m_fields.add(std::string(name), trimmed(value));
     return HeadFault::none;
--- a/src/entry/dispatch.cc
+++ b/src/entry/dispatch.cc
@@ -339,7 +339,9 @@
     ++m_attempts;
     m_serverAttempts += target.isPeer ? 0 : 1;
     m_attemptStartedAt = m_state.clock.now();
-    m_wasSentBefore = m_state.sentIds.add(m_exchange->id, m_attemptStartedAt);
+    const std::string sentId = m_protocol.requestId(m_exchange->request, m_exchange->fromPeer);
+    m_wasSentBefore
+        = m_state.sentIds.add(sentId.empty() ? m_exchange->id : sentId, m_attemptStartedAt);
     m_triedTargets.insert(target.name);
     m_servedBy = target.name;
     if (target.isPeer)
