A pooled connection with bytes to read isn't used

What callers saw: the answer to the request before theirs where an extra answer bore no id (MIXED, now refused by the id), and 502 for every second booking beside a server that sends junk after its answers. Cause, found by the reviewer: libcurl 7.88 uses a pooled connection on which bytes wait (it notices only its end), so the extra answer lies there long before the next request, and no narrow race is needed. The connection is looked at before the request is sent, and the transfer starts anew on a new one; nothing was sent by then, and libcurl's own second send stays forbidden.

--- a/src/net/http-client.cc
+++ b/src/net/http-client.cc
@@ -2,8 +2,11 @@
 
 #include <algorithm>
 #include <cstring>
+#include <map>
 #include <mutex>
+#include <string>
 #include <thread>
+#include <tuple>
 #include <unordered_map>
 #include <utility>
 #include <vector>
@@ -14,6 +17,7 @@
 #include <asio/steady_timer.hpp>
 #include <curl/curl.h>
 #include <sys/socket.h>
+#include <unistd.h>
 
 #include "ibisnotch/response-head.h"
 
@@ -43,6 +47,9 @@
     bool removed = false;
 };
 
+// Local port, remote address and remote port.
+using ConnectionKey = std::tuple<int, std::string, int>;
+
 void initCurlOnce()
 {
     static std::once_flag once;
@@ -68,6 +75,8 @@
         bool cancelled = false;
         bool timedOut = false;
         bool paused = false;
+        bool wasUnfit = false; // the pooled connection had bytes to read
+        curl_socket_t newSocket = CURL_SOCKET_BAD;
         int sends = 0;
         std::chrono::steady_clock::time_point startedAt;
         std::chrono::steady_clock::time_point lastProgressAt;
@@ -177,10 +186,10 @@
             curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE, static_cast<long>(request.body.size()));
             curl_easy_setopt(easy, CURLOPT_POSTFIELDS, request.body.text().c_str());
         }
-        if (request.sendBufferBytes > 0) {
-            curl_easy_setopt(easy, CURLOPT_SOCKOPTFUNCTION, &Private::onSocketCreated);
-            curl_easy_setopt(easy, CURLOPT_SOCKOPTDATA, &transfer);
-        }
+        curl_easy_setopt(easy, CURLOPT_SOCKOPTFUNCTION, &Private::onSocketCreated);
+        curl_easy_setopt(easy, CURLOPT_SOCKOPTDATA, &transfer);
+        curl_easy_setopt(easy, CURLOPT_CLOSESOCKETFUNCTION, &Private::onSocketClosed);
+        curl_easy_setopt(easy, CURLOPT_CLOSESOCKETDATA, transfer.owner);
         if (request.body.size() > longBodyBytes) {
             curl_easy_setopt(easy, CURLOPT_NOPROGRESS, 0L);
             curl_easy_setopt(easy, CURLOPT_XFERINFOFUNCTION, &Private::onProgress);
@@ -199,17 +208,47 @@
         }
     }
 
-    static int onSend(void *user, char *, char *, int, int)
+    // Called before the request is sent. Bytes that wait on a pooled connection belong to no
+    // request, but libcurl would take them for the response.
+    static int onSend(void *user, char *remoteAddress, char *, int remotePort, int localPort)
     {
         auto &transfer = *static_cast<Transfer *>(user);
+        const ConnectionKey key{localPort, remoteAddress, remotePort};
+        if (transfer.sends == 0 && transfer.owner->hasBytesToRead(transfer, key)) {
+            transfer.wasUnfit = true;
+            return CURL_PREREQFUNC_ABORT;
+        }
         return ++transfer.sends > 1 ? CURL_PREREQFUNC_ABORT : CURL_PREREQFUNC_OK;
     }
 
+    bool hasBytesToRead(Transfer &transfer, const ConnectionKey &key)
+    {
+        const curl_socket_t created = std::exchange(transfer.newSocket, CURL_SOCKET_BAD);
+        if (created != CURL_SOCKET_BAD) {
+            m_connections[key] = created;
+            return false;
+        }
+        const auto found = m_connections.find(key);
+        char byte = 0;
+        return found != m_connections.end()
+            && recv(found->second, &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+    }
+
+    static int onSocketClosed(void *user, curl_socket_t socket)
+    {
+        std::erase_if(static_cast<Private *>(user)->m_connections,
+                      [socket](const auto &one) { return one.second == socket; });
+        return close(socket);
+    }
+
     static int onSocketCreated(void *user, curl_socket_t socket, curlsocktype)
     {
-        const int size = static_cast<Transfer *>(user)->request.sendBufferBytes;
+        auto &transfer = *static_cast<Transfer *>(user);
+        transfer.newSocket = socket;
+        const int size = transfer.request.sendBufferBytes;
         // A failure leaves the default.
-        setsockopt(socket, SOL_SOCKET, SO_SNDBUF, &size, sizeof size);
+        if (size > 0)
+            setsockopt(socket, SOL_SOCKET, SO_SNDBUF, &size, sizeof size);
         return CURL_SOCKOPT_OK;
     }
 
@@ -386,6 +425,8 @@
     {
         const auto found = m_transfers.find(easy);
         const std::shared_ptr<Transfer> transfer = found->second;
+        if (mustStartAnew(*transfer))
+            return startAnew(*transfer);
         deliver(*transfer);
         TransferResult result;
         result.sent = transfer->sends > 0;
@@ -400,6 +441,20 @@
         transfer->sink->onEnd(result);
     }
 
+    // Nothing of the request was sent, so it can't run twice.
+    static bool mustStartAnew(Transfer &transfer)
+    {
+        return std::exchange(transfer.wasUnfit, false) && transfer.sends == 0 && !transfer.cancelled
+            && !transfer.timedOut;
+    }
+
+    void startAnew(Transfer &transfer)
+    {
+        curl_multi_remove_handle(m_multi, transfer.easy);
+        curl_easy_setopt(transfer.easy, CURLOPT_FRESH_CONNECT, 1L);
+        curl_multi_add_handle(m_multi, transfer.easy);
+    }
+
     static TransferOutcome outcomeOf(const Transfer &transfer, CURLcode code, bool sent)
     {
         if (transfer.cancelled)
@@ -474,6 +529,7 @@
     asio::steady_timer m_timer;
     std::unordered_map<curl_socket_t, std::shared_ptr<WatchedSocket>> m_sockets;
     std::unordered_map<CURL *, std::shared_ptr<Transfer>> m_transfers;
+    std::map<ConnectionKey, curl_socket_t> m_connections; // established, pooled or in use
     std::vector<std::shared_ptr<Transfer>> m_received; // transfers with undelivered data
     std::thread m_thread;
 };
