--- a/include/ibisnotch/sent-ids.h
+++ b/include/ibisnotch/sent-ids.h
@@ -18,7 +18,8 @@
 class SentIds
 {
 public:
-    // An unused connection, on which a response may still come, is closed after less.
+    // An unused connection, on which a response may still come, is closed after less (118 s by
+    // libcurl).
     static constexpr Duration minKeptTime = std::chrono::seconds(120);
     // With more ids than this within minKeptTime, the oldest are forgotten earlier.
     static constexpr std::size_t maxKept = 65536;
