--- a/src/entry/dispatch-end.cc
+++ b/src/entry/dispatch-end.cc
@@ -9,12 +9,6 @@
 
 namespace ibisnotch {
 
-namespace {
-
-constexpr Duration cutInterval = std::chrono::milliseconds(20);
-
-} // namespace
-
 void Dispatch::deliver(Attempt &attempt)
 {
     if (m_isQuarantineTrial)
@@ -184,25 +178,6 @@
     --m_state.inFlight;
 }
 
-void Dispatch::cut()
-{
-    m_client.post([self = shared_from_this()] { self->cutNow(); });
-}
-
-void Dispatch::cutNow()
-{
-    if (m_hasFinished)
-        return;
-    m_isCut = true;
-    trace("cut by the stop of the instance");
-    // The client may not have begun the attempt yet.
-    m_client.postAfter(cutInterval, [self = shared_from_this()] { self->cutNow(); });
-    if (const auto attempt = m_currentAttempt.lock())
-        return m_client.cancel(attempt.get());
-    settleNotRun();
-    refuse(stoppingRefusal("cut"));
-}
-
 // Returns the inputs of the routing decision for the log, separated by ";":
 // - "home:LOAD/SLOTS+DELAY" of the local region; the same for the other region that was chosen,
 //   under its name, and for the chosen server, both with the age of the report, and "cold" with the
--- a/src/net/http-client.cc
+++ b/src/net/http-client.cc
@@ -2,17 +2,14 @@
 
 #include <algorithm>
 #include <cstring>
-#include <map>
 #include <mutex>
 #include <string>
 #include <thread>
-#include <tuple>
 #include <unordered_map>
 #include <utility>
 #include <vector>
 
 #include <asio/io_context.hpp>
-#include <asio/posix/stream_descriptor.hpp>
 #include <asio/post.hpp>
 #include <asio/steady_timer.hpp>
 #include <curl/curl.h>
@@ -20,6 +17,8 @@
 #include <unistd.h>
 
 #include "ibisnotch/response-head.h"
+#include "open-connections.h"
+#include "socket-watcher.h"
 
 namespace ibisnotch {
 
@@ -37,19 +36,6 @@
 // bytes.
 constexpr long receiveBufferBytes = 4096;
 
-struct WatchedSocket
-{
-    explicit WatchedSocket(asio::io_context &io) : descriptor(io) { }
-    asio::posix::stream_descriptor descriptor;
-    int wanted = 0;
-    bool reading = false;
-    bool writing = false;
-    bool removed = false;
-};
-
-// Local port, remote address and remote port.
-using ConnectionKey = std::tuple<int, std::string, int>;
-
 void initCurlOnce()
 {
     static std::once_flag once;
@@ -84,7 +70,8 @@
         std::unique_ptr<asio::steady_timer> timer;
     };
 
-    Private() : m_timer(m_io)
+    Private()
+        : m_timer(m_io), m_watcher(m_io, [this](int fd, int flags) { processSocket(fd, flags); })
     {
         initCurlOnce();
         m_multi = curl_multi_init();
@@ -213,31 +200,21 @@
     static int onSend(void *user, char *remoteAddress, char *, int remotePort, int localPort)
     {
         auto &transfer = *static_cast<Transfer *>(user);
+        OpenConnections &connections = transfer.owner->m_connections;
         const ConnectionKey key{localPort, remoteAddress, remotePort};
-        if (transfer.sends == 0 && transfer.owner->hasBytesToRead(transfer, key)) {
-            transfer.wasUnfit = true;
+        const curl_socket_t created = std::exchange(transfer.newSocket, CURL_SOCKET_BAD);
+        const bool isPooled = created == CURL_SOCKET_BAD;
+        if (!isPooled)
+            connections.add(key, created);
+        transfer.wasUnfit = isPooled && transfer.sends == 0 && connections.hasBytesToRead(key);
+        if (transfer.wasUnfit)
             return CURL_PREREQFUNC_ABORT;
-        }
         return ++transfer.sends > 1 ? CURL_PREREQFUNC_ABORT : CURL_PREREQFUNC_OK;
     }
 
-    bool hasBytesToRead(Transfer &transfer, const ConnectionKey &key)
-    {
-        const curl_socket_t created = std::exchange(transfer.newSocket, CURL_SOCKET_BAD);
-        if (created != CURL_SOCKET_BAD) {
-            m_connections[key] = created;
-            return false;
-        }
-        const auto found = m_connections.find(key);
-        char byte = 0;
-        return found != m_connections.end()
-            && recv(found->second, &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
-    }
-
     static int onSocketClosed(void *user, curl_socket_t socket)
     {
-        std::erase_if(static_cast<Private *>(user)->m_connections,
-                      [socket](const auto &one) { return one.second == socket; });
+        static_cast<Private *>(user)->m_connections.remove(socket);
         return close(socket);
     }
 
@@ -334,7 +311,7 @@
 
     static int onSocketWanted(CURL *, curl_socket_t fd, int what, void *user, void *)
     {
-        static_cast<Private *>(user)->watchSocket(fd, what);
+        static_cast<Private *>(user)->m_watcher.watch(fd, what);
         return 0;
     }
 
@@ -356,54 +333,6 @@
         });
     }
 
-    void watchSocket(curl_socket_t fd, int what)
-    {
-        auto &watch = m_sockets[fd];
-        if (what == CURL_POLL_REMOVE) {
-            if (watch) {
-                watch->removed = true;
-                watch->descriptor.release();
-            }
-            m_sockets.erase(fd);
-            return;
-        }
-        if (!watch) {
-            watch = std::make_shared<WatchedSocket>(m_io);
-            watch->descriptor.assign(fd);
-        }
-        watch->wanted = what;
-        awaitSocket(fd, watch);
-    }
-
-    void awaitSocket(curl_socket_t fd, const std::shared_ptr<WatchedSocket> &watch)
-    {
-        if ((watch->wanted & CURL_POLL_IN) != 0 && !watch->reading) {
-            watch->reading = true;
-            waitFor(fd, watch, asio::posix::stream_descriptor::wait_read);
-        }
-        if ((watch->wanted & CURL_POLL_OUT) != 0 && !watch->writing) {
-            watch->writing = true;
-            waitFor(fd, watch, asio::posix::stream_descriptor::wait_write);
-        }
-    }
-
-    void waitFor(curl_socket_t fd, const std::shared_ptr<WatchedSocket> &watch,
-                 asio::posix::stream_descriptor::wait_type type)
-    {
-        watch->descriptor.async_wait(type, [this, fd, watch, type](const asio::error_code &error) {
-            const bool read = type == asio::posix::stream_descriptor::wait_read;
-            (read ? watch->reading : watch->writing) = false;
-            if (watch->removed)
-                return;
-            const int flags = error ? CURL_CSELECT_ERR : read ? CURL_CSELECT_IN : CURL_CSELECT_OUT;
-            const int wantedBit = read ? CURL_POLL_IN : CURL_POLL_OUT;
-            if ((watch->wanted & wantedBit) != 0)
-                processSocket(fd, flags);
-            if (!watch->removed && !error)
-                awaitSocket(fd, watch);
-        });
-    }
-
     void processSocket(curl_socket_t fd, int flags)
     {
         int running = 0;
@@ -527,9 +456,9 @@
 
     CURLM *m_multi = nullptr;
     asio::steady_timer m_timer;
-    std::unordered_map<curl_socket_t, std::shared_ptr<WatchedSocket>> m_sockets;
+    SocketWatcher m_watcher;
     std::unordered_map<CURL *, std::shared_ptr<Transfer>> m_transfers;
-    std::map<ConnectionKey, curl_socket_t> m_connections; // established, pooled or in use
+    OpenConnections m_connections; // pooled or in use
     std::vector<std::shared_ptr<Transfer>> m_received; // transfers with undelivered data
     std::thread m_thread;
 };
--- a/test/http-client-test.cc
+++ b/test/http-client-test.cc
@@ -185,6 +185,31 @@
           == TransferOutcome::complete);
 }
 
+// A client that looked at new connections, too, would begin anew without end.
+TEST_CASE("transfer_serverSpeaksFirstOnEachConnection_endsOnce")
+{
+    asio::io_context io;
+    asio::ip::tcp::acceptor acceptor(io, {asio::ip::address_v4::loopback(), 0});
+    const std::uint16_t port = acceptor.local_endpoint().port();
+    std::thread server([&] {
+        asio::ip::tcp::socket socket = acceptor.accept();
+        asio::error_code error;
+        asio::write(socket,
+                    asio::buffer(std::string("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n"
+                                             "\r\nearly")),
+                    error);
+        std::string received;
+        asio::read_until(socket, asio::dynamic_buffer(received), "\r\n\r\n", error);
+    });
+    HttpClient client;
+    OutgoingRequest request;
+    request.url = "http://127.0.0.1:" + std::to_string(port) + "/";
+    request.limits.total = std::chrono::seconds(5);
+    const BufferedResponse got = sendAndWait(client, request);
+    CHECK(got.result.outcome == TransferOutcome::complete);
+    server.join();
+}
+
 // An answer that lay on a pooled connection before the request was sent was taken for its answer.
 TEST_CASE("transfer_pooledConnectionHasBytesToRead_isNotUsed")
 {
