A destroyed server closes its port

Callers saw: of an instance nothing, as the process ends right after its loop and its drain closes the callers' port before. In a process that goes on, a client whose connection was not accepted as the loop stopped waited without an answer or an end: receive-guard-test server_stopsWithRequestsInAllStates_closesTheirConnections hung at the read of a client's byte.

Cause: RESTinio's server is never destroyed, as connections may access it, and its listening socket was never closed. The kernel kept the connections that waited in its queue.

Why it works: the loop is stopped and not yet destroyed, so no thread uses the socket; closing it makes the kernel reset what waits there.

--- a/src/net/accept-watch.cc
+++ b/src/net/accept-watch.cc
@@ -41,6 +41,17 @@
         reopen();
 }
 
+void AcceptWatch::closePort()
+{
+    if (m_acceptor == nullptr)
+        return;
+    asio::error_code error;
+    m_acceptor->close(error);
+    if (error)
+        logLine(LogPart::entry, LogLevel::error, "Port could not be closed.",
+                {{"port", m_portName}, {"error", error.message()}});
+}
+
 bool AcceptWatch::hasWaitingConnection() const
 {
     if (!m_isOpen || m_acceptor == nullptr)
--- a/src/net/accept-watch.h
+++ b/src/net/accept-watch.h
@@ -30,6 +30,9 @@
     void start() { schedule(); }
     void stop() { m_isStopped = true; }
     bool isStopped() const { return m_isStopped; }
+    // Closes the port and the connections that still wait there. Called when no thread runs the
+    // loop.
+    void closePort();
 
 private:
     void schedule();
--- a/src/net/http-server.cc
+++ b/src/net/http-server.cc
@@ -348,8 +348,13 @@
         acceptWatch.start();
     }
 
-    // No thread uses the connections any more, but their senders refer to them.
-    ~Private() { m_connections->dropSenders(); }
+    // No thread uses the connections any more, but their senders refer to them. RESTinio's server
+    // is not destroyed and would leave the port open.
+    ~Private()
+    {
+        acceptWatch.closePort();
+        m_connections->dropSenders();
+    }
     Private(const Private &) = delete;
     Private &operator=(const Private &) = delete;
 
--- a/test/receive-guard-test.cc
+++ b/test/receive-guard-test.cc
@@ -467,3 +467,21 @@
     }
     CHECK(*held == 0);
 }
+
+// Guards against a connection that stays open, without an answer, as its server is destroyed before
+// it was accepted.
+TEST_CASE_METHOD(GuardedServerFixture, "server_destroyedBeforeItAccepts_closesTheConnection")
+{
+    const std::uint16_t port = start();
+    loop->stop();
+    Client client(port);
+    client.socket.non_blocking(true);
+    server.reset();
+    loop.reset();
+    char byte = 0;
+    asio::error_code error;
+    CHECK(becomesTrue([&] {
+        client.socket.read_some(asio::buffer(&byte, 1), error);
+        return error && error != asio::error::would_block;
+    }));
+}
