The key of a connection compares without a defaulted three-way comparison

Ruled out: a check switched off or a comment for the linter. The order of keys is the same (members in the order of their declaration).

--- a/src/net/open-connections.h
+++ b/src/net/open-connections.h
@@ -1,9 +1,9 @@
 // The established connections of a client, by their addresses.
 #pragma once
 
-#include <compare>
 #include <map>
 #include <string>
+#include <tuple>
 
 #include <sys/socket.h>
 
@@ -15,7 +15,12 @@
     std::string remoteAddress;
     int remotePort = 0;
 
-    auto operator<=>(const ConnectionKey &) const = default;
+    bool operator==(const ConnectionKey &) const = default;
+    bool operator<(const ConnectionKey &other) const
+    {
+        return std::tie(localPort, remoteAddress, remotePort)
+            < std::tie(other.localPort, other.remoteAddress, other.remotePort);
+    }
 };
 
 // libcurl doesn't tell which socket it is going to use for a request, only its addresses.
