The test of a suspended lease holder suspends the holder, whichever instance it is

Suspected: the lease holder isn't the instance that is suspended. The check is the same; the test asks the store who holds the lease and suspends that instance, as its name says. So it is as strict, and never vacuous.

--- a/test/config-fleet-test.cc
+++ b/test/config-fleet-test.cc
@@ -246,14 +246,22 @@
         request.url = "http://" + fleet.address("a-m1") + "/v1/models";
         return nlohmann::json::parse(sendAndWait(fleet.client(), request).response.body);
     };
+    const auto leaseHolder = [&] {
+        std::promise<StoreRead> read;
+        fleet.store().read("ibisnotch/placement/a/holder",
+                           [&](const StoreRead &found) { read.set_value(found); });
+        return read.get_future().get().value;
+    };
     configureVersion("2");
     eventually("version 2 is loaded", [&] { return modelPage()["data"][0]["version"] == "2"; });
     const auto fence = modelPage()["fence"].get<std::uint64_t>();
-    fleet.signal("a1", SIGSTOP);
+    std::string holder;
+    eventually("an instance holds the lease", [&] { return !(holder = leaseHolder()).empty(); });
+    fleet.signal(holder, SIGSTOP);
     configureVersion("3");
     eventually("version 3 is loaded", [&] { return modelPage()["data"][0]["version"] == "3"; });
     CHECK(modelPage()["fence"].get<std::uint64_t>() > fence);
-    fleet.signal("a1", SIGCONT);
+    fleet.signal(holder, SIGCONT);
 }
 
 // Guards against an interruption when the store holds a version that this release cannot parse,
