--- a/test/response-head-test.cc
+++ b/test/response-head-test.cc
@@ -63,7 +63,8 @@
     for (const char *line :
          {"", " HTTP/1.1 200 OK", "HTTP/2 200", "HTTP/1.1  200 OK", "HTTP/1.1 2000 OK",
           "HTTP/1.1 20", "HTTP/1.1 +20 OK", "HTTP/1.1200 OK", "HTTP/1. 200 OK", "ICY 200 OK",
-          "HTTP/1.1 200 O\rK", "HTTP/1.1 200\tOK"})
+          "HTTP/1.1 200 O\rK", "HTTP/1.1 200\tOK", "HTTP/1.1 200 HTTP/1.1 404 Not Found",
+          "HTTP/1.1 200 OHTTP/1.1 404 Not Found", "HTTP/1.1 200 OKHTTP/1.0 404 "})
         CHECK(faultOfStatusLine(line) == HeadFault::statusLine);
     for (const char *line :
          {"HTTP/1.1 000 OK", "HTTP/1.1 099 OK", "HTTP/1.1 101 Other", "HTTP/1.1 600 OK"})
