A status line that holds another one is faulty

What callers saw: a success in place of the server's failure, with its body and stamp. An extra answer that breaks off within its first line ("HTTP/1.1 200 O") takes the next answer's status line into its reason, and the fields after it name the right request.

Ruled out by reading: a break within the protocol or the number (no status line), in a field's name or after a field (a line without a colon), between CR and LF (a control character).

--- a/src/decide/response-head.cc
+++ b/src/decide/response-head.cc
@@ -45,8 +45,8 @@
     return std::string(text);
 }
 
-// Returns whether a status line stands somewhere in the text. A head that breaks off within a field
-// takes the next response's status line into that field.
+// Returns whether a status line stands somewhere in the text. A head that breaks off within a line
+// takes the next response's status line into that line.
 bool containsStatusLine(std::string_view text)
 {
     constexpr std::string_view protocol = "HTTP/1.";
@@ -130,6 +130,7 @@
     const bool hasForm = line.size() >= reasonAt && line.starts_with(protocol)
         && isDigit(line[protocol.size()]) && line[statusAt - 1] == ' '
         && (line.size() == reasonAt || line[reasonAt] == ' ')
+        && !containsStatusLine(line.substr(reasonAt))
         && std::all_of(line.begin(), line.end(), isValueCharacter);
     const std::string_view digits = hasForm ? line.substr(statusAt, 3) : std::string_view();
     if (!hasForm || !std::all_of(digits.begin(), digits.end(), isDigit)
