A stream and an answer of another kind are never joined

What callers saw: an event stream that goes on with the bytes of another answer, or such bytes followed by events; complete to all appearance where the last part ended well. An answer that isn't a stream is kept until it is complete, up to 1 MiB (64 KiB while memory is short). Beyond that it was passed on in part, also behind the events of a stream that it was to continue. And a part of such an answer to a caller's own resumption, broken off, was continued by events of a second server.

Cause: m_streamStarted means that any part was sent; both places took it for events.

Ruled out by reading: shorter answers (kept, and counted as an error of the server), answers of the first attempt (nothing was sent before them).

--- a/src/entry/attempt.cc
+++ b/src/entry/attempt.cc
@@ -73,6 +73,12 @@
         countHeld();
         if (m_response.body.size() <= bufferBound())
             return true;
+        // It can't continue the stream of which the caller has a part, whatever follows.
+        if (m_dispatch->m_streamStarted) {
+            std::string().swap(m_response.body);
+            countHeld();
+            return stopWith(AttemptOutcome::serverError);
+        }
         // From here on the caller sees a failure only as a connection that ends early.
         m_exceedsBuffer = true;
         passed = std::exchange(m_response.body, {});
--- a/src/entry/dispatch-retry.cc
+++ b/src/entry/dispatch-retry.cc
@@ -44,7 +44,8 @@
 // Returns whether the caller has part of a stream that another server can continue.
 bool Dispatch::canResume() const
 {
-    return m_streamStarted && m_exchange->service->isResumable && !m_exchange->lastEventId.empty();
+    return m_streamStarted && m_hasEventsOnly && m_exchange->service->isResumable
+        && !m_exchange->lastEventId.empty();
 }
 
 // Returns the least time that another attempt needs. How much of a stream is left is unknown, so a
--- a/src/entry/dispatch.cc
+++ b/src/entry/dispatch.cc
@@ -250,6 +250,7 @@
         onStreamBegun(attempt);
     if (!m_streamStarted) {
         m_streamStarted = true;
+        m_hasEventsOnly = reader.isStreaming();
         m_firstByteAt = m_state.clock.now();
         const HttpResponse &response = attempt.response();
         Headers headers = m_protocol.makeResponseHeaders(
--- a/src/entry/dispatch.h
+++ b/src/entry/dispatch.h
@@ -327,6 +327,7 @@
     bool m_streamRecorded = false; // whether that server's counters include the stream
     bool m_awaitingFirstToken = false; // whether that server's counters include the prompt
     bool m_streamStarted = false; // the status and headers of a stream were sent to the caller
+    bool m_hasEventsOnly = false; // what was sent to the caller is no answer of another kind
     // A complete error response of a backend server, sent to the caller if no attempt succeeds.
     std::optional<HttpResponse> m_serverError;
     std::set<std::string> m_triedTargets; // names of servers and peers
