--- a/test/origin-exchange-test.cc
+++ b/test/origin-exchange-test.cc
@@ -333,3 +333,18 @@
     CHECK(finding->origin == newVersion);
     CHECK(finding->source == OriginSource::told);
 }
+
+// Guards against an origin that counts as certain by the word of an instance that has not read its
+// own list anew, as it knows of no server at all.
+TEST_CASE_METHOD(OriginExchangeFixture, "originExchange_askedAndNoServerKnown_readsItsListAnew")
+{
+    state.originHistory.setListed({}, state.clock.now() - 30s);
+    transport.isStoreSlow = true;
+    OriginMessage message;
+    message.questions.push_back({stream, "s"});
+    exchange.onMessage(message, "e1");
+    CHECK(transport.refreshes == 1);
+    transport.endRefreshes(false);
+    REQUIRE(transport.sent.size() == 1);
+    CHECK_FALSE(transport.sent.front().second.answers.front().possible.isComplete);
+}
