--- a/test/prefix-follower-test.cc
+++ b/test/prefix-follower-test.cc
@@ -333,6 +333,16 @@
     CHECK_FALSE(hides(11, {{"b", "", 12, true}})); // not applied, as changes before it are missing
 }
 
+// The same if the other instance tells its whole list, which shows no removals at all.
+TEST_CASE_METHOD(FollowerFixture, "prefixFollower_updateTellsTheWholeRange_hidesAWrite")
+{
+    const RangeUpdate whole{"", 0, 14, {{"a", "1", 5, false}}};
+    CHECK_FALSE(follower.hidesAWrite(whole)); // nothing was known before
+    answer(page({{"a", "1", 5, false}}, 10));
+    CHECK(follower.hidesAWrite(whole));
+    CHECK_FALSE(follower.hidesAWrite({"", 0, 10, {{"a", "1", 5, false}}})); // tells nothing new
+}
+
 // Random writes, removals, failed calls and lost history.
 TEST_CASE("prefixFollower_anyHistory_endsWithTheStoresKeys")
 {
