A list that is read anew, and another instance's whole range, count as a gap in what is known of versions

Callers saw (test): an instance was cut off from the store while servers of v2 joined, began streams and were gone again. The store had discarded its history when the instance was back, so it listed the servers anew, saw v1 alone and joined the streams (ORDER).

Ruled out: that it costs calm callers anything. The first list after a start is no gap (it was one already), and watches that go on never list. After a gap, streams are told to others as with several versions; only those that nobody was told of are refused, for a stream's time.

Where else: the configuration has the same form, and isn't changed here.

--- a/include/ibisnotch/prefix-follower.h
+++ b/include/ibisnotch/prefix-follower.h
@@ -98,8 +98,8 @@
     // Returns true if the pending call is a watch. A pending listing remains a listing even if a
     // peer sends the full range meanwhile: its response contains keys, not changes.
     bool isWatchPending() const { return m_callPending && !m_listPending; }
-    // Returns whether the update, which has not been applied yet, removes a key that was written
-    // since the known revision without showing what was written.
+    // Returns whether the update, which has not been applied yet, may hide what was written since
+    // the known revision: it tells the whole range, or removes a key that is unknown.
     bool hidesAWrite(const RangeUpdate &update) const;
     // Returns false while the range is being listed.
     bool isWatching() const { return m_watching; }
--- a/src/decide/prefix-follower.cc
+++ b/src/decide/prefix-follower.cc
@@ -127,6 +127,8 @@
 
 bool PrefixFollower::hidesAWrite(const RangeUpdate &update) const
 {
+    if (update.base == 0)
+        return m_complete && update.asOf > std::max(m_asOf, m_eraStart);
     const bool isApplicable = m_watching && update.asOf >= std::max(m_asOf, m_eraStart)
         && update.base > 0 && update.base <= m_asOf;
     std::set<std::string> written;
--- a/src/entry/range-source.cc
+++ b/src/entry/range-source.cc
@@ -182,13 +182,8 @@
 {
     noteWritten(range, update.items);
     // Another instance may tell the last change of each key only.
-    if (range.prefix == m_format->serverPrefix() && range.follower.hidesAWrite(update)) {
-        m_state.originHistory.onGap(m_state.clock.now());
-        logLine(LogPart::store, LogLevel::info, "Server came and went unseen.",
-                {{"known", revisionText(range.follower.asOf())},
-                 {"base", revisionText(update.base)},
-                 {"asOf", revisionText(update.asOf)}});
-    }
+    if (range.follower.hidesAWrite(update))
+        noteGap(range, range.follower.asOf(), update.asOf);
     const std::vector<StoreItem> changes = range.follower.onUpdate(update, at);
     for (const StoreItem &item : changes)
         applyItem(item, source);
@@ -196,6 +191,16 @@
     return !changes.empty();
 }
 
+// A server may have come and gone unseen.
+void RangeSource::noteGap(const Range &range, std::uint64_t known, std::uint64_t asOf)
+{
+    if (range.prefix != m_format->serverPrefix())
+        return;
+    m_state.originHistory.onGap(m_state.clock.now());
+    logLine(LogPart::store, LogLevel::info, "Changes of servers were not seen.",
+            {{"known", revisionText(known)}, {"asOf", revisionText(asOf)}});
+}
+
 std::vector<RangePosition> RangeSource::positions() const
 {
     std::vector<RangePosition> positions;
@@ -322,9 +327,14 @@
         m_format->removeSecrets(item);
     const std::uint64_t base = range.follower.updateBase();
     const bool watched = range.follower.isWatchPending();
+    const std::uint64_t known = range.follower.asOf();
+    const bool lists = range.follower.isComplete() && !range.follower.isWatching();
     noteWritten(range, page.items);
     for (const StoreItem &item : range.follower.onResponse(page, m_state.clock.now()))
         applyItem(item, sourceStore);
+    // The list doesn't show what was written and removed since the one before.
+    if (lists && range.follower.isWatching())
+        noteGap(range, known, page.asOf);
     // Where all instances watch, each still broadcasts changes: the store may be unreachable for
     // the others.
     const bool broadcasts = range.role == FollowRole::relay
--- a/src/entry/range-source.h
+++ b/src/entry/range-source.h
@@ -116,6 +116,8 @@
     bool applyUpdate(Range &range, const RangeUpdate &update, TimePoint at,
                      std::string_view source);
     void applyReply(Range &range, const RangeReply &reply);
+    // Between these revisions, writes may have been missed.
+    void noteGap(const Range &range, std::uint64_t known, std::uint64_t asOf);
     // Read what has changed without waiting for more. `done` is told whether all of it is known.
     void readChanges(RefreshBatcher::Done done);
     void readChanges(Range &range, int callsLeft, RefreshBatcher::Done done);
