A stream is refused if its route was chosen from a configuration that was replaced while its origin was searched

Callers saw (test): a configuration split a route while one instance was cut off; streams began at the new route's pool, their instance was killed, and the first one taken up at the instance that was back went on at the old route's pool (ORDER).

Cause: the read of the store before "only one version is possible" brings the new configuration, but the question was asked for the route that the request had found in the old one.

Ruled out: that streams with a record are refused; only what is concluded from a list is checked.

What remains, by reading: an instance that gets the word of another one, and the configuration later than that word, still asks for the old route, as questions name no configuration.

--- a/src/entry/dispatch-origin.cc
+++ b/src/entry/dispatch-origin.cc
@@ -47,12 +47,21 @@
     m_client.postAfter(wait, [self = shared_from_this()] { self->onOriginFound({}); });
 }
 
+// Which origins are possible depends on the route, and the request's was chosen when it came. The
+// configuration may have been read anew since.
+bool Dispatch::isRouteInForce() const
+{
+    return m_state.routing.read()->config->version == m_exchange->config().version;
+}
+
 // An origin that isn't known for certain is never guessed: the caller could not tell that the
 // events of its stream don't fit together. A refusal tells it that it has to begin anew.
-void Dispatch::onOriginFound(const OriginFinding &finding)
+void Dispatch::onOriginFound(OriginFinding finding)
 {
     if (!std::exchange(m_findsOrigin, false) || m_hasFinished)
         return;
+    if (finding.source == OriginSource::sole && !isRouteInForce())
+        finding.origin.reset();
     logLine(LogPart::request, finding.origin ? LogLevel::info : LogLevel::warn,
             finding.origin ? "Origin of the stream found." : "Origin of the stream unknown.",
             {{"request", m_exchange->id},
--- a/src/entry/dispatch.h
+++ b/src/entry/dispatch.h
@@ -199,7 +199,8 @@
     const StreamOrigin *continuedOrigin() const;
     // Finds the origin of the stream to be continued, then routes the request or refuses it.
     void findOrigin();
-    void onOriginFound(const OriginFinding &finding);
+    void onOriginFound(OriginFinding finding);
+    bool isRouteInForce() const;
     void recordCallerLimit();
     // Makes all further choices use the origin's pool. Returns false if the service doesn't use it.
     bool useOriginPool();
