An instance that knows no server of a service reads its list anew, too, before it says that it is complete

Seen in a unit test only: "complete, and no origin possible" was answered at once, from a list that may be five seconds old, and made the asking instance's unconfirmed only version certain (soleOrigin()). originExchange_askedAndNoServerKnown_readsItsListAnew fails before and passes after.

--- a/src/entry/origin-exchange.cc
+++ b/src/entry/origin-exchange.cc
@@ -150,7 +150,9 @@
     OriginMessage reply;
     for (const OriginQuestion &question : message.questions) {
         OriginAnswer answer = makeAnswer(question);
-        if (!answer.origin && isSole(answer.possible))
+        // Together with what the asking instance knows, no origin at all may make one certain, too.
+        const bool mayDecide = answer.possible.isComplete && answer.possible.origins.size() <= 1;
+        if (!answer.origin && mayDecide)
             answerWhenCurrent(question, from);
         else
             reply.answers.push_back(std::move(answer));
