A response behind a stream without a length isn't taken for its next event

What callers saw, by the reviewer's trial: a stream that its server sends without a length, and a foreign stream behind it, with higher event ids, came as one whole stream: the foreign head and event looked like an event with an id. Cause: only the id of a block was looked at. A block that begins with a status line is no event now. eventStream_responseFollows_isRejected. What remains: plain answers without a length have nothing that shows their end.

--- a/src/decide/event-stream.cc
+++ b/src/decide/event-stream.cc
@@ -13,6 +13,7 @@
 namespace {
 
 constexpr std::string_view eventSeparator = "\n\n";
+constexpr std::string_view statusLineStart = "HTTP/1.";
 constexpr std::size_t maxEventBytes = 1U << 20;
 constexpr std::size_t keptCapacity = 32U << 10;
 
@@ -47,6 +48,9 @@
 
 bool EventStreamParser::acceptEvent(std::string_view event)
 {
+    // A stream without a length takes in a response that its server sends behind it.
+    if (event.starts_with(statusLineStart))
+        return false;
     const std::string_view text = eventId(event);
     const auto number = parseNumber(text);
     if (!number || *number <= m_lastNumber)
--- a/test/event-stream-test.cc
+++ b/test/event-stream-test.cc
@@ -52,6 +52,17 @@
     CHECK_FALSE(unnumbered.consume("data: x\n\n", out));
 }
 
+// Guards against a response behind a stream without a length that is joined to it.
+TEST_CASE("eventStream_responseFollows_isRejected")
+{
+    const std::string head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n";
+    EventStreamParser stream("");
+    std::string out;
+    CHECK(stream.consume(event(1), out));
+    CHECK_FALSE(stream.consume(head + event(2), out));
+    CHECK(out == event(1));
+}
+
 // Guards against a report of a peer that reaches the caller, wherever the data is divided.
 TEST_CASE("eventStream_reportsOfAPeer_areNotPassedOn")
 {
