Blanks behind a field's value are no part of it

What callers saw, by the reviewer's trial: a request whose id ends in a blank was always answered 502, and by reading each such answer counted as a foreign one, so that any caller could have all connections to a server closed for ten seconds at a time. Cause: the parser keeps trailing blanks in a request's values, and the servers' echo comes without them.

--- a/src/net/http-server.cc
+++ b/src/net/http-server.cc
@@ -7,6 +7,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include <absl/strings/ascii.h>
 #include <restinio/all.hpp>
 
 #include "accept-watch.h"
@@ -260,6 +261,12 @@
     std::shared_ptr<PacedSender> m_sender; // null if responses are passed on as they come
 };
 
+// The parser leaves the blanks behind a value, which are no part of it, in the value.
+std::string withoutTrailingBlanks(const std::string &value)
+{
+    return std::string(absl::StripTrailingAsciiWhitespace(value));
+}
+
 HttpRequest toHttpRequest(const restinio::request_handle_t &from, Body body)
 {
     const auto &header = from->header();
@@ -271,7 +278,7 @@
     request.query.assign(query.data(), query.size());
     header.for_each_field([&request](const restinio::http_header_field_t &field) {
         if (!isMaskedField(field.name()))
-            request.headers.add(field.name(), field.value());
+            request.headers.add(field.name(), withoutTrailingBlanks(field.value()));
     });
     request.body = std::move(body);
     return request;
--- a/src/net/request-receiver.cc
+++ b/src/net/request-receiver.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 
+#include <absl/strings/ascii.h>
 #include <absl/strings/match.h>
 
 namespace ibisnotch {
@@ -248,7 +249,7 @@
         collector.fields.pop_back();
     Headers headers;
     for (auto &[name, value] : collector.fields)
-        headers.add(std::move(name), std::move(value));
+        headers.add(std::move(name), std::string(absl::StripTrailingAsciiWhitespace(value)));
     return headers;
 }
 
