--- a/test/http-client-test.cc
+++ b/test/http-client-test.cc
@@ -1,5 +1,6 @@
 #include "ibisnotch/http-client.h"
 
+#include <functional>
 #include <future>
 #include <mutex>
 #include <thread>
@@ -201,7 +202,15 @@
         std::string received;
         asio::read_until(socket, asio::dynamic_buffer(received), "\r\n\r\n", error);
     });
+    // Slows the client's loop, so that the bytes are there before the request is sent.
+    std::function<void(int)> slowDown;
     HttpClient client;
+    slowDown = [&](int times) {
+        std::this_thread::sleep_for(std::chrono::milliseconds(50));
+        if (times > 1)
+            client.post([&slowDown, times] { slowDown(times - 1); });
+    };
+    client.post([&slowDown] { slowDown(10); });
     OutgoingRequest request;
     request.url = "http://127.0.0.1:" + std::to_string(port) + "/";
     request.limits.total = std::chrono::seconds(5);
