--- a/review/stand-ins-2/client.cc
+++ b/review/stand-ins-2/client.cc
@@ -9,7 +9,11 @@
 //       HEAD-BYTES, a field with a long list makes each head that long.
 //   client load PORT HOST PREFIX COUNT NAME SECONDS same|own
 //       COUNT callers at a time ask again and again, all for PREFIX (same) or each time for another
-//       target below it (own). Those that are refused come back after Retry-After, a second at most.
+//       target below it (own). Those that are refused come back after Retry-After, a second at
+//       most.
+//   client crowd PORT HOST COUNT SECONDS spaced|plain
+//       opens COUNT connections, sends one request on each and keeps them open. Prints how many
+//       were opened. With "spaced", a blank stands before the colon of Content-Length.
 #include <memory>
 #include <mutex>
 
@@ -68,11 +72,11 @@
         value.append(block, size);
     }
     std::string ignored;
-    const int status = exchange(port,
-                                method + " /test/key?Key=" + key
-                                    + " HTTP/1.1\r\nHost: store\r\nContent-Length: "
-                                    + std::to_string(value.size()) + "\r\n\r\n" + value,
-                                ignored);
+    const int status
+        = exchange(port,
+                   method + " /test/key?Key=" + key + " HTTP/1.1\r\nHost: store\r\nContent-Length: "
+                       + std::to_string(value.size()) + "\r\n\r\n" + value,
+                   ignored);
     return status == 200 ? 0 : 1;
 }
 
@@ -122,8 +126,8 @@
         = channel->send(text) && readMessage(*channel, answer, nowMs() + longestMs, true);
     std::string body = answer.body.substr(0, 100);
     std::replace(body.begin(), body.end(), '\n', ' ');
-    print(id + ": " + (isWhole ? std::to_string(answer.status()) : "no whole answer") + " stamp="
-          + field(answer.fields, "X-Ibisnotch-Server-Stamp") + " body=" + body);
+    print(id + ": " + (isWhole ? std::to_string(answer.status()) : "no whole answer")
+          + " stamp=" + field(answer.fields, "X-Ibisnotch-Server-Stamp") + " body=" + body);
     if (!isWhole || field(answer.fields, "Connection") == "close")
         channel.reset();
     retryAfter = std::atof(field(answer.fields, "Retry-After").c_str());
@@ -174,6 +178,25 @@
     return 0;
 }
 
+int keepCrowd(char **arguments)
+{
+    const std::string colon = std::string(arguments[6]) == "spaced" ? " :" : ":";
+    std::vector<std::unique_ptr<Channel>> crowd;
+    for (int i = 0; i < std::atoi(arguments[4]); ++i) {
+        const int socket = connectTo(std::atoi(arguments[2]));
+        if (socket < 0)
+            break;
+        crowd.push_back(std::make_unique<Channel>(socket));
+        crowd.back()->send("POST /status/crowd HTTP/1.1\r\nHost: " + std::string(arguments[3])
+                           + "\r\nX-Ibisnotch-Request-Id: crowd-" + std::to_string(i)
+                           + "\r\nX-Ibisnotch-Deadline-Ms: 3000\r\nContent-Length" + colon
+                           + " 2\r\n\r\n{}");
+    }
+    print("crowd of " + std::to_string(crowd.size()));
+    std::this_thread::sleep_for(std::chrono::seconds(std::atoi(arguments[5])));
+    return 0;
+}
+
 } // namespace
 
 int main(int count, char **arguments)
@@ -191,12 +214,14 @@
         return exchange(std::atoi(arguments[2]), text, body) == 200 ? 0 : 1;
     }
     if (verb == "get" && count == 4) {
-        const int status
-            = exchange(std::atoi(arguments[2]),
-                       "GET " + std::string(arguments[3]) + " HTTP/1.1\r\nHost: page\r\n\r\n", body);
+        const int status = exchange(
+            std::atoi(arguments[2]),
+            "GET " + std::string(arguments[3]) + " HTTP/1.1\r\nHost: page\r\n\r\n", body);
         std::printf("%d %s\n", status, body.c_str());
         return 0;
     }
+    if (verb == "crowd" && count == 7)
+        return keepCrowd(arguments);
     if (verb == "load" && count == 9)
         return sendLoad(arguments);
     if (verb == "send" && count >= 8)
--- a/review/stand-ins-2/engine.cc
+++ b/review/stand-ins-2/engine.cc
@@ -1,7 +1,8 @@
 // Stand-in of a backend server. Prints a line for each request that it runs.
 //   engine PORT ID [FAIL-STATUS]
-// It is sound unless FAIL-STATUS is given. Then it fails two of five requests, after it has run them,
-// with that status, a stamp and no word that they were not run, while its health checks are good.
+// It is sound unless FAIL-STATUS is given. Then it fails two of five requests, after it has run
+// them, with that status, a stamp and no word that they were not run, while its health checks are
+// good.
 #include <atomic>
 #include <mutex>
 
@@ -52,7 +53,6 @@
         fields.emplace_back("X-Ibisnotch-Server-Stamp", "stamp." + requestId + "." + id);
         std::this_thread::sleep_for(std::chrono::milliseconds(runMs));
         const bool fails = runs++ % 5 < 2;
-        return channel.send(
-            makeResponse(fails ? status : 200, fields, "ran " + requestId + "\n"));
+        return channel.send(makeResponse(fails ? status : 200, fields, "ran " + requestId + "\n"));
     });
 }
--- a/review/stand-ins-2/store.cc
+++ b/review/stand-ins-2/store.cc
@@ -22,7 +22,8 @@
     for (std::size_t i = 0; i < text.size(); i += 3) {
         unsigned block = 0;
         for (std::size_t k = 0; k < 3; ++k)
-            block = block << 8 | (i + k < text.size() ? static_cast<unsigned char>(text[i + k]) : 0);
+            block
+                = block << 8 | (i + k < text.size() ? static_cast<unsigned char>(text[i + k]) : 0);
         for (std::size_t k = 0; k < 4; ++k)
             out += i + k <= text.size() ? digits[block >> (18 - 6 * k) & 63] : '=';
     }
@@ -49,7 +50,8 @@
     std::size_t at = target.find('?');
     while (at != std::string::npos) {
         const std::size_t end = target.find('&', at + 1);
-        const std::string part = target.substr(at + 1, end == std::string::npos ? end : end - at - 1);
+        const std::string part
+            = target.substr(at + 1, end == std::string::npos ? end : end - at - 1);
         const std::size_t equals = part.find('=');
         if (equals != std::string::npos)
             query[part.substr(0, equals)] = decodePercent(part.substr(equals + 1));
@@ -88,7 +90,8 @@
             return transact(channel, json::parse(request.body, nullptr, false));
         if (path == "/ibisnotch/kv-lease") {
             const json body = json::parse(request.body, nullptr, false);
-            return answer(channel, 200, {{"Lease", grant(body["TtlMs"])}, {"TtlMs", body["TtlMs"]}});
+            return answer(channel, 200,
+                          {{"Lease", grant(body["TtlMs"])}, {"TtlMs", body["TtlMs"]}});
         }
         if (path.starts_with("/ibisnotch/kv-keep/"))
             return answer(channel, 404, json::object());
@@ -213,8 +216,7 @@
                 if (event["ModRev"] > after && key.starts_with(prefix))
                     events.push_back(event);
             }
-        } while (events.empty()
-                 && m_changed.wait_until(lock, until) == std::cv_status::no_timeout);
+        } while (events.empty() && m_changed.wait_until(lock, until) == std::cv_status::no_timeout);
         const json body{{"events", events}, {"AsOf", m_revision}};
         lock.unlock();
         return answer(channel, 200, body);
