--- a/src/entry/attempt.cc
+++ b/src/entry/attempt.cc
@@ -73,8 +73,9 @@
         countHeld();
         if (m_response.body.size() <= bufferBound())
             return true;
-        // It can't continue the stream of which the caller has a part, whatever follows.
-        if (m_dispatch->m_streamStarted) {
+        // It can't continue the stream of which the caller has a part, whatever follows, and no
+        // part of a false promise may reach the caller.
+        if (m_dispatch->m_streamStarted || m_dispatch->isFalsePromise(*this)) {
             std::string().swap(m_response.body);
             countHeld();
             return stopWith(AttemptOutcome::serverError);
--- a/src/entry/dispatch-attempt.cc
+++ b/src/entry/dispatch-attempt.cc
@@ -142,6 +142,11 @@
     return m_serverAttempts > before;
 }
 
+bool Dispatch::isFalsePromise(const Attempt &attempt) const
+{
+    return !m_exchange->service->idempotent && attempt.reader().promisesNotRun();
+}
+
 // Returns whether a peer reports that it refused the request and that no attempt of it ran.
 bool Dispatch::isNotRunAtPeer(const Target &target, const Attempt &attempt)
 {
--- a/src/entry/dispatch.cc
+++ b/src/entry/dispatch.cc
@@ -343,11 +343,14 @@
         && !attempt.reader().isStreaming())
         outcome = isNotRunAtPeer(target, attempt) ? AttemptOutcome::refusedNotRun
                                                   : AttemptOutcome::serverError;
+    const bool mayPassOn = !isFalsePromise(attempt);
+    if (outcome == AttemptOutcome::answered && !mayPassOn)
+        outcome = AttemptOutcome::serverError;
     recordAttempt(target, outcome, attempt);
     countRuns(target, outcome, attempt);
     const bool reachedServers = countPeerAttempts(attempt);
     if (outcome == AttemptOutcome::serverError && m_protocol.passesServerErrors()
-        && !m_streamStarted)
+        && !m_streamStarted && mayPassOn)
         m_serverError = attempt.response();
     m_mayHaveRun
         = m_mayHaveRun || (!certainlyNotRun(outcome) && outcome != AttemptOutcome::answered);
--- a/src/entry/dispatch.h
+++ b/src/entry/dispatch.h
@@ -256,6 +256,9 @@
     // Returns whether a peer reports attempts at backend servers that weren't counted yet, and
     // counts them.
     bool countPeerAttempts(const Attempt &attempt);
+    // Returns whether the status would say that a request did not run which may have run and must
+    // not run twice.
+    bool isFalsePromise(const Attempt &attempt) const;
     static bool isNotRunAtPeer(const Target &target, const Attempt &attempt);
     void logFailedAttempt(const Target &target, AttemptOutcome outcome,
                           const Attempt &attempt) const;
--- a/src/entry/protocol.h
+++ b/src/entry/protocol.h
@@ -100,6 +100,9 @@
     virtual ServerStatement statement() const { return {}; }
     virtual std::optional<ResponseLoad> reportedLoad() const { return std::nullopt; }
     virtual NamedLimit namedLimit() const { return {}; }
+    // Returns whether the status would promise the caller that the request didn't run, without the
+    // sender having said so. Known after onHead().
+    virtual bool promisesNotRun() const { return false; }
 };
 
 // One wire protocol. Stateless and thread safe.
