--- a/include/ibisnotch/config.h
+++ b/include/ibisnotch/config.h
@@ -145,8 +145,8 @@
 
 struct Limits
 {
-    int maxBodyBytes = 1 << 20;
-    int maxHeaderBytes = 1 << 16;
+    std::int64_t maxBodyBytes = 1 << 20;
+    std::int64_t maxHeaderBytes = 1 << 16;
     Duration headerTimeout = std::chrono::seconds(60);
     Duration idleTimeout = std::chrono::seconds(60);
     double retryShare = 0.1; // retries per request
