A peer's result code that isn't in the table says nothing of the request

A peer of a later release may answer with a code that this one doesn't know; it was looked up behind the end of the table. It now counts as "outcome unknown".

--- a/include/ibisnotch/result-code.h
+++ b/include/ibisnotch/result-code.h
@@ -1,6 +1,7 @@
 // Numeric result codes of requests, and the table that describes each.
 #pragma once
 
+#include <cstdint>
 #include <span>
 #include <string_view>
 
@@ -71,6 +72,10 @@
 
 const ResultInfo &resultInfo(ResultCode code);
 
+// Returns the code with this number. An instance of a later release may use one that isn't in the
+// table; that says nothing of what became of the request, so it is `backendFailed`.
+ResultCode resultCodeOf(std::int64_t number);
+
 std::string_view runStateName(RunState run);
 
 // Convert a result code to an error with the code as payload, and back. A status without a code
--- a/src/decide/result-code.cc
+++ b/src/decide/result-code.cc
@@ -99,6 +99,14 @@
     return *found;
 }
 
+ResultCode resultCodeOf(std::int64_t number)
+{
+    const bool isKnown = std::any_of(table.begin(), table.end(), [number](const ResultInfo &info) {
+        return static_cast<std::int64_t>(info.code) == number;
+    });
+    return isKnown ? static_cast<ResultCode>(number) : backendFailed;
+}
+
 std::string_view runStateName(RunState state)
 {
     switch (state) {
--- a/src/entry/chat-protocol.cc
+++ b/src/entry/chat-protocol.cc
@@ -33,7 +33,7 @@
             return classifyStatus(status, headers);
         int code = 0;
         if (absl::SimpleAtoi(headers.get("X-Result-Code").value_or(""), &code))
-            m_resultCode = static_cast<ResultCode>(code);
+            m_resultCode = resultCodeOf(code);
         if (!absl::SimpleAtoi(headers.get(attemptsHeader).value_or(""), &m_reportedAttempts))
             m_reportedAttempts = 0;
         m_reportedConfigVersion = readConfigVersion(headers);
--- a/test/result-code-test.cc
+++ b/test/result-code-test.cc
@@ -30,3 +30,11 @@
             CHECK(info.runState == RunState::unknown);
     }
 }
+
+// Guards against an instance that reads behind its table when a peer of a later release answers.
+TEST_CASE("resultCodeOf_numberOfALaterRelease_saysNothingOfTheRequest")
+{
+    CHECK(resultCodeOf(3001) == ResultCode::overloaded);
+    CHECK(resultCodeOf(3999) == ResultCode::backendFailed);
+    CHECK(resultCodeOf(std::int64_t(3001) + (std::int64_t(1) << 32U)) == ResultCode::backendFailed);
+}
