--- a/include/ibisnotch/part-suspects.h
+++ b/include/ibisnotch/part-suspects.h
@@ -115,6 +115,9 @@
                                            TimePoint now);
     // The same for a prompt that is about to be sent to a server.
     Admittance admit(std::string_view pool, const Prompt &prompt, TimePoint now);
+    // Called when the trial of blocked parts has ended without showing anything of them, as when
+    // its caller left. Unless they are known better now, a prompt from `dueAt` on is their trial.
+    void onTrialUndecided(const std::vector<BlockedPart> &tried, TimePoint dueAt);
 
     // Called when a connection breaks before an answer to the prompt has begun. The server has
     // crashed or still runs, and one of the next two functions is called when this is known.
--- a/include/ibisnotch/server-table.h
+++ b/include/ibisnotch/server-table.h
@@ -111,7 +111,7 @@
     std::atomic<Duration::rep> statusCheckPassedAt = 0;
     std::atomic<Duration::rep> statusCheckFailedAt = 0;
     std::atomic<int> statusCheckFailures = 0; // in a row, without a sign of life in between
-    std::atomic<bool> trialInProgress = false; // one request is testing the ejected server
+    std::atomic<bool> trialInProgress = false; // see ServerTrial
 
     // What the server's process said of itself. Routing tables are published a little later, and
     // other threads would send to the server until then.
--- a/src/decide/part-suspects.cc
+++ b/src/decide/part-suspects.cc
@@ -134,6 +134,18 @@
     return result;
 }
 
+void PartSuspects::onTrialUndecided(const std::vector<BlockedPart> &tried, TimePoint dueAt)
+{
+    const std::lock_guard lock(m_mutex);
+    for (const BlockedPart &part : tried) {
+        const auto found = m_entries.find(part.suspect.id);
+        const bool isSameBlock = found != m_entries.end() && found->second.blockedAt
+            && found->second.suspect == part.suspect;
+        if (isSameBlock && !found->second.trialDueAt)
+            found->second.trialDueAt = dueAt;
+    }
+}
+
 void PartSuspects::onPromptLost(std::string_view pool, const Prompt &prompt)
 {
     const std::lock_guard lock(m_mutex);
--- a/src/decide/server-table.cc
+++ b/src/decide/server-table.cc
@@ -308,7 +308,6 @@
     if (found == m_records.end())
         return;
     Record &record = found->second;
-    record.counters->trialInProgress = false;
     if (health == AttemptHealth::good) {
         record.needsTrial = false;
         record.failures = 0;
--- a/src/entry/attempt.cc
+++ b/src/entry/attempt.cc
@@ -23,10 +23,10 @@
 
 } // namespace
 
-Dispatch::Attempt::Attempt(std::shared_ptr<Dispatch> dispatch, Target target,
+Dispatch::Attempt::Attempt(std::shared_ptr<Dispatch> dispatch, Target target, ServerTrial trial,
                            std::unique_ptr<ResponseReader> reader)
-    : m_dispatch(std::move(dispatch)), m_target(std::move(target)), m_reader(std::move(reader)),
-      m_heldBody(m_dispatch->m_state.buffers.heldBytes()),
+    : m_dispatch(std::move(dispatch)), m_target(std::move(target)), m_trial(std::move(trial)),
+      m_reader(std::move(reader)), m_heldBody(m_dispatch->m_state.buffers.heldBytes()),
       m_lastReceivedAt(m_dispatch->m_state.clock.now())
 {
     onBodySent(0);
--- a/src/entry/attempt.h
+++ b/src/entry/attempt.h
@@ -8,13 +8,14 @@
 
 #include "dispatch.h"
 #include "ibisnotch/retry.h"
+#include "ibisnotch/server-trial.h"
 
 namespace ibisnotch {
 
 class Dispatch::Attempt final : public ResponseSink
 {
 public:
-    Attempt(std::shared_ptr<Dispatch> dispatch, Target target,
+    Attempt(std::shared_ptr<Dispatch> dispatch, Target target, ServerTrial trial,
             std::unique_ptr<ResponseReader> reader);
 
     bool onHead(int status, const Headers &headers) override;
@@ -46,6 +47,7 @@
 
     std::shared_ptr<Dispatch> m_dispatch;
     Target m_target;
+    ServerTrial m_trial;
     std::unique_ptr<ResponseReader> m_reader;
     HeldBytes m_heldBody; // of the response, and what its reader holds
     mutable ReadPacer m_pacer;
--- a/src/entry/dispatch-suspects.cc
+++ b/src/entry/dispatch-suspects.cc
@@ -19,7 +19,7 @@
 // A connection that breaks accuses the request at once. Servers also time out, or end an answer
 // early, without having crashed; then the request is accused only once it is known that the server
 // is gone.
-void Dispatch::onSuspectedCrash(const Target &target, AttemptOutcome outcome,
+bool Dispatch::onSuspectedCrash(const Target &target, AttemptOutcome outcome,
                                 const Attempt &attempt)
 {
     const bool isBroken = outcome == AttemptOutcome::connectionLost;
@@ -27,12 +27,13 @@
         = outcome == AttemptOutcome::silent || outcome == AttemptOutcome::truncated;
     const bool mayAccuse = !attempt.hasBegun() && (isBroken || isUnclear);
     if (!isBroken && !mayAccuse)
-        return;
+        return false;
     if (isBroken)
         markCrash(target);
     if (mayAccuse)
         onPromptLost();
-    checkServerAlive(target, {isBroken, mayAccuse, m_knownCrashes});
+    checkServerAlive(target, {isBroken, mayAccuse, m_knownCrashes, m_triedParts});
+    return mayAccuse;
 }
 
 void Dispatch::markCrash(const Target &target)
@@ -86,7 +87,7 @@
     if (!lost.accusesParts)
         return;
     if (isAlive || mayHang)
-        onServerAlive();
+        onServerAlive(lost.triedParts);
     else
         onServerCrashed(target, lost.knownCrashes);
 }
@@ -112,6 +113,7 @@
     const Admittance result = target.isPeer
         ? Admittance{m_state.suspects.findBlocked(pool, prompt, now), {}}
         : m_state.suspects.admit(pool, prompt, now);
+    m_triedParts = result.tried;
     for (const BlockedPart &part : result.tried) {
         trace("trial of the blocked part " + part.suspect.name);
         logSuspect("Prompt part tried.", part.suspect, m_exchange->id);
@@ -143,9 +145,20 @@
     m_state.suspects.onPromptLost(loadKey(*m_exchange), m_exchange->prompt);
 }
 
-void Dispatch::onServerAlive()
+void Dispatch::returnPartTrial(Duration delay)
+{
+    if (!m_triedParts.empty())
+        m_state.suspects.onTrialUndecided(std::exchange(m_triedParts, {}),
+                                          m_state.clock.now() + delay);
+}
+
+void Dispatch::onServerAlive(const std::vector<BlockedPart> &triedParts)
 {
     m_state.suspects.onServerAlive(loadKey(*m_exchange), m_exchange->prompt);
+    // Each trial may take a server's slot for long, if servers hang on the part.
+    if (!triedParts.empty())
+        m_state.suspects.onTrialUndecided(triedParts,
+                                          m_state.clock.now() + PartSuspects::trialDelay);
 }
 
 void Dispatch::onServerCrashed(const Target &target, const std::vector<int> &knownCrashes)
--- a/src/entry/dispatch.cc
+++ b/src/entry/dispatch.cc
@@ -298,8 +298,14 @@
         settleNotRun();
         return refuse({ResultCode::deadlineTooShort, "", jitteredRetryAfter(1, m_state.random)});
     }
-    if (!passesStop() || !passesPartCheck(target) || (!target.isPeer && !passesQuarantine()))
+    ServerTrial trial = target.trial ? ServerTrial(target.counters) : ServerTrial();
+    // Another thread has just begun to test this server.
+    if (target.trial && !trial.hasBegun())
+        return route();
+    if (!passesStop() || !passesPartCheck(target))
         return;
+    if (!target.isPeer && !passesQuarantine())
+        return returnPartTrial(Duration(0));
     ++m_attempts;
     m_serverAttempts += target.isPeer ? 0 : 1;
     m_attemptStartedAt = m_state.clock.now();
@@ -317,7 +323,6 @@
     }
     addRetryShare(target);
     if (target.counters) {
-        target.counters->trialInProgress = target.trial;
         m_recoveryEpoch = recordSent(*target.counters, m_attemptStartedAt);
         ++target.counters->inFlight;
         ++target.counters->sentSinceReport;
@@ -326,7 +331,7 @@
     }
     if (continuesStream())
         logContinuation(target);
-    auto attempt = std::make_shared<Attempt>(shared_from_this(), target,
+    auto attempt = std::make_shared<Attempt>(shared_from_this(), target, std::move(trial),
                                              m_protocol.makeReader(*m_exchange, target.isPeer));
     m_currentAttempt = attempt;
     m_client.send(makeRequest(target), std::move(attempt));
@@ -358,8 +363,10 @@
         const std::lock_guard lock(m_state.quarantineMutex);
         m_state.quarantine.onTrialFinished(m_exchange->fingerprint);
     }
-    if (!target.isPeer && !m_exchange->responder->isClosed() && !m_serverReadsSlowly)
-        onSuspectedCrash(target, outcome, attempt);
+    const bool maySuspect
+        = !target.isPeer && !m_exchange->responder->isClosed() && !m_serverReadsSlowly;
+    if (!maySuspect || !onSuspectedCrash(target, outcome, attempt))
+        returnPartTrial(Duration(0));
     // The attempt reached no backend server, so the next one is no retry of it.
     if (isUnready && !reachedServers) {
         m_forwardedToRegion = false;
--- a/src/entry/dispatch.h
+++ b/src/entry/dispatch.h
@@ -74,6 +74,7 @@
         bool isMarked = false; // the request counts as one that may have crashed the server
         bool accusesParts = false; // so do the parts of its prompt
         std::vector<int> knownCrashes; // of these parts, when the attempt began
+        std::vector<BlockedPart> triedParts; // blocked parts of which it was the trial
         bool operator==(const LostAttempt &) const = default;
     };
 
@@ -175,8 +176,9 @@
     // Whether a server has crashed, and what is held against the request and the parts of its
     // prompt (dispatch-suspects.cc).
 
-    // Called when an attempt at a server has ended while its caller is there.
-    void onSuspectedCrash(const Target &target, AttemptOutcome outcome, const Attempt &attempt);
+    // Called when an attempt at a server has ended while its caller is there. Returns whether the
+    // parts of its prompt are accused, until it is known whether the server still runs.
+    bool onSuspectedCrash(const Target &target, AttemptOutcome outcome, const Attempt &attempt);
     void checkServerAlive(const Target &target, const LostAttempt &lost);
     void onServerChecked(const Target &target, const LostAttempt &lost,
                          const BufferedResponse &reply);
@@ -184,11 +186,13 @@
     void clearCrash();
     // Refuses the request and returns false if a part of its prompt is blocked.
     bool passesPartCheck(const Target &target);
+    // Lets another prompt be the trial of the blocked parts of which this one was, after `delay`.
+    void returnPartTrial(Duration delay);
     // Called when the server begins to answer.
     void onAnswerBegun();
     // Called when an attempt that may have crashed its server has ended without an answer.
     void onPromptLost();
-    void onServerAlive();
+    void onServerAlive(const std::vector<BlockedPart> &triedParts);
     void onServerCrashed(const Target &target, const std::vector<int> &knownCrashes);
     OutgoingRequest makeRequest(const Target &target) const;
     // The software version at which a stream goes on (dispatch-origin.cc).
@@ -310,6 +314,7 @@
     // not be told "not run".
     bool m_mayHaveRun = false;
     bool m_isQuarantineTrial = false;
+    std::vector<BlockedPart> m_triedParts; // of which the current attempt is the trial
     std::vector<int> m_knownCrashes; // of the prompt's shared parts, when the attempt began
     bool m_forwardedToRegion = false; // an attempt went to another region that did not reject it
     bool m_stayInRegion = false; // another region rejected the request
--- a/test/part-suspects-test.cc
+++ b/test/part-suspects-test.cc
@@ -151,6 +151,39 @@
     CHECK(other.admit("pool", prompt, now).blocked);
 }
 
+// Guards against a sound part that is refused for as long as its block lasts, because the caller of
+// its one trial left.
+TEST_CASE_METHOD(SuspectsFixture, "partSuspects_trialEndsUndecided_anotherPromptIsTheTrial")
+{
+    const Prompt prompt = promptOf({7});
+    for (int server = 0; server < 3; ++server)
+        crash(prompt);
+    now += PartSuspects::trialDelay;
+    const Admittance trial = suspects.admit("pool", prompt, now);
+    REQUIRE(trial.tried.size() == 1);
+    CHECK(isBlocked(prompt));
+    SECTION("the caller left")
+    {
+        suspects.onTrialUndecided(trial.tried, now + 1s);
+        CHECK(isBlocked(prompt));
+        now += 1s;
+        CHECK(suspects.admit("pool", prompt, now).tried.size() == 1);
+        CHECK(isBlocked(prompt));
+    }
+    SECTION("its server crashed")
+    {
+        crash(prompt);
+        suspects.onTrialUndecided(trial.tried, now);
+        CHECK(isBlocked(prompt));
+    }
+    SECTION("its server answered")
+    {
+        suspects.onAnswerBegun("pool", prompt, now);
+        suspects.onTrialUndecided(trial.tried, now);
+        CHECK_FALSE(isBlocked(prompt));
+    }
+}
+
 // Guards against servers that crash each time that the block of the same part ends.
 TEST_CASE_METHOD(SuspectsFixture, "partSuspects_trialCrashes_blockIsRenewedWhilePromptsCome")
 {
--- a/test/pick-test.cc
+++ b/test/pick-test.cc
@@ -6,6 +6,7 @@
 #include <catch2/catch.hpp>
 #include <rapidcheck/catch.h>
 
+#include "ibisnotch/server-trial.h"
 #include "routing-fixture.h"
 
 using namespace ibisnotch;
@@ -125,6 +126,19 @@
     CHECK(candidatesForService(table, service, {"tried"}).size() == 1);
 }
 
+// Guards against a server that is never tried again because a trial ended without an outcome.
+TEST_CASE("serverTrial_endsWithoutOutcome_letsTheNextOneBegin")
+{
+    const auto counters = std::make_shared<ServerCounters>();
+    {
+        const ServerTrial first(counters);
+        CHECK(first.hasBegun());
+        CHECK_FALSE(ServerTrial(counters).hasBegun());
+        CHECK(counters->trialInProgress);
+    }
+    CHECK(ServerTrial(counters).hasBegun());
+}
+
 TEST_CASE_METHOD(RoutingFixture, "affinityRegion_allRegions_agreeOnOneHolder")
 {
     add("a1", 0, 8);
