--- a/src/decide/quarantine.cc
+++ b/src/decide/quarantine.cc
@@ -30,7 +30,7 @@
     if (found == m_suspects.end() || found->second.cleared)
         return QuarantineDecision::clear;
     const Suspect &suspect = found->second;
-    if (suspect.servers.size() >= m_limits.maxServersCrashed)
+    if (crashesInARow(suspect) >= m_limits.maxCrashes)
         return QuarantineDecision::quarantined;
     if (suspect.isTrialRunning)
         return QuarantineDecision::held;
@@ -56,17 +56,54 @@
         found->second.isTrialRunning = false;
 }
 
-CrashMark Quarantine::onServerCrashed(const std::string &fingerprint, const std::string &server,
-                                      TimePoint now)
+std::size_t Quarantine::crashesInARow(const Suspect &suspect) const
+{
+    // An instance that knows of a crash names the same observer as the one that told it.
+    std::map<std::string, std::size_t> byObserver;
+    std::vector<TimePoint> times;
+    std::size_t longest = 0;
+    for (const auto &[server, crash] : suspect.crashes) {
+        longest = std::max(longest, ++byObserver[crash.observer]);
+        times.push_back(crash.at);
+    }
+    std::sort(times.begin(), times.end());
+    std::size_t events = times.empty() ? 0 : 1;
+    for (std::size_t i = 1; i < times.size(); ++i)
+        events += times[i] - times[i - 1] > m_limits.maxEventTime ? 1 : 0;
+    return std::max(longest, events);
+}
+
+std::size_t Quarantine::knownCrashes(const std::string &fingerprint) const
+{
+    const auto found = m_suspects.find(fingerprint);
+    const bool isSuspect = found != m_suspects.end() && !found->second.cleared;
+    return isSuspect ? crashesInARow(found->second) : 0;
+}
+
+std::optional<CrashMark> Quarantine::onServerCrashed(const std::string &fingerprint,
+                                                     const std::string &server,
+                                                     std::size_t knownCrashes, TimePoint now)
 {
+    if (this->knownCrashes(fingerprint) > knownCrashes)
+        return std::nullopt;
     Suspect &suspect = m_suspects[fingerprint];
     if (suspect.cleared)
         suspect = {};
-    if (suspect.servers.empty())
+    if (suspect.crashes.empty())
         suspect.observer = m_self;
-    suspect.servers.insert(server);
+    // A server may start again under its name and crash once more.
+    std::string name = server;
+    while (suspect.crashes.count(name) > 0)
+        name += '+';
+    suspect.crashes[name] = {suspect.observer, now};
     suspect.lastCrashAt = now;
-    return {fingerprint, server, suspect.observer, 0, false};
+    return CrashMark{fingerprint, name, suspect.observer, 0, false};
+}
+
+CrashMark Quarantine::onServerCrashed(const std::string &fingerprint, const std::string &server,
+                                      TimePoint now)
+{
+    return *onServerCrashed(fingerprint, server, knownCrashes(fingerprint), now);
 }
 
 std::vector<CrashMark> Quarantine::onAnswered(const std::string &fingerprint)
@@ -76,8 +113,8 @@
         return {};
     found->second.cleared = true;
     std::vector<CrashMark> marks;
-    for (const std::string &server : found->second.servers)
-        marks.push_back({fingerprint, server, found->second.observer, 0, true});
+    for (const auto &[server, crash] : found->second.crashes)
+        marks.push_back({fingerprint, server, crash.observer, 0, true});
     return marks;
 }
 
@@ -89,17 +126,22 @@
     if (mark.cleared) {
         const auto found = m_suspects.find(mark.fingerprint);
         const bool isNew = found != m_suspects.end() && !found->second.cleared
-            && found->second.servers.size() < m_limits.maxServersCrashed;
+            && crashesInARow(found->second) < m_limits.maxCrashes;
         if (isNew)
             found->second.cleared = true;
         return isNew;
     }
     Suspect &suspect = m_suspects[mark.fingerprint];
-    if (suspect.cleared || !suspect.servers.insert(mark.server).second)
+    if (suspect.cleared)
         return false;
     // Two instances may each observe a first crash. All instances let the smaller name try.
     if (suspect.observer.empty() || mark.observer < suspect.observer)
         suspect.observer = mark.observer;
+    const auto [known, isNew] = suspect.crashes.try_emplace(mark.server, mark.observer, crashedAt);
+    if (!isNew) {
+        known->second.observer = std::min(known->second.observer, mark.observer);
+        return false;
+    }
     suspect.lastCrashAt = std::max(suspect.lastCrashAt, crashedAt);
     return true;
 }
@@ -111,12 +153,10 @@
     for (const auto &[fingerprint, suspect] : m_suspects) {
         if (suspect.lastCrashAt + maxAge <= now)
             continue;
-        const auto age
-            = std::chrono::duration_cast<std::chrono::milliseconds>(now - suspect.lastCrashAt);
-        for (const std::string &server : suspect.servers) {
+        for (const auto &[server, crash] : suspect.crashes) {
             if (marks.size() < maxCount)
-                marks.push_back({fingerprint, server, suspect.observer,
-                                 static_cast<std::uint32_t>(age.count()), suspect.cleared});
+                marks.push_back(
+                    {fingerprint, server, crash.observer, ageInMs(crash.at, now), suspect.cleared});
         }
     }
     return marks;
--- a/src/entry/dispatch-suspects.cc
+++ b/src/entry/dispatch-suspects.cc
@@ -28,24 +28,27 @@
     const bool mayAccuse = !attempt.hasBegun() && (isBroken || isUnclear);
     if (!isBroken && !mayAccuse)
         return false;
-    if (isBroken)
-        markCrash(target);
+    const bool isMarked = isBroken && markCrash(target, m_requestCrashes);
     if (mayAccuse)
         onPromptLost();
-    checkServerAlive(target, {isBroken, mayAccuse, m_knownCrashes, m_triedParts});
+    checkServerAlive(
+        target, {isMarked, isBroken, m_requestCrashes, mayAccuse, m_knownCrashes, m_triedParts});
     return mayAccuse;
 }
 
-void Dispatch::markCrash(const Target &target)
+bool Dispatch::markCrash(const Target &target, std::size_t knownCrashes)
 {
-    CrashMark mark;
+    std::optional<CrashMark> mark;
     {
         const std::lock_guard lock(m_state.quarantineMutex);
         mark = m_state.quarantine.onServerCrashed(m_exchange->fingerprint, target.name,
-                                                  m_state.clock.now());
+                                                  knownCrashes, m_state.clock.now());
     }
-    trace("crash mark for " + target.name);
-    m_control.broadcastCrashMarks({mark});
+    if (!mark)
+        return false;
+    trace("crash mark for " + mark->server);
+    m_control.broadcastCrashMarks({*mark});
+    return true;
 }
 
 // A connection can break although the server still runs. If the same incarnation of the server
@@ -79,11 +82,11 @@
 {
     const bool isAlive = m_protocol.isSameIncarnation(target, reply);
     // A server that hangs doesn't respond either. Only a broken connection then shows a crash.
-    const bool mayHang = reply.result.outcome == TransferOutcome::timedOut && !lost.isMarked;
+    const bool mayHang = reply.result.outcome == TransferOutcome::timedOut && !lost.isBroken;
     if (isAlive && lost.isMarked)
         clearCrash();
-    if (!isAlive && !mayHang && !lost.isMarked)
-        markCrash(target);
+    if (!isAlive && !mayHang && !lost.isBroken)
+        (void)markCrash(target, lost.requestCrashes);
     if (!lost.accusesParts)
         return;
     if (isAlive || mayHang)
--- a/src/entry/dispatch.cc
+++ b/src/entry/dispatch.cc
@@ -116,6 +116,7 @@
 {
     const std::lock_guard lock(m_state.quarantineMutex);
     const auto decision = m_state.quarantine.check(m_exchange->fingerprint, m_state.clock.now());
+    m_requestCrashes = m_state.quarantine.knownCrashes(m_exchange->fingerprint);
     m_isQuarantineTrial = decision == QuarantineDecision::trial;
     if (m_isQuarantineTrial)
         m_state.quarantine.onTrialStarted(m_exchange->fingerprint);
--- a/src/entry/dispatch.h
+++ b/src/entry/dispatch.h
@@ -72,6 +72,8 @@
     struct LostAttempt
     {
         bool isMarked = false; // the request counts as one that may have crashed the server
+        bool isBroken = false; // the connection broke
+        std::size_t requestCrashes = 0; // of the request, known when the attempt began
         bool accusesParts = false; // so do the parts of its prompt
         std::vector<int> knownCrashes; // of these parts, when the attempt began
         std::vector<BlockedPart> triedParts; // blocked parts of which it was the trial
@@ -182,7 +184,8 @@
     void checkServerAlive(const Target &target, const LostAttempt &lost);
     void onServerChecked(const Target &target, const LostAttempt &lost,
                          const BufferedResponse &reply);
-    void markCrash(const Target &target);
+    // Returns whether the crash counts, see Quarantine.
+    bool markCrash(const Target &target, std::size_t knownCrashes);
     void clearCrash();
     // Refuses the request and returns false if a part of its prompt is blocked.
     bool passesPartCheck(const Target &target);
@@ -314,6 +317,7 @@
     // not be told "not run".
     bool m_mayHaveRun = false;
     bool m_isQuarantineTrial = false;
+    std::size_t m_requestCrashes = 0; // known of the request when the attempt began
     std::vector<BlockedPart> m_triedParts; // of which the current attempt is the trial
     std::vector<int> m_knownCrashes; // of the prompt's shared parts, when the attempt began
     bool m_forwardedToRegion = false; // an attempt went to another region that did not reject it
--- a/test/quarantine-test.cc
+++ b/test/quarantine-test.cc
@@ -1,6 +1,8 @@
 #include "ibisnotch/quarantine.h"
 
+#include <algorithm>
 #include <deque>
+#include <random>
 
 #include <catch2/catch.hpp>
 #include <rapidcheck/catch.h>
@@ -91,6 +93,90 @@
     CHECK(quarantine.size() == 0);
 }
 
+// Guards against a sound lookup that is refused for minutes, as its copies ran on several servers
+// of a data centre that lost power.
+TEST_CASE("quarantine_copiesLostToOneEvent_countAsOneCrash")
+{
+    rc::prop("any order of the marks", [] {
+        const TimePoint now(1h);
+        std::vector<Quarantine> instances;
+        for (const char *name : {"e0", "e1", "e2"})
+            instances.emplace_back(name, Quarantine::Limits{});
+        std::vector<CrashMark> marks;
+        const int servers = *rc::gen::inRange(2, 7);
+        for (int server = 0; server < servers; ++server) {
+            Quarantine &own = instances[*rc::gen::inRange<std::size_t>(0, instances.size())];
+            const auto mark = own.onServerCrashed("f", "s" + std::to_string(server), 0, now);
+            if (mark)
+                marks.push_back(*mark);
+        }
+        std::mt19937 order(*rc::gen::arbitrary<std::uint32_t>());
+        std::shuffle(marks.begin(), marks.end(), order);
+        for (Quarantine &one : instances) {
+            for (const CrashMark &mark : marks)
+                one.onMark(mark, now);
+        }
+        int trials = 0;
+        for (Quarantine &one : instances) {
+            const auto decision = one.check("f", now);
+            RC_ASSERT(decision != QuarantineDecision::quarantined);
+            trials += decision == QuarantineDecision::trial ? 1 : 0;
+        }
+        RC_ASSERT(trials == 1);
+    });
+}
+
+// Guards against servers that a request crashes one after the other although its first copies
+// crashed several at once: after these it gets one trial.
+TEST_CASE("quarantine_trialAfterCopiesCrashes_isTheLast")
+{
+    Quarantine a("a", {});
+    Quarantine b("b", {});
+    const TimePoint now(1h);
+    const auto first = a.onServerCrashed("f", "s1", 0, now);
+    CHECK_FALSE(a.onServerCrashed("f", "s2", 0, now));
+    const auto other = b.onServerCrashed("f", "s3", 0, now);
+    REQUIRE(first);
+    REQUIRE(other);
+    a.onMark(*other, now);
+    b.onMark(*first, now);
+    CHECK(b.check("f", now) == QuarantineDecision::held);
+    REQUIRE(a.check("f", now) == QuarantineDecision::trial);
+    const auto last = a.onServerCrashed("f", "s4", a.knownCrashes("f"), now);
+    REQUIRE(last);
+    b.onMark(*last, now);
+    CHECK(a.check("f", now) == QuarantineDecision::quarantined);
+    CHECK(b.check("f", now) == QuarantineDecision::quarantined);
+}
+
+// Guards against a request that crashes a server again and again which starts under its name.
+TEST_CASE("quarantine_oneServerCrashesTwice_countsTwice")
+{
+    Quarantine a("a", {});
+    Quarantine b("b", {});
+    const TimePoint now(1h);
+    b.onMark(a.onServerCrashed("f", "s1", now), now);
+    b.onMark(a.onServerCrashed("f", "s1", now + 1s), now + 1s);
+    CHECK(a.check("f", now + 1s) == QuarantineDecision::quarantined);
+    CHECK(b.check("f", now + 1s) == QuarantineDecision::quarantined);
+}
+
+// Guards against crashes that count as one event although instances that couldn't tell each other
+// saw them long after each other.
+TEST_CASE("quarantine_crashesOfCutOffInstances_countIfTimeLiesBetweenThem")
+{
+    const Duration between = GENERATE(Duration(1s), Duration(10s));
+    Quarantine a("a", {});
+    Quarantine b("b", {});
+    const TimePoint now(1h);
+    (void)a.onServerCrashed("f", "s1", now);
+    (void)b.onServerCrashed("f", "s2", now + between);
+    for (const CrashMark &mark : b.recentMarks(now + 15s, 10))
+        a.onMark(mark, now + 15s);
+    const bool isOneEvent = a.check("f", now + 15s) == QuarantineDecision::trial;
+    CHECK(isOneEvent == (between == 1s));
+}
+
 TEST_CASE("quarantine_requestAnsweredAfterAll_isCleared")
 {
     Quarantine a("a", {});
