GONE: a large configuration isn't fetched by all from the first instance that has it

What callers saw: runs went on after their callers had left, around the moment at which a configuration with 1400 more routes came into force; at that moment one instance of each region failed its readiness checks for two seconds.

Cause: the first instance of a region that has a configuration tells all others, and each of them fetched the whole of it (some 300 KB) from that instance at once, beside reading it from the store. That takes seconds of a link of 10 Mbit/s and of an eighth of a core, in which no close and no timer is served in time. The class: everybody asks the one who said it first.

An instance whose store answers now waits for the store for half a second, and for up to as long again at random, before it asks another one. What an instance answers is kept until the next version.

--- a/include/ibisnotch/active-config.h
+++ b/include/ibisnotch/active-config.h
@@ -111,6 +111,7 @@
     std::shared_ptr<const ConfigDocument> m_document;
     std::shared_ptr<const FleetConfig> m_config;
     std::deque<std::shared_ptr<const ConfigDocument>> m_history;
+    mutable std::map<std::uint64_t, ConfigDelta> m_deltas; // to m_document, by their first version
     std::string m_lastError;
 };
 
--- a/src/decide/active-config.cc
+++ b/src/decide/active-config.cc
@@ -126,6 +126,7 @@
     fillServiceDefaults(*config);
     m_document = std::make_shared<const ConfigDocument>(document);
     m_config = std::make_shared<const FleetConfig>(*std::move(config));
+    m_deltas.clear();
     m_history.push_back(m_document);
     if (m_history.size() > maxHistory)
         m_history.pop_front();
@@ -158,7 +159,12 @@
     const auto found
         = std::find_if(m_history.begin(), m_history.end(),
                        [version](const auto &document) { return document->version == version; });
-    return makeDelta(found == m_history.end() ? nullptr : found->get(), *m_document);
+    const ConfigDocument *from = found == m_history.end() ? nullptr : found->get();
+    // Most peers ask for the same one, and the hash of a large document takes milliseconds.
+    const auto [delta, isNew] = m_deltas.try_emplace(from == nullptr ? 0 : version);
+    if (isNew)
+        delta->second = makeDelta(from, *m_document);
+    return delta->second;
 }
 
 std::string ActiveConfig::lastError() const
--- a/src/entry/control-config.cc
+++ b/src/entry/control-config.cc
@@ -1,6 +1,7 @@
 // The part of the control loop that puts configurations in force and gets them from other
 // instances.
 #include <algorithm>
+#include <utility>
 
 #include "control.h"
 #include "ibisnotch/log.h"
@@ -11,9 +12,35 @@
 
 // Between two messages to an instance that doesn't know the version in force here yet.
 constexpr Duration versionInterval = std::chrono::milliseconds(100);
+// In which a store that is reached returns a configuration of which others have told. An instance
+// that doesn't have it then waits for up to as long again before it asks another one.
+constexpr Duration storeAnswerTime = std::chrono::milliseconds(500);
 
 } // namespace
 
+bool Control::isWantedVersion(std::uint64_t version) const
+{
+    return version > m_state.activeConfig.version() && version != m_rejectedVersion;
+}
+
+// The instances that have a configuration first tell all others of it. If these all got it from
+// them, a large one would fill their links and processors for seconds, and nothing that they were
+// to end would end in time.
+void Control::pullVersion(std::uint64_t version, const std::string &gossipAddress)
+{
+    if (!m_source->awaitsStore())
+        return pullConfigFrom(gossipAddress);
+    if (std::exchange(m_pullPlanned, true))
+        return;
+    const auto spread
+        = std::chrono::duration_cast<Duration>(storeAnswerTime * m_state.random.uniform());
+    m_link.postAfter(storeAnswerTime + spread, [this, version, gossipAddress] {
+        m_pullPlanned = false;
+        if (isWantedVersion(version))
+            pullConfigFrom(gossipAddress);
+    });
+}
+
 void Control::pullConfigFrom(const std::string &gossipAddress)
 {
     if (m_pullInProgress)
@@ -79,10 +106,9 @@
                                         [&](const Member &one) { return one.name == instance; });
         if (found == members->end())
             return;
-        const std::uint64_t own = m_state.activeConfig.version();
-        if (version > own && version != m_rejectedVersion)
-            pullConfigFrom(found->gossipAddress);
-        if (version < own)
+        if (isWantedVersion(version))
+            pullVersion(version, found->gossipAddress);
+        if (version < m_state.activeConfig.version())
             sendVersion(found->gossipAddress);
     });
 }
--- a/src/entry/control.cc
+++ b/src/entry/control.cc
@@ -418,9 +418,8 @@
     m_source->onPositions(message.rangePositions, from);
     // Rejected versions are not pulled again; otherwise each probe that announces one would cause
     // another request.
-    if (message.configVersion > m_state.activeConfig.version()
-        && message.configVersion != m_rejectedVersion)
-        pullConfigFrom(from);
+    if (isWantedVersion(message.configVersion))
+        pullVersion(message.configVersion, from);
 }
 
 PeerReply Control::onRequest(const PeerRequest &request)
--- a/src/entry/control.h
+++ b/src/entry/control.h
@@ -147,6 +147,9 @@
     void pollServers();
     void pollServer(const BackendServer &server);
     void onPollResponse(const std::string &server, const BufferedResponse &reply);
+    bool isWantedVersion(std::uint64_t version) const;
+    // Gets a newer version of which this instance has told, unless the store brings it first.
+    void pullVersion(std::uint64_t version, const std::string &gossipAddress);
     void pullConfigFrom(const std::string &gossipAddress);
     void exchangeMembers();
     void applyConfigDelta(const ConfigDelta &delta);
@@ -163,6 +166,7 @@
     const Protocol &m_protocol;
     std::size_t m_loadCursor = 0; // position of the next server whose load is gossiped
     std::size_t m_pollCursor = 0; // position of the next server to poll
+    bool m_pullPlanned = false; // see pullVersion()
     bool m_pullInProgress = false; // of a configuration from a peer
     std::uint64_t m_rejectedVersion = 0; // of the last configuration found invalid here
     std::map<std::string, TimePoint> m_versionSentAt; // by gossip address
--- a/src/entry/range-source.cc
+++ b/src/entry/range-source.cc
@@ -109,6 +109,14 @@
     publishChanges();
 }
 
+bool RangeSource::awaitsStore() const
+{
+    return std::any_of(m_ranges.begin(), m_ranges.end(), [this](const auto &range) {
+        return range->prefix == m_format->configPrefix() && range->follower.isComplete()
+            && range->follower.isStoreReachable();
+    });
+}
+
 void RangeSource::updateListState()
 {
     for (const auto &range : m_ranges) {
--- a/src/entry/range-source.h
+++ b/src/entry/range-source.h
@@ -73,6 +73,7 @@
                 std::unique_ptr<RecordFormat> format);
 
     void tick() override;
+    bool awaitsStore() const override;
     void onRangeUpdate(const RangeUpdate &update, const std::string &from) override;
     std::vector<RangePosition> positions() const override;
     void onPositions(const std::vector<RangePosition> &positions, const std::string &from) override;
--- a/src/entry/state-source.h
+++ b/src/entry/state-source.h
@@ -20,6 +20,8 @@
     // Called with an update of a range that another instance of the region has read from the store
     // or received. `from` is that instance's gossip address.
     virtual void onRangeUpdate(const RangeUpdate &, const std::string & /*from*/) { }
+    // Returns whether the store is likely to bring a newer configuration without being asked.
+    virtual bool awaitsStore() const { return false; }
     // Returns the revisions of the ranges that this instance has applied.
     virtual std::vector<RangePosition> positions() const { return {}; }
     // Called with the positions of another instance.
