GONE: a caller's time counts from the arrival of its request, and what is told is what is left

What callers saw: servers worked on after the caller's deadline, 0.6 to 0.8 s. In both of the users' records the server was told a time that is too long by what had passed before: in the first, of 2.4 s that the caller had, 1.08 s were over when the request reached the server, and the run lasted 2.1 s more; in the second, of 4.0 s, 0.66 s were over, and the server dropped the request 3.9 s later.

Cause: the time limit counted from the moment at which an instance had read the whole request, however long that had lain unread; it was told as of the moment at which the request was put into the client's queue, however long it stayed there and connected; and an instance of another region counted anew from its own reading. Each hop added what it had not noticed. The class: a relative time limit that is passed on without the time of the way.

Now a request's time counts from its first byte, earlier by as much as the loop is behind (the lateness of a timer, which runs only while requests come); the field is shortened when the request is written; another region is told the time less the way. The client's own limit counts from the call.

Lines: "Requests wait unread." (how far the loop is behind); "Request over." has unreadMs and callerGoneMs, how long a request went on after its caller's close was seen.

Evidence: new tests.

--- a/include/ibisnotch/http-client.h
+++ b/include/ibisnotch/http-client.h
@@ -47,6 +47,9 @@
     // Size of the system's buffer for what is sent on a new connection; 0 for the default. Without
     // a bound it may take a whole request body that the server has not begun to read.
     int sendBufferBytes = 0;
+    // Name of a field with the milliseconds that the sender still waits; empty if there is none.
+    // What passes before the request is written is taken off.
+    std::string waitField;
     // A buffered response with a longer body is cancelled.
     std::size_t maxBufferedBytes = 4U << 20;
 
--- a/include/ibisnotch/http.h
+++ b/include/ibisnotch/http.h
@@ -8,6 +8,8 @@
 #include <utility>
 #include <vector>
 
+#include "ibisnotch/clock.h"
+
 namespace ibisnotch {
 
 class Headers
@@ -55,6 +57,9 @@
     std::string query; // without the question mark, still encoded
     Headers headers;
     Body body;
+    // When its first byte arrived, as far as the server can tell: it may not have been read at
+    // once. Default if unknown.
+    TimePoint arrivedAt{};
 
     bool operator==(const HttpRequest &) const = default;
 };
--- a/src/entry/dispatch-end.cc
+++ b/src/entry/dispatch-end.cc
@@ -241,6 +241,13 @@
     return text;
 }
 
+// Returns how long ago the caller left, which is how long its request went on without it.
+std::string Dispatch::callerGoneText() const
+{
+    const TimePoint leftAt = *m_callerLeftAt;
+    return leftAt == TimePoint{} ? "none" : millisecondsText(m_state.clock.now() - leftAt);
+}
+
 void Dispatch::logFinished(ResultCode code, bool good) const
 {
     const Exchange &exchange = *m_exchange;
@@ -257,7 +264,9 @@
          {"transfer", m_lastTransfer},
          {"firstMs", m_firstByteAt ? millisecondsText(*m_firstByteAt - exchange.arrived) : "none"},
          {"ms", millisecondsText(now - exchange.arrived)},
+         {"unreadMs", millisecondsText(exchange.unread)},
          {"leftMs", millisecondsText(remaining())},
+         {"callerGoneMs", callerGoneText()},
          {"sender", senderName(exchange)},
          {"configVersion", std::to_string(exchange.config().version)},
          {"senderVersion", std::to_string(exchange.forwarderVersion)},
--- a/src/entry/dispatch.cc
+++ b/src/entry/dispatch.cc
@@ -51,7 +51,9 @@
 void Dispatch::start()
 {
     const Exchange &exchange = *m_exchange;
-    exchange.responder->setClosedHandler([weak = weak_from_this(), &client = m_client] {
+    exchange.responder->setClosedHandler([weak = weak_from_this(), &client = m_client,
+                                          leftAt = m_callerLeftAt, &clock = m_state.clock] {
+        *leftAt = clock.now();
         client.post([weak] {
             if (const auto self = weak.lock())
                 self->onCallerLeft();
@@ -150,12 +152,21 @@
     return limits;
 }
 
+// An instance of another region counts from the arrival there. It doesn't see this instance give up
+// before the way has been gone once more.
+Duration Dispatch::waitAt(const Target &target) const
+{
+    constexpr Duration leastWait = std::chrono::milliseconds(1);
+    const Duration way = isRemote(target) ? m_exchange->config().regionOneWay : Duration(0);
+    return std::max(remaining() - way, leastWait);
+}
+
 OutgoingRequest Dispatch::makeRequest(const Target &target) const
 {
     const Exchange &exchange = *m_exchange;
-    OutgoingRequest request = target.isPeer
-        ? m_protocol.makePeerRequest(exchange, target, remaining())
-        : m_protocol.makeServerRequest(exchange, target, remaining());
+    const Duration wait = waitAt(target);
+    OutgoingRequest request = target.isPeer ? m_protocol.makePeerRequest(exchange, target, wait)
+                                            : m_protocol.makeServerRequest(exchange, target, wait);
     request.limits = limitsFor(target);
     // On a connection that was used before, a second response to an earlier run may still come.
     request.useNewConnection = request.useNewConnection || m_attempts > 1 || m_wasSentBefore;
--- a/src/entry/dispatch.h
+++ b/src/entry/dispatch.h
@@ -1,6 +1,7 @@
 // Dispatches one request to a backend server or another region, and its response to the caller.
 #pragma once
 
+#include <atomic>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -197,6 +198,8 @@
     void onPromptLost();
     void onServerAlive(const std::vector<BlockedPart> &triedParts);
     void onServerCrashed(const Target &target, const std::vector<int> &knownCrashes);
+    // Returns how long the target is told that the caller still waits.
+    Duration waitAt(const Target &target) const;
     OutgoingRequest makeRequest(const Target &target) const;
     // The software version at which a stream goes on (dispatch-origin.cc).
 
@@ -290,6 +293,7 @@
     void finish(ResultCode code);
     void cutNow();
 
+    std::string callerGoneText() const;
     void logFinished(ResultCode code, bool good) const;
     std::string routeInputsText() const;
     void trace(std::string description);
@@ -302,6 +306,9 @@
     ClaimService *m_claimService;
     ExchangePtr m_exchange;
     HttpClient &m_client;
+    // Default while the caller is there. Set on the thread that sees its connection close.
+    const std::shared_ptr<std::atomic<TimePoint>> m_callerLeftAt
+        = std::make_shared<std::atomic<TimePoint>>();
 
     SendRight m_sendRight = SendRight::none;
     std::uint64_t m_claimAttempt = 0; // identifies this request's claim
--- a/src/entry/exchange.h
+++ b/src/entry/exchange.h
@@ -25,7 +25,8 @@
     bool fromPeer = false;
 
     std::string id;
-    TimePoint arrived;
+    TimePoint arrived; // its first byte, see HttpRequest::arrivedAt
+    Duration unread{}; // from then until it was read as a whole
     TimePoint deadline;
     ForwardPath path; // the instances that forwarded the request to this one
     // Version of the configuration by which the last of them decided; 0 if it doesn't say so.
--- a/src/entry/gateway.cc
+++ b/src/entry/gateway.cc
@@ -164,7 +164,10 @@
     exchange->request = std::move(request);
     exchange->responder = std::move(responder);
     exchange->fromPeer = m_forPeers;
-    exchange->arrived = m_state.clock.now();
+    const TimePoint now = m_state.clock.now();
+    const TimePoint arrivedAt = exchange->request.arrivedAt;
+    exchange->arrived = arrivedAt == TimePoint{} ? now : std::min(arrivedAt, now);
+    exchange->unread = now - exchange->arrived;
     exchange->id = requestId(exchange->request);
     exchange->trace.requestId = exchange->id;
     exchange->trace.startedMs = wallMilliseconds(m_state.clock.wallNow());
--- a/src/net/http-client.cc
+++ b/src/net/http-client.cc
@@ -9,6 +9,7 @@
 #include <utility>
 #include <vector>
 
+#include <absl/strings/numbers.h>
 #include <asio/io_context.hpp>
 #include <asio/post.hpp>
 #include <asio/steady_timer.hpp>
@@ -104,15 +105,16 @@
         curl_multi_cleanup(m_multi);
     }
 
-    void start(OutgoingRequest request, std::shared_ptr<ResponseSink> sink)
+    void start(OutgoingRequest request, std::shared_ptr<ResponseSink> sink,
+               std::chrono::steady_clock::time_point askedAt)
     {
         auto transfer = std::make_shared<Transfer>();
         transfer->owner = this;
         transfer->request = std::move(request);
         transfer->sink = std::move(sink);
         transfer->easy = curl_easy_init();
-        transfer->startedAt = std::chrono::steady_clock::now();
-        transfer->lastProgressAt = transfer->startedAt;
+        transfer->startedAt = askedAt;
+        transfer->lastProgressAt = askedAt;
         transfer->timer = std::make_unique<asio::steady_timer>(m_io);
         configure(*transfer);
         m_transfers[transfer->easy] = transfer;
@@ -209,9 +211,30 @@
         transfer.wasUnfit = isPooled && transfer.sends == 0 && connections.hasBytesToRead(key);
         if (transfer.wasUnfit)
             return CURL_PREREQFUNC_ABORT;
+        shortenWait(transfer);
         return ++transfer.sends > 1 ? CURL_PREREQFUNC_ABORT : CURL_PREREQFUNC_OK;
     }
 
+    // Takes the time since the request was given off what its field says. libcurl reads the list of
+    // fields only after this, and the shorter text fits into its place.
+    static void shortenWait(Transfer &transfer)
+    {
+        const std::string start = transfer.request.waitField + ": ";
+        for (curl_slist *field = transfer.headerList; field != nullptr; field = field->next) {
+            std::int64_t wait = 0;
+            const std::string_view text = field->data;
+            if (start.size() == 2 || !text.starts_with(start)
+                || !absl::SimpleAtoi(field->data + start.size(), &wait))
+                continue;
+            const auto passed = std::chrono::duration_cast<std::chrono::milliseconds>(
+                std::chrono::steady_clock::now() - transfer.startedAt);
+            const std::string rest
+                = start + std::to_string(std::max<std::int64_t>(wait - passed.count(), 1));
+            if (rest.size() <= text.size())
+                std::memcpy(field->data, rest.c_str(), rest.size() + 1);
+        }
+    }
+
     static int onSocketClosed(void *user, curl_socket_t socket)
     {
         static_cast<Private *>(user)->m_connections.remove(socket);
@@ -492,8 +515,9 @@
 void HttpClient::send(OutgoingRequest request, std::shared_ptr<ResponseSink> sink)
 {
     asio::post(m_d->m_io,
-               [d = m_d.get(), request = std::move(request), sink = std::move(sink)]() mutable {
-                   d->start(std::move(request), std::move(sink));
+               [d = m_d.get(), request = std::move(request), sink = std::move(sink),
+                askedAt = std::chrono::steady_clock::now()]() mutable {
+                   d->start(std::move(request), std::move(sink), askedAt);
                });
 }
 
--- a/src/net/receive-accounts.cc
+++ b/src/net/receive-accounts.cc
@@ -8,6 +8,7 @@
 #include <asio/strand.hpp>
 #include <asio/write.hpp>
 
+#include "ibisnotch/log.h"
 #include "receive-guard.h"
 
 namespace ibisnotch {
@@ -15,6 +16,9 @@
 namespace {
 
 constexpr auto checkInterval = std::chrono::milliseconds(500);
+constexpr auto lagInterval = std::chrono::milliseconds(100);
+// A loop that is further behind is logged.
+constexpr auto loggedLag = std::chrono::milliseconds(300);
 // Time for which a client whose request isn't read to its end may still send, and read the
 // response. A connection that is closed with unread bytes is reset, which may cost the response.
 constexpr auto closingTime = std::chrono::seconds(2);
@@ -94,7 +98,8 @@
     : m_io(io), m_limits(settings.limits), m_clock(clockOf(settings)),
       m_observer(settings.observer), m_heldBytes(settings.heldBytes),
       m_maxClosing(settings.limits.maxConnections / closingShare + 1),
-      m_closing(std::make_shared<std::atomic<std::size_t>>(0)), m_timer(std::in_place, io)
+      m_closing(std::make_shared<std::atomic<std::size_t>>(0)), m_timer(std::in_place, io),
+      m_lagTimer(std::in_place, io), m_lag(lagInterval, m_clock.now())
 {
     asio::use_service<ReceiveService>(io).accounts = this;
     scheduleCheck();
@@ -242,6 +247,43 @@
     });
 }
 
+Duration ReceiveAccounts::unreadTime()
+{
+    const TimePoint time = now();
+    m_hasRead = true;
+    if (!m_isTicking.exchange(true)) {
+        m_lag.restart(time);
+        asio::post(m_io, [this] { scheduleTick(); });
+    }
+    return m_lag.at(time);
+}
+
+void ReceiveAccounts::scheduleTick()
+{
+    m_lagTimer->expires_after(lagInterval);
+    m_lagTimer->async_wait([this](const asio::error_code &error) {
+        if (!error)
+            tick();
+    });
+}
+
+// While nothing is read, the timer would only wake the process.
+void ReceiveAccounts::tick()
+{
+    const Duration late = m_lag.onTick(now());
+    if (late >= loggedLag)
+        logLine(LogPart::entry, LogLevel::warn, "Requests wait unread.",
+                {{"loopBehindMs", millisecondsText(late)},
+                 {"connections", std::to_string(guards().size())}});
+    // Behind what was ready together with this timer.
+    if (late.count() > 0)
+        asio::post(m_io, [this] { m_lag.onTurnEnd(); });
+    if (m_hasRead.exchange(false))
+        scheduleTick();
+    else
+        m_isTicking = false;
+}
+
 void ReceiveAccounts::checkTimes()
 {
     const TimePoint time = now();
@@ -259,6 +301,7 @@
 void ReceiveAccounts::stop()
 {
     m_timer.reset();
+    m_lagTimer.reset();
     for (const auto &guard : guards())
         guard->release();
 }
--- a/src/net/receive-accounts.h
+++ b/src/net/receive-accounts.h
@@ -20,6 +20,7 @@
 #include "ibisnotch/byte-count.h"
 #include "ibisnotch/clock.h"
 #include "ibisnotch/http-server.h"
+#include "ibisnotch/loop-lag.h"
 #include "ibisnotch/receive-limits.h"
 
 namespace ibisnotch {
@@ -63,6 +64,8 @@
     void stop();
 
     TimePoint now() const { return m_clock.now(); }
+    // Returns how long bytes that are read now may have waited unread.
+    Duration unreadTime();
     const std::shared_ptr<ByteCount> &heldBytes() const { return m_heldBytes; }
     std::size_t maxConnections() const { return m_limits.maxConnections; }
 
@@ -75,6 +78,8 @@
     void makeRoomForConnections();
     void scheduleCheck();
     void checkTimes();
+    void scheduleTick();
+    void tick();
 
     asio::io_context &m_io;
     const ReceiveLimits m_limits;
@@ -88,6 +93,10 @@
     std::atomic<std::size_t> m_closingConnections = 0;
     // Empty once the loop has stopped, as this object outlives it.
     std::optional<asio::steady_timer> m_timer;
+    std::optional<asio::steady_timer> m_lagTimer;
+    LoopLag m_lag;
+    std::atomic<bool> m_isTicking = false; // m_lagTimer is set
+    std::atomic<bool> m_hasRead = false; // since the last tick
     mutable std::mutex m_mutex; // guards all below
     std::map<std::uint16_t, ServedPort> m_ports;
     Guards m_guards;
--- a/src/net/receive-guard.cc
+++ b/src/net/receive-guard.cc
@@ -109,7 +109,7 @@
         return waitForBytes();
     const std::string bytes = std::exchange(m_unparsed, {});
     m_heldUnparsed.set(0);
-    parse(bytes);
+    parse(bytes, m_unparsedAt);
 }
 
 void ReceiveGuard::waitForBytes()
@@ -194,18 +194,22 @@
     if (error)
         return complete(error, 0);
     touch();
+    const TimePoint arrivedAt = m_accounts.now() - m_accounts.unreadTime();
     if (!isAhead)
-        return parse({buffer.data(), size});
+        return parse({buffer.data(), size}, arrivedAt);
+    if (m_unparsed.empty())
+        m_unparsedAt = arrivedAt;
     m_unparsed.append(buffer.data(), size);
     m_heldUnparsed.set(m_unparsed.size());
     waitForBytes();
 }
 
-void ReceiveGuard::parse(std::string_view bytes)
+void ReceiveGuard::parse(std::string_view bytes, TimePoint arrivedAt)
 {
     if (!m_receiver.hasBegun()) {
         m_receiver.begin(limits());
         m_headBegan = m_accounts.now();
+        m_arrivedAt = arrivedAt;
     }
     const std::size_t taken = m_receiver.add(bytes);
     m_state = m_receiver.isHeadComplete() ? ReceiveState::body : ReceiveState::head;
@@ -213,6 +217,7 @@
         return closeFor(m_receiver.fault());
     if (m_receiver.isComplete()) {
         m_unparsed.assign(bytes.substr(taken));
+        m_unparsedAt = arrivedAt;
         m_heldUnparsed.set(m_unparsed.size());
         return handOver();
     }
@@ -231,6 +236,7 @@
         const auto body = std::make_shared<CountedText>(m_receiver.takeBody(), count);
         m_request.body = Body(std::shared_ptr<const std::string>(body, &body->text));
     }
+    m_request.arrivedAt = m_arrivedAt;
     m_head = m_receiver.takeHead();
     m_headDelivered = 0;
     m_receiver.begin({});
--- a/src/net/receive-guard.h
+++ b/src/net/receive-guard.h
@@ -25,6 +25,7 @@
 {
     Body body;
     std::shared_ptr<const HeldBytes> head;
+    TimePoint arrivedAt{}; // its first byte
 };
 
 // One connection. Its functions run on the connection's executor, unless they say otherwise.
@@ -78,7 +79,7 @@
     bool hasClientLeft() const;
     void onReadable(const asio::error_code &error);
     void receive();
-    void parse(std::string_view bytes);
+    void parse(std::string_view bytes, TimePoint arrivedAt);
     void handOver();
     void deliver();
     void complete(const asio::error_code &error, std::size_t size);
@@ -101,6 +102,8 @@
     std::atomic<std::size_t> m_receiving = 0; // bytes held of the request that is being received
     std::atomic<TimePoint> m_lastActivity;
     std::atomic<TimePoint> m_headBegan;
+    TimePoint m_arrivedAt{}; // of the first byte of the request that is being received
+    TimePoint m_unparsedAt{}; // of the first of the bytes that follow a request
     std::atomic<bool> m_isClosing = false; // requestClose() is not done yet
     std::atomic<std::size_t> m_closingBytes = 0; // what was held when it was called
 
--- a/test/http-client-test.cc
+++ b/test/http-client-test.cc
@@ -408,3 +408,29 @@
     CHECK(reply.response.body != "extra");
     server.join();
 }
+
+// Guards against servers that work on for callers whose time is over: a request that waited in the
+// client's queue told the time limit of the moment at which it was put there.
+TEST_CASE("transfer_waitsBeforeItIsSent_tellsWhatIsLeft")
+{
+    constexpr int limitMs = 5000;
+    constexpr auto wait = std::chrono::milliseconds(600);
+    std::promise<std::string> got;
+    const std::uint16_t port = freePorts(1).front();
+    const RawServer server(port, [&got](const std::string &request) {
+        got.set_value(request);
+        return RawAnswer{"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"};
+    });
+    HttpClient client;
+    client.post([wait] { std::this_thread::sleep_for(wait); });
+    OutgoingRequest request;
+    request.url = "http://127.0.0.1:" + std::to_string(port) + "/";
+    request.headers = {{"X-Left", std::to_string(limitMs)}};
+    request.waitField = "X-Left";
+    CHECK(sendAndWait(client, std::move(request)).response.status == 200);
+    const std::string sent = got.get_future().get();
+    const std::string name = "X-Left: ";
+    const int left = std::stoi(sent.substr(sent.find(name) + name.size()));
+    CHECK(left <= limitMs - wait.count() * 9 / 10);
+    CHECK(left > limitMs - 3 * wait.count());
+}
--- a/test/http-server-test.cc
+++ b/test/http-server-test.cc
@@ -1,6 +1,7 @@
 // The HTTP server when it ends while a response is in progress, and when it counts what it holds.
 #include "ibisnotch/http-server.h"
 
+#include <array>
 #include <atomic>
 #include <functional>
 #include <thread>
@@ -114,6 +115,25 @@
     HttpServer server;
 };
 
+// Stands still while it handles the first request, and notes how long each has waited since its
+// arrival.
+class StallingHandler final : public RequestHandler
+{
+public:
+    static constexpr auto stall = 800ms;
+
+    void handle(HttpRequest request, std::shared_ptr<Responder> responder) override
+    {
+        waited[handled] = SystemClock().now() - request.arrivedAt;
+        if (++handled == 1)
+            std::this_thread::sleep_for(stall);
+        responder->reply({200, {}, "done"});
+    }
+
+    std::atomic<int> handled = 0;
+    std::array<std::atomic<Duration>, 2> waited;
+};
+
 // A client that sends one request and reads no byte of the response.
 struct IdleClient
 {
@@ -253,3 +273,20 @@
     CHECK(server.openResponses() == 0);
     loop.stop();
 }
+
+// Guards against servers that work on for callers whose time is over: an instance that stood still
+// took the requests that waited for new, and told their whole time limit.
+TEST_CASE("server_requestWaitsWhileItsLoopStandsStill_knowsSinceWhen")
+{
+    StallingHandler handler;
+    HttpServerSettings settings;
+    settings.port = freePorts(1).front();
+    HttpLoop loop(1);
+    const HttpServer server(settings, handler, loop);
+    const IdleClient first(settings.port);
+    REQUIRE(becomesTrue([&] { return handler.handled == 1; }));
+    const IdleClient second(settings.port);
+    REQUIRE(becomesTrue([&] { return handler.handled == 2; }));
+    CHECK(handler.waited[0].load() < 100ms);
+    CHECK(handler.waited[1].load() > StallingHandler::stall / 2);
+}
