The route's time counts from a request's last byte, the caller's from its first

With the commit before, a caller that uploads slowly would have used up the route's time with its upload.

--- a/include/ibisnotch/http.h
+++ b/include/ibisnotch/http.h
@@ -57,8 +57,9 @@
     std::string query; // without the question mark, still encoded
     Headers headers;
     Body body;
-    // When its first byte arrived, as far as the server can tell: it may not have been read at
-    // once. Default if unknown.
+    // When its first and its last byte arrived, as far as the server can tell: they may not have
+    // been read at once. Default if unknown.
+    TimePoint beganAt{};
     TimePoint arrivedAt{};
 
     bool operator==(const HttpRequest &) const = default;
--- a/src/entry/chat-protocol.cc
+++ b/src/entry/chat-protocol.cc
@@ -148,6 +148,7 @@
             result.headers.add("X-Service", *service);
         const auto remainingMs = std::chrono::duration_cast<std::chrono::milliseconds>(remaining);
         result.headers.add("X-Request-Timeout-Ms", std::to_string(remainingMs.count()));
+        result.waitField = "X-Request-Timeout-Ms";
         return result;
     }
 
--- a/src/entry/exchange.h
+++ b/src/entry/exchange.h
@@ -25,8 +25,9 @@
     bool fromPeer = false;
 
     std::string id;
-    TimePoint arrived; // its first byte, see HttpRequest::arrivedAt
-    Duration unread{}; // from then until it was read as a whole
+    TimePoint began; // its first byte, from which on its caller counts
+    TimePoint arrived; // its last byte
+    Duration unread{}; // from then until it was read
     TimePoint deadline;
     ForwardPath path; // the instances that forwarded the request to this one
     // Version of the configuration by which the last of them decided; 0 if it doesn't say so.
--- a/src/entry/filters.cc
+++ b/src/entry/filters.cc
@@ -166,23 +166,24 @@
 
     std::optional<Refusal> apply(Exchange &exchange) override
     {
-        Duration remaining = exchange.service->deadline;
+        exchange.deadline = exchange.arrived + exchange.service->deadline;
         if (const auto text = exchange.request.headers.get("X-Request-Timeout-Ms")) {
             const auto given = parseMilliseconds(*text);
             if (!given)
                 return Refusal{ResultCode::malformedRequest, "X-Request-Timeout-Ms", {}};
-            remaining = std::min(remaining, *given);
+            exchange.deadline = std::min(exchange.deadline, exchange.began + *given);
+            if (given->count() <= 0)
+                return Refusal{ResultCode::deadlinePassed, "", {}};
         }
         if (const auto text = exchange.request.headers.get("X-Request-Deadline")) {
             const auto given = parseMilliseconds(*text);
             if (!given)
                 return Refusal{ResultCode::malformedRequest, "X-Request-Deadline", {}};
             const Duration now(m_state.clock.wallNow().time_since_epoch());
-            remaining = std::min(remaining, *given - now);
+            exchange.deadline = std::min(exchange.deadline, m_state.clock.now() + (*given - now));
+            if (*given <= now)
+                return Refusal{ResultCode::deadlinePassed, "", {}};
         }
-        if (remaining.count() <= 0)
-            return Refusal{ResultCode::deadlinePassed, "", {}};
-        exchange.deadline = exchange.arrived + remaining;
         return std::nullopt;
     }
 
--- a/src/entry/gateway.cc
+++ b/src/entry/gateway.cc
@@ -165,8 +165,9 @@
     exchange->responder = std::move(responder);
     exchange->fromPeer = m_forPeers;
     const TimePoint now = m_state.clock.now();
-    const TimePoint arrivedAt = exchange->request.arrivedAt;
-    exchange->arrived = arrivedAt == TimePoint{} ? now : std::min(arrivedAt, now);
+    const HttpRequest &received = exchange->request;
+    exchange->arrived = received.arrivedAt == TimePoint{} ? now : received.arrivedAt;
+    exchange->began = received.beganAt == TimePoint{} ? exchange->arrived : received.beganAt;
     exchange->unread = now - exchange->arrived;
     exchange->id = requestId(exchange->request);
     exchange->trace.requestId = exchange->id;
--- a/src/entry/path-rule-filters.cc
+++ b/src/entry/path-rule-filters.cc
@@ -97,12 +97,14 @@
 public:
     std::optional<Refusal> apply(Exchange &exchange) override
     {
-        Duration timeout = exchange.service->deadline;
-        if (exchange.callerTimeout)
-            timeout = std::min(timeout, *exchange.callerTimeout);
-        if (timeout.count() <= 0)
+        const Duration timeout = exchange.service->deadline;
+        const Duration callerTimeout = exchange.callerTimeout.value_or(timeout);
+        if (std::min(timeout, callerTimeout).count() <= 0)
             return Refusal{ResultCode::deadlinePassed, "", {}};
+        // The route's time is for what follows the upload.
         exchange.deadline = exchange.arrived + timeout;
+        if (exchange.callerTimeout)
+            exchange.deadline = std::min(exchange.deadline, exchange.began + callerTimeout);
         return std::nullopt;
     }
 };
--- a/src/net/http-server.cc
+++ b/src/net/http-server.cc
@@ -401,6 +401,7 @@
                 return restinio::request_rejected();
             ReceivedRequest received = guard->takeRequest();
             HttpRequest plain = toHttpRequest(request, std::move(received.body));
+            plain.beganAt = received.beganAt;
             plain.arrivedAt = received.arrivedAt;
             const auto connection = request->connection_id();
             auto responder = std::make_shared<RestinioResponder>(
--- a/src/net/receive-guard.cc
+++ b/src/net/receive-guard.cc
@@ -209,7 +209,7 @@
     if (!m_receiver.hasBegun()) {
         m_receiver.begin(limits());
         m_headBegan = m_accounts.now();
-        m_arrivedAt = arrivedAt;
+        m_beganAt = arrivedAt;
     }
     const std::size_t taken = m_receiver.add(bytes);
     m_state = m_receiver.isHeadComplete() ? ReceiveState::body : ReceiveState::head;
@@ -219,13 +219,13 @@
         m_unparsed.assign(bytes.substr(taken));
         m_unparsedAt = arrivedAt;
         m_heldUnparsed.set(m_unparsed.size());
-        return handOver();
+        return handOver(arrivedAt);
     }
     setReceiving(countedHeadCost(m_receiver.headCost()) + m_receiver.bodyBytes());
     waitForBytes();
 }
 
-void ReceiveGuard::handOver()
+void ReceiveGuard::handOver(TimePoint arrivedAt)
 {
     // The end may lie right behind the request if the process stood still or had too much to do.
     if (hasClientLeft())
@@ -236,7 +236,8 @@
         const auto body = std::make_shared<CountedText>(m_receiver.takeBody(), count);
         m_request.body = Body(std::shared_ptr<const std::string>(body, &body->text));
     }
-    m_request.arrivedAt = m_arrivedAt;
+    m_request.beganAt = m_beganAt;
+    m_request.arrivedAt = arrivedAt;
     m_head = m_receiver.takeHead();
     m_headDelivered = 0;
     m_receiver.begin({});
--- a/src/net/receive-guard.h
+++ b/src/net/receive-guard.h
@@ -25,7 +25,8 @@
 {
     Body body;
     std::shared_ptr<const HeldBytes> head;
-    TimePoint arrivedAt{}; // its first byte
+    TimePoint beganAt{}; // as in HttpRequest
+    TimePoint arrivedAt{};
 };
 
 // One connection. Its functions run on the connection's executor, unless they say otherwise.
@@ -80,7 +81,7 @@
     void onReadable(const asio::error_code &error);
     void receive();
     void parse(std::string_view bytes, TimePoint arrivedAt);
-    void handOver();
+    void handOver(TimePoint arrivedAt);
     void deliver();
     void complete(const asio::error_code &error, std::size_t size);
     void closeFor(ReceiveFault fault);
@@ -102,7 +103,7 @@
     std::atomic<std::size_t> m_receiving = 0; // bytes held of the request that is being received
     std::atomic<TimePoint> m_lastActivity;
     std::atomic<TimePoint> m_headBegan;
-    TimePoint m_arrivedAt{}; // of the first byte of the request that is being received
+    TimePoint m_beganAt{}; // when the first byte arrived of the request that is being received
     TimePoint m_unparsedAt{}; // of the first of the bytes that follow a request
     std::atomic<bool> m_isClosing = false; // requestClose() is not done yet
     std::atomic<std::size_t> m_closingBytes = 0; // what was held when it was called
--- a/test/http-client-test.cc
+++ b/test/http-client-test.cc
@@ -434,3 +434,26 @@
     CHECK(left <= limitMs - wait.count() * 9 / 10);
     CHECK(left > limitMs - 3 * wait.count());
 }
+
+// Guards against a part of an answer that a caller gets as the whole one: the server answers a long
+// upload before it has read it, without a length, and resets the connection.
+TEST_CASE("transfer_answeredAndResetDuringItsUpload_isLost")
+{
+    const std::size_t partBytes = GENERATE(std::size_t(54), std::size_t(2) << 20);
+    const auto pause = std::chrono::milliseconds(GENERATE(0, 150, 1200));
+    const RawEnd end = GENERATE(RawEnd::reset, RawEnd::closed);
+    const std::size_t uploadBytes = GENERATE(std::size_t(300) << 10, std::size_t(8) << 20);
+    CAPTURE(partBytes, pause.count(), end, uploadBytes);
+    const std::uint16_t port = freePorts(1).front();
+    const RawServer server(port, [&](const std::string &) {
+        return RawAnswer{"HTTP/1.1 200 OK\r\n\r\n" + std::string(partBytes, 'x'), end, pause};
+    });
+    HttpClient client;
+    OutgoingRequest request;
+    request.method = "POST";
+    request.url = "http://127.0.0.1:" + std::to_string(port) + "/";
+    request.body = std::string(uploadBytes, 'u');
+    request.limits.total = std::chrono::seconds(5);
+    const BufferedResponse got = sendAndWait(client, std::move(request));
+    CHECK(got.result.outcome != TransferOutcome::complete);
+}
--- a/test/raw-server.cc
+++ b/test/raw-server.cc
@@ -43,9 +43,8 @@
         return;
     const RawAnswer answer = m_answer(request);
     asio::write(socket, asio::buffer(answer.bytes), error);
-    // Without the pause, the reset would overtake the bytes.
     if (answer.end == RawEnd::reset) {
-        std::this_thread::sleep_for(std::chrono::milliseconds(5));
+        std::this_thread::sleep_for(answer.pause);
         socket.set_option(asio::socket_base::linger(true, 0), error);
     }
     socket.close(error);
--- a/test/raw-server.h
+++ b/test/raw-server.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <atomic>
+#include <chrono>
 #include <cstdint>
 #include <functional>
 #include <string>
@@ -19,6 +20,8 @@
 {
     std::string bytes;
     RawEnd end = RawEnd::closed;
+    // Between them. Without it, a reset would overtake the bytes.
+    std::chrono::milliseconds pause{5};
 
     bool operator==(const RawAnswer &) const = default;
 };
