--- a/src/decide/quarantine.cc
+++ b/src/decide/quarantine.cc
@@ -137,7 +137,8 @@
     // Two instances may each observe a first crash. All instances let the smaller name try.
     if (suspect.observer.empty() || mark.observer < suspect.observer)
         suspect.observer = mark.observer;
-    const auto [known, isNew] = suspect.crashes.try_emplace(mark.server, mark.observer, crashedAt);
+    const auto [known, isNew]
+        = suspect.crashes.try_emplace(mark.server, Crash{mark.observer, crashedAt});
     if (!isNew) {
         known->second.observer = std::min(known->second.observer, mark.observer);
         return false;
--- a/test/http-client-test.cc
+++ b/test/http-client-test.cc
@@ -427,7 +427,8 @@
     request.url = "http://127.0.0.1:" + std::to_string(port) + "/";
     request.headers = {{"X-Left", std::to_string(limitMs)}};
     request.waitField = "X-Left";
-    CHECK(sendAndWait(client, std::move(request)).response.status == 200);
+    const BufferedResponse answer = sendAndWait(client, std::move(request));
+    CHECK(answer.response.status == 200);
     const std::string sent = got.get_future().get();
     const std::string name = "X-Left: ";
     const int left = std::stoi(sent.substr(sent.find(name) + name.size()));
