--- a/include/ibisnotch/quarantine.h
+++ b/include/ibisnotch/quarantine.h
@@ -20,7 +20,7 @@
 struct CrashMark
 {
     std::string fingerprint;
-    std::string server; // with a mark behind its name if it has crashed on the request before
+    std::string server;
     std::string observer; // entry instance that may try the request again
     std::uint32_t ageMs = 0; // time since the crash, when sent
     bool cleared = false; // the request was answered after all and is not suspect
@@ -99,7 +99,7 @@
     };
     struct Suspect
     {
-        std::map<std::string, Crash> crashes; // by server, see CrashMark
+        std::map<std::string, Crash> crashes; // by server
         std::string observer;
         TimePoint lastCrashAt;
         bool isTrialRunning = false;
--- a/src/decide/quarantine.cc
+++ b/src/decide/quarantine.cc
@@ -91,13 +91,9 @@
         suspect = {};
     if (suspect.crashes.empty())
         suspect.observer = m_self;
-    // A server may start again under its name and crash once more.
-    std::string name = server;
-    while (suspect.crashes.count(name) > 0)
-        name += '+';
-    suspect.crashes[name] = {suspect.observer, now};
+    suspect.crashes[server] = {suspect.observer, now};
     suspect.lastCrashAt = now;
-    return CrashMark{fingerprint, name, suspect.observer, 0, false};
+    return CrashMark{fingerprint, server, suspect.observer, 0, false};
 }
 
 CrashMark Quarantine::onServerCrashed(const std::string &fingerprint, const std::string &server,
